Set down the shape: packages, core types, platform hooks and log records

Cause: the first commits have to fix the folders, the core types and the interfaces that several people build on at once.

--- /dev/null
+++ b/src/platform/fleet_service.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/ids.h"
+#include "core/resources.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace rattanmount::platform {
+
+/// An entry host as the fleet list has it.
+struct listed_host {
+    core::host_id name;
+    core::endpoint inner; ///< Where it takes calls of the inner protocol.
+    core::data_centre_id data_centre;
+    bool leaving = false;
+};
+
+/// A worker as the fleet list has it.
+struct listed_worker {
+    core::worker_id name;
+    core::endpoint address;
+    core::data_centre_id data_centre;
+    core::rack_id rack;
+    core::resources capacity;
+    bool leaving = false;
+
+    friend bool operator==(const listed_worker&, const listed_worker&) = default;
+};
+
+/// An executor as the fleet list has it.
+struct listed_executor {
+    core::executor_id name;
+    core::endpoint address;
+    core::data_centre_id data_centre;
+    core::rack_id rack;
+    core::service_id service;
+    std::uint32_t slots = 0;       ///< Requests that it serves at once.
+    std::uint32_t connections = 0; ///< Connections that it holds open at once, over all entry hosts.
+    bool leaving = false;
+
+    friend bool operator==(const listed_executor&, const listed_executor&) = default;
+};
+
+/// The platform's list of hosts. It lags: it may show the dead as live and miss the new.
+struct fleet_list {
+    std::uint64_t version = 0;
+    std::vector<listed_host> hosts;
+    std::vector<listed_worker> workers;
+    std::vector<listed_executor> executors;
+};
+
+/// The platform's list of live and leaving hosts, as a hook. Blocking; any traffic thread may call it.
+struct fleet_service {
+    /// @throws core::unavailable where the list cannot be had.
+    std::function<fleet_list(core::milliseconds timeout)> list;
+};
+
+} // namespace rattanmount::platform
--- /dev/null
+++ b/tests/core/values_test.cpp
@@ -0,0 +1,62 @@
+#include "core/core.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rattanmount::core;
+
+namespace {
+
+job_spec batch_spec() {
+    return job_spec{.id = {.team = team_id{"tabua"}, .key = request_key{"sheets-1"}},
+                    .pool = pool_id{"print"},
+                    .each = {.millicores = 1000, .memory_mb = 512}};
+}
+
+} // namespace
+
+TEST_CASE("an attempt is read back from its text") {
+    const attempt_id attempt{
+        .job = {.team = team_id{"tabua"}, .key = request_key{"a.b:c"}}, .task = 3, .attempt = 2};
+    CHECK(attempt.text() == "tabua/a.b:c#3.2");
+    CHECK(attempt_id::parse(attempt.text()) == attempt);
+    CHECK_THROWS_AS(attempt_id::parse("tabua/a#x.1"), invalid_argument);
+    CHECK_THROWS_AS(attempt_id::parse("no slash#1.1"), invalid_argument);
+}
+
+TEST_CASE("an endpoint takes an IP number and a port only") {
+    const auto whole = endpoint::parse("127.0.0.1:8080/workers/w1");
+    CHECK(whole.address == "127.0.0.1");
+    CHECK(whole.port == 8080);
+    CHECK(whole.path == "/workers/w1");
+    CHECK(endpoint::parse(whole.text()) == whole);
+    CHECK_THROWS_AS(endpoint::parse("localhost:80"), invalid_argument);
+    CHECK_THROWS_AS(endpoint::parse("127.0.0.1"), invalid_argument);
+    CHECK_THROWS_AS(endpoint::parse("127.0.0.1:99999"), invalid_argument);
+}
+
+TEST_CASE("amounts fit only where each of the three fits") {
+    const resources room{.millicores = 4000, .memory_mb = 1024, .accelerators = 1};
+    CHECK(resources{.millicores = 4000, .memory_mb = 1024, .accelerators = 1}.fits_in(room));
+    CHECK(resources{.accelerators = 2}.first_excess(room) == "accelerators");
+    CHECK(resources{.millicores = 2000, .memory_mb = 768}.dominant_share(room) == Approx(0.75));
+}
+
+TEST_CASE("a job with fields at odds is refused with the field's name") {
+    CHECK_NOTHROW(batch_spec().check());
+    auto spec = batch_spec();
+    spec.idempotent = false;
+    CHECK_THROWS_WITH(spec.check(), Catch::Contains("max_attempts"));
+    spec = batch_spec();
+    spec.id.key = request_key{"a b"};
+    CHECK_THROWS_WITH(spec.check(), Catch::Contains("key"));
+    spec = batch_spec();
+    spec.each.memory_mb = -1;
+    CHECK_THROWS_WITH(spec.check(), Catch::Contains("each"));
+}
+
+TEST_CASE("a fingerprint tells two bodies apart") {
+    auto other = batch_spec();
+    CHECK(other.fingerprint() == batch_spec().fingerprint());
+    other.payload = "x";
+    CHECK(other.fingerprint() != batch_spec().fingerprint());
+}
