--- /dev/null
+++ b/src/app/entry_host.cpp
@@ -0,0 +1,411 @@
+#include "app/entry_host.h"
+
+#include "app/ask.h"
+#include "core/errors.h"
+#include "release/note_text.h"
+
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <cstdint>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace rattanmount::app {
+
+namespace {
+
+using control::host_control;
+
+constexpr core::milliseconds control_limit{1000}; ///< For questions that the control thread answers at once.
+constexpr core::milliseconds handover_poll{50};   ///< Between two looks at whether all shards are handed on.
+
+core::incarnation_id make_incarnation(const core::host_id& host) {
+    std::random_device entropy;
+    const std::uint64_t number = (static_cast<std::uint64_t>(entropy()) << 32U) | entropy();
+    return core::incarnation_id{host.value() + "-" + std::to_string(number)};
+}
+
+std::vector<cell::region_layout> regions_of(const settings::host_settings& settings) {
+    std::vector<cell::region_layout> regions;
+    for (const auto& region : settings.cell.regions) {
+        regions.push_back({.name = region.name, .data_centres = region.data_centres});
+    }
+    return regions;
+}
+
+core::milliseconds append_spacing(const settings::host_settings& settings) {
+    // Every shard's owner appends at most once in this time, so that the cell stays within its budget.
+    return core::milliseconds{1000 * settings.cell.shards / settings.platform.log.appends_per_second};
+}
+
+control::shard_keeper_options keeper_options(const settings::host_settings& settings) {
+    const auto& workers = settings.platform.workers;
+    control::shard_keeper_options options;
+    options.session.append_spacing = append_spacing(settings);
+    options.session.read_interval = settings.platform.log.shard_read_interval;
+    options.runner.lease = {.term = workers.lease_term,
+                            .renew_interval = workers.renew_interval,
+                            .task_hold = workers.task_hold,
+                            .timeout = workers.timeout,
+                            .clock_drift = workers.clock_drift};
+    options.runner.scheduling.urgent_reserve = settings.scheduling.urgent_reserve;
+    options.runner.scheduling.ageing = settings.scheduling.ageing;
+    options.runner.scheduling.quarantine_failures = settings.scheduling.quarantine_failures;
+    options.runner.scheduling.quarantine_time = settings.scheduling.quarantine_time;
+    options.keep_outcomes = settings.jobs.keep_outcomes;
+    options.queue_limit = settings.jobs.queue_limit;
+    options.move_after = settings.jobs.move_after;
+    options.snapshot_interval = settings.platform.log.retention / 4;
+    return options;
+}
+
+control::host_control_options control_options(const settings::host_settings& settings,
+                                              const core::incarnation_id& incarnation) {
+    return {.host = settings.host.name,
+            .incarnation = incarnation,
+            .inner = settings.host.inner,
+            .data_centre = settings.host.data_centre,
+            .regions = regions_of(settings),
+            .shards = settings.cell.shards,
+            .stream_prefix = settings.platform.log.stream_prefix,
+            .suspect_after = settings.membership.suspect_after,
+            .heartbeat_interval = settings.membership.heartbeat_interval,
+            .fleet_interval = settings.platform.fleet.interval,
+            .startup_wait = settings.membership.startup_wait,
+            .config_session = {.append_spacing = append_spacing(settings),
+                               .read_interval = settings.platform.log.config_read_interval},
+            .keeper = keeper_options(settings)};
+}
+
+telemetry::event_kind event_kind_of(control::state_change::kind_type kind) {
+    using from = control::state_change::kind_type;
+    using to = telemetry::event_kind;
+    switch (kind) {
+    case from::job_accepted:
+        return to::job_accepted;
+    case from::task_placed:
+        return to::task_placed;
+    case from::task_start_sent:
+        return to::task_start_sent;
+    case from::task_started:
+        return to::task_started;
+    case from::task_ended:
+        return to::task_ended;
+    case from::job_ended:
+        return to::job_ended;
+    case from::job_cancelled:
+        return to::job_cancelled;
+    case from::job_moved:
+        return to::job_moved;
+    case from::shard_claimed:
+        return to::shard_claimed;
+    case from::shard_serving:
+        return to::shard_serving;
+    case from::shard_lost:
+        return to::shard_lost;
+    case from::shard_released:
+        return to::shard_released;
+    case from::lease_taken:
+        return to::lease_taken;
+    case from::lease_lost:
+        return to::lease_lost;
+    case from::note_in_force:
+        return to::note_in_force;
+    case from::note_refused:
+        return to::note_refused;
+    case from::peer_joined:
+        return to::peer_joined;
+    case from::log_down:
+        return to::log_down;
+    case from::log_up:
+        return to::log_up;
+    case from::preempted:
+        return to::preempted;
+    }
+    return to::host_started;
+}
+
+/// Changes of the cell's state are logged; those of single jobs and leases are counted and on the time line.
+bool is_logged(control::state_change::kind_type kind) {
+    using type = control::state_change::kind_type;
+    return kind == type::shard_serving || kind == type::shard_lost || kind == type::shard_released ||
+           kind == type::log_down || kind == type::log_up || kind == type::peer_joined ||
+           kind == type::note_in_force || kind == type::note_refused || kind == type::lease_lost;
+}
+
+} // namespace
+
+entry_host::entry_host(const settings::host_settings& settings)
+    : settings(settings), incarnation(make_incarnation(settings.host.name)),
+      events({.host = settings.host.name, .incarnation = this->incarnation}, this->hybrid),
+      log({.address = settings.platform.log.address}), fleet({.address = settings.platform.fleet.address}),
+      workers({}),
+      executors({.max_connections_per_executor = settings.platform.executors.connections_per_host,
+                 .max_idle_per_executor = settings.platform.executors.connections_per_host,
+                 .idle_limit = settings.platform.executors.idle_timeout,
+                 .linger = settings.platform.executors.linger}),
+      peers(inner::inner_client_options{}),
+      orders({.log = this->log.hooks(),
+              .fleet = this->fleet.hooks(),
+              .workers = this->workers.hooks(),
+              .connect = [this](const core::endpoint& peer) { return this->peers.connect(peer); },
+              .log_timeout = settings.platform.log.timeout,
+              .fleet_timeout = settings.platform.fleet.timeout,
+              .worker_timeout = settings.platform.workers.timeout,
+              .log_threads = settings.traffic.log_threads,
+              .worker_threads = settings.traffic.worker_threads,
+              .on_change = [this](const control::state_change& change) { this->record(change); }}),
+      state(control_options(settings, this->incarnation), this->orders.hooks()) {}
+
+entry_host::~entry_host() {
+    this->stop();
+}
+
+void entry_host::record(const control::state_change& change) {
+    const auto kind = event_kind_of(change.kind);
+    this->events.record(
+        kind, {.job = change.job, .worker = change.worker, .shard = change.shard, .detail = change.detail});
+    if (is_logged(change.kind)) {
+        telemetry::log_state(telemetry::to_string(kind),
+                             {{"worker", change.worker}, {"shard", change.shard}, {"detail", change.detail}});
+    }
+}
+
+void entry_host::start() {
+    const auto connect = [this](const core::endpoint& peer) { return this->peers.connect(peer); };
+    this->control = std::make_unique<control::control_thread>(
+        control::control_thread_options{.queue_capacity = this->settings.traffic.control_queue}, this->state,
+        [this](control::control_thread& thread) { this->orders.attach(thread); });
+    this->jobs = std::make_unique<job_calls>(job_calls_options{.connect = connect}, *this->control);
+    this->quick = std::make_unique<quick_calls>(
+        quick_calls_options{.incarnation = this->incarnation,
+                            .attempt_timeout = this->settings.quick.attempt_timeout,
+                            .max_attempts = this->settings.quick.max_attempts,
+                            .connect = connect,
+                            .executors = this->executors.hooks()},
+        *this->control);
+    this->inner_side = std::make_unique<inner::inner_server>(
+        inner::inner_server_options{.listen = this->settings.host.inner,
+                                    .max_connections = this->settings.traffic.inner_threads,
+                                    .calls = this->peer_calls()});
+    this->inner_side->start();
+    this->front_side = std::make_unique<front::http_front>(
+        front::http_front_options{.listen = this->settings.host.front,
+                                  .max_threads = this->settings.traffic.front_threads,
+                                  .max_body_bytes = this->settings.traffic.body_limit_bytes,
+                                  .calls = this->caller_calls()});
+    this->front_side->start();
+    this->events.record(telemetry::event_kind::host_started, {});
+    telemetry::log_state("host_started", {{"host", this->settings.host.name.value()},
+                                          {"incarnation", this->incarnation.value()},
+                                          {"front", this->settings.host.front.text()}});
+}
+
+void entry_host::stop() {
+    if (!this->control) {
+        return;
+    }
+    telemetry::log_state("host_stopping", {{"host", this->settings.host.name.value()}});
+    this->events.record(telemetry::event_kind::host_stopping, {});
+    const auto deadline = std::chrono::steady_clock::now() + this->settings.shutdown.grace;
+    this->stopping = true;
+    this->control->reply([](host_control& host, core::steady_time now) { host.leave(now); });
+    bool handed_on = false;
+    while (!handed_on && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(handover_poll);
+        handed_on = ask<bool>(*this->control, control_limit,
+                              [](host_control& host, core::steady_time, const auto& respond) {
+                                  respond(host.done());
+                              })
+                        .answer.value_or(false);
+    }
+    this->front_side->stop(this->settings.shutdown.grace);
+    this->inner_side->stop(this->settings.shutdown.grace);
+    this->orders.stop();
+    this->control->stop();
+    this->front_side.reset();
+    this->inner_side.reset();
+    this->control.reset();
+    telemetry::log_state("host_stopped", {{"handed_on", handed_on ? "true" : "false"}});
+}
+
+core::cell_calls entry_host::caller_calls() {
+    return {.submit = [this](const core::job_spec& spec,
+                             core::milliseconds limit) { return this->jobs->submit(spec, limit); },
+            .status = [this](const core::job_id& job,
+                             core::milliseconds limit) { return this->jobs->status(job, limit); },
+            .cancel = [this](const core::job_id& job,
+                             core::milliseconds limit) { return this->jobs->cancel(job, limit); },
+            .explain = [this](const core::job_id& job,
+                              core::milliseconds limit) { return this->jobs->explain(job, limit); },
+            .quick = [this](const core::quick_request& request) { return this->quick->call(request); },
+            .apply_note = [this](const std::string& note,
+                                 core::milliseconds limit) { return this->apply_note(note, limit); },
+            .show_notes =
+                [this] {
+                    return ask<std::string>(
+                               *this->control, control_limit,
+                               [](host_control& host, core::steady_time, const auto& respond) {
+                                   respond(release::format_policies(host.configuration().policies()));
+                               })
+                        .answer.value_or("");
+                },
+            .hosts =
+                [this] {
+                    return ask<std::vector<core::host_status>>(
+                               *this->control, control_limit,
+                               [](host_control& host, core::steady_time now, const auto& respond) {
+                                   respond(host.hosts(now));
+                               })
+                        .answer.value_or(std::vector<core::host_status>{});
+                },
+            .timeline = [this] { return this->events.to_json_lines(); },
+            .metrics = [this] { return this->render_metrics(); },
+            .ready =
+                [this] {
+                    return !this->stopping && ask<bool>(*this->control, control_limit,
+                                                        [](host_control& host, core::steady_time,
+                                                           const auto& respond) { respond(host.ready()); })
+                                                  .answer.value_or(false);
+                }};
+}
+
+core::note_answer entry_host::apply_note(const std::string& text, core::milliseconds limit) {
+    const auto note = release::parse_note(text);
+    // The control thread answers `pending` by itself a little before the caller gives up.
+    constexpr core::milliseconds margin{200};
+    const auto answer = ask<core::note_answer>(
+        *this->control, limit, [note, limit](host_control& host, core::steady_time now, const auto& respond) {
+            host.apply_note(note, std::max(limit - margin, core::milliseconds{0}), now, respond);
+        });
+    if (!answer.taken) {
+        return {.verdict = core::note_verdict::refused, .reason = "this entry host is overloaded"};
+    }
+    return answer.answer.value_or(
+        core::note_answer{.verdict = core::note_verdict::unsettled,
+                          .reason = "the log has not answered in time; repeat the call"});
+}
+
+cell::owner_answer entry_host::take_job(core::shard_id to, const core::job_spec& spec,
+                                        core::system_time accepted_at, core::milliseconds limit) {
+    return ask<cell::owner_answer>(
+               *this->control, limit,
+               [to, spec, accepted_at](host_control& host, core::steady_time now, const auto& respond) {
+                   host.submit(to, spec, accepted_at, true, now, respond);
+               })
+        .answer.value_or(cell::owner_answer{});
+}
+
+cell::peer_calls entry_host::peer_calls() {
+    const auto unsettled = [](const asked<cell::owner_answer>& asked) {
+        if (!asked.taken) {
+            return cell::owner_answer{};
+        }
+        return asked.answer.value_or(
+            cell::owner_answer{.owner = true,
+                               .answer = {.state = core::answer_state::unsettled,
+                                          .reason = "not settled in time; ask by the key"}});
+    };
+    return {
+        .heartbeat =
+            [this](const cell::peer_view& caller, core::milliseconds limit) {
+                return ask<cell::peer_view>(
+                           *this->control, limit,
+                           [caller](host_control& host, core::steady_time now, const auto& respond) {
+                               host.on_view(caller, now);
+                               respond(host.view(now));
+                           })
+                    .answer.value_or(cell::peer_view{.host = this->settings.host.name});
+            },
+        .submit =
+            [this, unsettled](core::shard_id shard, const core::job_spec& spec, core::milliseconds limit) {
+                return unsettled(ask<cell::owner_answer>(
+                    *this->control, limit,
+                    [shard, spec](host_control& host, core::steady_time now, const auto& respond) {
+                        host.submit(shard, spec, std::chrono::system_clock::now(), false, now, respond);
+                    }));
+            },
+        .status =
+            [this](core::shard_id shard, const core::job_id& job, core::milliseconds limit) {
+                return ask<cell::owner_answer>(
+                           *this->control, limit,
+                           [shard, job](host_control& host, core::steady_time now, const auto& respond) {
+                               host.status(shard, job, now, respond);
+                           })
+                    .answer.value_or(cell::owner_answer{});
+            },
+        .cancel =
+            [this, unsettled](core::shard_id shard, const core::job_id& job, core::milliseconds limit) {
+                return unsettled(ask<cell::owner_answer>(
+                    *this->control, limit,
+                    [shard, job](host_control& host, core::steady_time now, const auto& respond) {
+                        host.cancel(shard, job, now, respond);
+                    }));
+            },
+        .explain =
+            [this](core::shard_id shard, const core::job_id& job, core::milliseconds limit) {
+                return ask<cell::owner_answer>(
+                           *this->control, limit,
+                           [shard, job](host_control& host, core::steady_time now, const auto& respond) {
+                               host.explain(shard, job, now, respond);
+                           })
+                    .answer.value_or(cell::owner_answer{});
+            },
+        .quick =
+            [this](core::shard_id shard, const core::quick_request& request) {
+                return this->quick->pay_as_owner(shard, request);
+            },
+        .take_job = [this](core::shard_id to, const core::job_spec& spec, core::system_time accepted_at,
+                           core::milliseconds limit) { return this->take_job(to, spec, accepted_at, limit); },
+        .reserve_slot =
+            [this](core::shard_id shard, const core::service_id& service, const core::incarnation_id&,
+                   core::milliseconds request_limit, core::milliseconds limit) {
+                return ask<cell::slot_grant>(
+                           *this->control, limit,
+                           [shard, service, request_limit](host_control& host, core::steady_time now,
+                                                           const auto& respond) {
+                               respond(host.reserve_for_peer(shard, service, request_limit, now));
+                           })
+                    .answer.value_or(cell::slot_grant{.reason = "the owner is overloaded"});
+            },
+        .release_slot =
+            [this](core::shard_id shard, std::uint64_t grant, cell::slot_release how, core::milliseconds) {
+                this->control->reply([shard, grant, how](host_control& host, core::steady_time) {
+                    host.release_slot(shard, grant, how);
+                });
+            },
+        .copy_config =
+            [this](core::milliseconds limit) {
+                return ask<cell::config_copy>(*this->control, limit,
+                                              [](host_control& host, core::steady_time, const auto& respond) {
+                                                  respond(host.copy_config());
+                                              })
+                    .answer.value_or(cell::config_copy{});
+            },
+        .timeline = [this](core::milliseconds) { return this->events.to_json_lines(); }};
+}
+
+std::string entry_host::render_metrics() {
+    this->counts.gauge("rattanmount_orders_waiting", "Orders of the control thread that wait for a thread")
+        .set(static_cast<double>(this->orders.waiting()));
+    return this->counts.render();
+}
+
+int run_entry_host(const settings::host_settings& settings) {
+    sigset_t ends;
+    sigemptyset(&ends);
+    sigaddset(&ends, SIGTERM);
+    sigaddset(&ends, SIGINT);
+    // Blocked before the first thread starts, so that only the wait below takes them.
+    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+    entry_host host{settings};
+    host.start();
+    int received = 0;
+    sigwait(&ends, &received);
+    host.stop();
+    return 0;
+}
+
+} // namespace rattanmount::app
--- /dev/null
+++ b/src/app/job_calls.cpp
@@ -0,0 +1,136 @@
+#include "app/job_calls.h"
+
+#include "app/ask.h"
+#include "core/errors.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace rattanmount::app {
+
+namespace {
+
+using control::host_control;
+using control::job_route;
+
+cell::owner_answer final_answer(core::answer_state state, core::outcome result, const std::string& reason) {
+    return {.owner = true, .answer = {.state = state, .result = result, .reason = reason}};
+}
+
+core::milliseconds left_until(core::steady_time deadline) {
+    return std::chrono::duration_cast<core::milliseconds>(deadline - std::chrono::steady_clock::now());
+}
+
+} // namespace
+
+job_calls::job_calls(job_calls_options options, control::control_thread& control)
+    : options(std::move(options)), control(control) {}
+
+cell::owner_answer job_calls::reach_owner(const core::job_id& job, core::milliseconds limit,
+                                          const call_forms& forms) {
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    bool may_have_effect = false;
+    std::string reason = "no owner of the job's shard was reached in time";
+    while (left_until(deadline).count() > 0) {
+        const auto route = ask<job_route>(this->control, left_until(deadline),
+                                          [job](host_control& state, core::steady_time now,
+                                                const auto& respond) { respond(state.route(job, now)); });
+        if (!route.taken) {
+            return final_answer(core::answer_state::refused, core::outcome::not_run,
+                                "this entry host is overloaded");
+        }
+        if (!route.answer) {
+            break;
+        }
+        const auto shard = route.answer->shard;
+        cell::owner_answer answer;
+        if (route.answer->target == job_route::target_type::refused) {
+            return final_answer(core::answer_state::refused, core::outcome::not_run, route.answer->reason);
+        }
+        if (route.answer->target == job_route::target_type::local) {
+            const auto local =
+                ask<cell::owner_answer>(this->control, left_until(deadline),
+                                        [local_form = forms.local, shard](
+                                            host_control& state, core::steady_time now, const auto& respond) {
+                                            local_form(state, shard, now, respond);
+                                        });
+            may_have_effect = may_have_effect || (local.taken && !local.answer);
+            answer = local.answer.value_or(cell::owner_answer{});
+        }
+        if (route.answer->target == job_route::target_type::peer) {
+            try {
+                answer = forms.remote(this->options.connect(route.answer->peer), shard,
+                                      std::max(left_until(deadline), core::milliseconds{1}));
+            } catch (const core::unavailable& error) {
+                reason = error.what();
+            } catch (const core::fate_unknown& error) {
+                may_have_effect = true;
+                reason = error.what();
+            }
+        }
+        if (answer.owner) {
+            return answer;
+        }
+        std::this_thread::sleep_for(this->options.retry_pause);
+    }
+    if (may_have_effect) {
+        return final_answer(core::answer_state::unsettled, core::outcome::unknown,
+                            reason + "; ask by the key");
+    }
+    return final_answer(core::answer_state::refused, core::outcome::not_run, reason);
+}
+
+core::job_answer job_calls::submit(const core::job_spec& spec, core::milliseconds limit) {
+    spec.check();
+    if (spec.kind == core::work_kind::quick) {
+        throw core::invalid_argument("kind: quick work goes to the call for quick requests");
+    }
+    return this
+        ->reach_owner(spec.id, limit,
+                      {.local =
+                           [spec](host_control& state, core::shard_id shard, core::steady_time now,
+                                  control::owner_responder respond) {
+                               state.submit(shard, spec, std::chrono::system_clock::now(), false, now,
+                                            std::move(respond));
+                           },
+                       .remote = [&spec](const cell::peer_calls& peer, core::shard_id shard,
+                                         core::milliseconds left) { return peer.submit(shard, spec, left); }})
+        .answer;
+}
+
+core::job_answer job_calls::status(const core::job_id& job, core::milliseconds limit) {
+    return this
+        ->reach_owner(
+            job, limit,
+            {.local =
+                 [job](host_control& state, core::shard_id shard, core::steady_time now,
+                       const control::owner_responder& respond) { state.status(shard, job, now, respond); },
+             .remote = [&job](const cell::peer_calls& peer, core::shard_id shard,
+                              core::milliseconds left) { return peer.status(shard, job, left); }})
+        .answer;
+}
+
+core::job_answer job_calls::cancel(const core::job_id& job, core::milliseconds limit) {
+    return this
+        ->reach_owner(
+            job, limit,
+            {.local =
+                 [job](host_control& state, core::shard_id shard, core::steady_time now,
+                       const control::owner_responder& respond) { state.cancel(shard, job, now, respond); },
+             .remote = [&job](const cell::peer_calls& peer, core::shard_id shard,
+                              core::milliseconds left) { return peer.cancel(shard, job, left); }})
+        .answer;
+}
+
+std::vector<std::string> job_calls::explain(const core::job_id& job, core::milliseconds limit) {
+    auto answer = this->reach_owner(
+        job, limit,
+        {.local = [job](host_control& state, core::shard_id shard, core::steady_time now,
+                        const control::owner_responder& respond) { state.explain(shard, job, now, respond); },
+         .remote = [&job](const cell::peer_calls& peer, core::shard_id shard,
+                          core::milliseconds left) { return peer.explain(shard, job, left); }});
+    return answer.explanation.empty() ? std::vector<std::string>{answer.answer.reason}
+                                      : std::move(answer.explanation);
+}
+
+} // namespace rattanmount::app
--- /dev/null
+++ b/src/cell/worker_lease.cpp
@@ -0,0 +1,92 @@
+#include "cell/worker_lease.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace rattanmount::cell {
+
+worker_lease::worker_lease(lease_options options) : options(std::move(options)) {}
+
+bool worker_lease::request_due(core::steady_time now) const {
+    if (this->in_flight && now - *this->in_flight < 2 * this->options.timeout) {
+        return false;
+    }
+    return now >= this->next_due;
+}
+
+platform::lease_request worker_lease::next_request(core::steady_time now,
+                                                   std::vector<core::attempt_id> forget) {
+    assert(this->request_due(now));
+    this->in_flight = now;
+    this->last_sent = now;
+    this->next_due = now + this->options.renew_interval;
+    this->fence_in_flight = this->fence;
+    const bool fresh = this->fence || !this->held(now);
+    return platform::lease_request{.holder = this->options.holder,
+                                   .renew = fresh ? core::lease_id{} : this->current,
+                                   .term = this->options.term,
+                                   .forget = std::move(forget)};
+}
+
+bool worker_lease::on_reply(const platform::lease_reply& reply, core::steady_time sent,
+                            core::steady_time now) {
+    if (this->in_flight != sent) {
+        return false;
+    }
+    this->in_flight.reset();
+    switch (reply.verdict) {
+    case platform::lease_verdict::granted:
+        this->on_granted(reply, sent);
+        return true;
+    case platform::lease_verdict::held:
+        this->failures = 0;
+        this->current = core::lease_id{};
+        this->next_due =
+            now + std::clamp(reply.remaining, core::milliseconds{50}, this->options.renew_interval);
+        return false;
+    case platform::lease_verdict::unreachable:
+        this->on_unreachable();
+        return false;
+    }
+    return false;
+}
+
+void worker_lease::on_granted(const platform::lease_reply& reply, core::steady_time sent) {
+    this->failures = 0;
+    this->current = reply.lease;
+    this->last_good = sent;
+    if (this->fence_in_flight) {
+        this->fence = false;
+    }
+}
+
+void worker_lease::on_unreachable() {
+    ++this->failures;
+    if (this->failures < this->options.failures_before_silence || !this->last_good) {
+        return;
+    }
+    // Each further call might prolong the lease without our knowing, so the worker is left alone until its
+    // tasks have surely ended.
+    this->next_due = std::max(this->next_due, *this->last_sent + this->lapse_time());
+    this->failures = 0;
+}
+
+bool worker_lease::held(core::steady_time now) const {
+    return this->current != core::lease_id{} && now < this->start_deadline();
+}
+
+core::steady_time worker_lease::start_deadline() const {
+    return this->last_good ? *this->last_good + this->options.term - this->options.clock_drift
+                           : core::steady_time{};
+}
+
+core::milliseconds worker_lease::lapse_time() const {
+    return this->options.timeout + this->options.term + this->options.task_hold + this->options.clock_drift;
+}
+
+bool worker_lease::surely_over(core::steady_time now) const {
+    return this->last_good && !this->in_flight && !this->held(now) &&
+           now >= *this->last_sent + this->lapse_time();
+}
+
+} // namespace rattanmount::cell
--- /dev/null
+++ b/src/control/host_control.cpp
@@ -0,0 +1,737 @@
+#include "control/host_control.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanmount::control {
+
+namespace {
+
+constexpr core::milliseconds ownership_interval{250};
+
+core::stream_id config_stream(const std::string& prefix) {
+    return core::stream_id{prefix + "-config"};
+}
+
+} // namespace
+
+host_control::host_control(host_control_options options, host_hooks hooks)
+    : options(std::move(options)), hooks(std::move(hooks)),
+      layout(this->options.regions, this->options.shards),
+      members({.self = this->options.host,
+               .data_centre = this->options.data_centre,
+               .suspect_after = this->options.suspect_after}),
+      config_session([this] {
+          auto session = this->options.config_session;
+          session.producer = this->options.incarnation;
+          session.stream = config_stream(this->options.stream_prefix);
+          session.apply = [this](core::log_offset offset, const ledger::record_batch& batch) {
+              return ledger::config_fold::stands(this->config.apply(offset, batch));
+          };
+          session.reset = [this] { this->config.reset(); };
+          session.state = [this] { return this->config.state(); };
+          return session;
+      }()) {}
+
+void host_control::tick(core::steady_time now) {
+    this->current_time = now;
+    if (!this->started) {
+        this->started = now;
+        this->last_contact = now;
+    }
+    if (now >= this->next_fleet) {
+        this->next_fleet = now + this->options.fleet_interval;
+        this->hooks.fetch_fleet();
+    }
+    if (now >= this->next_heartbeat) {
+        this->next_heartbeat = now + this->options.heartbeat_interval;
+        this->send_heartbeats(now);
+    }
+    this->pump_config(now);
+    if (now >= this->next_ownership) {
+        this->next_ownership = now + ownership_interval;
+        this->check_isolation(now);
+        this->decide_ownership(now);
+        this->assign_racks();
+    }
+    for (const auto& [shard, keeper] : this->keepers) {
+        keeper->tick(now);
+    }
+    std::erase_if(this->keepers, [this](const auto& entry) {
+        this->next_sequences[entry.first] = entry.second->next_sequence();
+        return entry.second->phase() == shard_phase::released;
+    });
+    this->answer_notes(now);
+}
+
+void host_control::pump_config(core::steady_time now) {
+    const bool available = this->config_session.log_available();
+    if (!available) {
+        this->config_session.give_up_withdrawable();
+    }
+    if (available != this->log_was_available) {
+        this->log_was_available = available;
+        this->change(available ? state_change::kind_type::log_up : state_change::kind_type::log_down, "");
+    }
+    if (const auto append = this->config_session.next_append(now)) {
+        this->hooks.append(*append);
+    }
+    if (const auto read = this->config_session.next_read(now)) {
+        this->hooks.read(*read);
+    }
+}
+
+void host_control::on_append(const core::stream_id& stream, core::sequence_number sequence,
+                             const platform::append_reply& reply, core::steady_time now) {
+    this->current_time = now;
+    if (reply.fate == platform::append_fate::done) {
+        this->last_contact = now;
+    }
+    if (stream == config_stream(this->options.stream_prefix)) {
+        this->config_session.on_append(sequence, reply, now);
+        return;
+    }
+    for (const auto& [shard, keeper] : this->keepers) {
+        if (this->stream_of(shard) == stream) {
+            keeper->on_append(sequence, reply, now);
+            return;
+        }
+    }
+}
+
+void host_control::on_read(const core::stream_id& stream, core::log_offset from,
+                           const platform::read_reply& reply, core::steady_time now) {
+    this->current_time = now;
+    if (reply.available) {
+        this->last_contact = now;
+    }
+    if (stream == config_stream(this->options.stream_prefix)) {
+        this->config_session.on_read(from, reply, now);
+        this->config_read = this->config_read || this->config_session.caught_up();
+        return;
+    }
+    for (const auto& [shard, keeper] : this->keepers) {
+        if (this->stream_of(shard) == stream) {
+            keeper->on_read(from, reply, now);
+            return;
+        }
+    }
+}
+
+void host_control::on_lease(const lease_order& order, const platform::lease_reply& reply,
+                            core::steady_time now) {
+    this->current_time = now;
+    if (auto* keeper = this->keeper_of(order.shard)) {
+        keeper->on_lease(order.worker, reply, order.sent, now);
+    }
+}
+
+void host_control::on_start(const start_order& order, const platform::start_reply& reply,
+                            core::steady_time now) {
+    this->current_time = now;
+    if (auto* keeper = this->keeper_of(order.shard)) {
+        keeper->on_start(order.attempt, reply, now);
+    }
+}
+
+void host_control::on_moved(const move_order& order, bool taken, core::steady_time now) {
+    this->current_time = now;
+    if (auto* keeper = this->keeper_of(order.from)) {
+        keeper->on_moved(order.spec.id, taken);
+    }
+}
+
+void host_control::on_fleet(const platform::fleet_list& list, core::steady_time now) {
+    this->current_time = now;
+    if (this->fleet_known && list.version < this->fleet.version) {
+        return;
+    }
+    this->fleet = list;
+    this->fleet_known = true;
+    this->members.on_list(list.hosts);
+    for (const auto& [shard, keeper] : this->keepers) {
+        this->give_fleet_to(shard, *keeper, now);
+    }
+}
+
+void host_control::give_fleet_to(core::shard_id shard, shard_keeper& keeper, core::steady_time now) {
+    if (!this->fleet_known) {
+        return;
+    }
+    std::vector<platform::listed_worker> workers;
+    for (const auto& worker : this->fleet.workers) {
+        if (this->config.shard_of(worker.rack) == shard) {
+            workers.push_back(worker);
+        }
+    }
+    std::vector<routing::executor_info> executors;
+    for (const auto& executor : this->fleet.executors) {
+        if (!executor.leaving && this->config.shard_of(executor.rack) == shard) {
+            executors.push_back({.name = executor.name,
+                                 .address = executor.address,
+                                 .service = executor.service,
+                                 .slots = executor.slots});
+        }
+    }
+    keeper.set_fleet(workers, executors, now);
+}
+
+void host_control::on_view(const cell::peer_view& view, core::steady_time now) {
+    this->current_time = now;
+    if (view.host == this->options.host) {
+        return;
+    }
+    this->last_contact = now;
+    if (this->members.on_view(view, now)) {
+        this->change(state_change::kind_type::peer_joined, view.incarnation.value());
+    }
+    this->check_rivals(view);
+}
+
+void host_control::check_rivals(const cell::peer_view& view) {
+    for (const auto& owned : view.shards) {
+        if (auto* keeper = this->owned_keeper(owned.shard)) {
+            keeper->on_rival(owned.epoch);
+        }
+    }
+}
+
+void host_control::on_config_copy(const cell::config_copy& copy, core::steady_time now) {
+    this->current_time = now;
+    if (!copy.available || (this->config.anchored() && copy.next <= this->config_session.next())) {
+        return;
+    }
+    this->config.load(copy.state, copy.next);
+    this->config_session.skip_to(copy.next);
+    this->config_read = true;
+}
+
+void host_control::send_heartbeats(core::steady_time now) {
+    const auto view = this->view(now);
+    for (const auto& peer : this->members.heartbeat_targets(now)) {
+        this->hooks.heartbeat(peer, view);
+        if (!this->ready() && !this->config_session.log_available()) {
+            this->hooks.copy_config(peer);
+        }
+    }
+}
+
+void host_control::check_isolation(core::steady_time now) {
+    const bool others = this->members.listed().size() > 1;
+    if (!others || now - this->last_contact < this->options.isolation_limit) {
+        return;
+    }
+    // Neither the log nor a peer has been heard: others may have taken over, and cannot take the workers as
+    // long as this host renews their leases.
+    for (const auto& [shard, keeper] : this->keepers) {
+        this->next_sequences[shard] = keeper->next_sequence();
+    }
+    this->keepers.clear();
+}
+
+void host_control::assign_racks() {
+    if (!this->fleet_known || !this->ready() || !this->config_session.log_available() ||
+        this->config_session.pending() > 0) {
+        return;
+    }
+    std::map<core::shard_id, std::size_t> load;
+    for (const auto& [rack, shard] : this->config.racks()) {
+        ++load[shard];
+    }
+    std::map<core::rack_id, core::data_centre_id> unknown;
+    const auto note = [&](const core::rack_id& rack, const core::data_centre_id& data_centre) {
+        if (!this->config.shard_of(rack)) {
+            unknown[rack] = data_centre;
+        }
+    };
+    for (const auto& worker : this->fleet.workers) {
+        note(worker.rack, worker.data_centre);
+    }
+    for (const auto& executor : this->fleet.executors) {
+        note(executor.rack, executor.data_centre);
+    }
+    for (const auto& [rack, data_centre] : unknown) {
+        const auto shards = this->layout.shards_in(data_centre);
+        if (shards.empty()) {
+            continue;
+        }
+        const auto least =
+            std::ranges::min(shards, {}, [&](const core::shard_id& shard) { return load[shard]; });
+        ++load[least];
+        this->config_session.add(ledger::rack_assigned{.rack = rack, .shard = least}, {.withdrawable = true},
+                                 [this](ledger::settlement) {
+                                     for (const auto& [shard, keeper] : this->keepers) {
+                                         this->give_fleet_to(shard, *keeper, this->current_time);
+                                     }
+                                 });
+    }
+}
+
+void host_control::decide_ownership(core::steady_time now) {
+    if (!this->ready() || this->leaving || now - *this->started < this->options.startup_wait) {
+        return;
+    }
+    const auto preferred = preferred_owners(this->layout.shards(), this->members.claimants(now));
+    for (const auto& [shard, owner] : preferred) {
+        auto* keeper = this->keeper_of(shard);
+        if (owner == this->options.host) {
+            this->preferred_elsewhere_since.erase(shard);
+            if (keeper == nullptr && this->members.owner_of(shard, now) == nullptr) {
+                auto& made = this->keepers[shard] =
+                    std::make_unique<shard_keeper>(this->options_for(shard), this->hooks);
+                this->give_fleet_to(shard, *made, now);
+            }
+            continue;
+        }
+        if (keeper == nullptr) {
+            continue;
+        }
+        const auto since = this->preferred_elsewhere_since.try_emplace(shard, now).first->second;
+        if (!keeper->owned() || now - since >= this->options.rebalance_after) {
+            keeper->release(now);
+        }
+    }
+}
+
+std::vector<core::host_status> host_control::hosts(core::steady_time now) const {
+    std::map<core::host_id, core::host_status> found;
+    for (const auto& listed : this->fleet.hosts) {
+        found[listed.name] = {.host = listed.name,
+                              .address = listed.inner.text(),
+                              .data_centre = listed.data_centre,
+                              .leaving = listed.leaving};
+    }
+    auto views = this->members.live_views(now);
+    const auto own = this->view(now);
+    views.push_back(&own);
+    for (const auto* view : views) {
+        core::host_status status{.host = view->host,
+                                 .address = view->inner.text(),
+                                 .data_centre = view->data_centre,
+                                 .live = true,
+                                 .leaving = view->leaving,
+                                 .config_offset = view->config_next};
+        for (const auto& owned : view->shards) {
+            status.shards.push_back(owned.shard);
+        }
+        found[view->host] = std::move(status);
+    }
+    std::vector<core::host_status> statuses;
+    for (auto& [name, status] : found) {
+        statuses.push_back(std::move(status));
+    }
+    return statuses;
+}
+
+job_route host_control::route(const core::job_id& job, core::steady_time now) const {
+    const auto* team = this->config.policies().last_team(job.team);
+    if (team == nullptr) {
+        return {.target = job_route::target_type::refused,
+                .reason = "team '" + job.team.value() + "' is not known"};
+    }
+    const auto& shards = this->layout.shards_of(team->region);
+    if (shards.empty()) {
+        return {.target = job_route::target_type::refused,
+                .reason = "region '" + team->region.value() + "' of the team is not in the settings"};
+    }
+    const auto shard = cell::home_shard(job, shards);
+    if (this->owned_keeper(shard) != nullptr) {
+        return {.target = job_route::target_type::local, .shard = shard};
+    }
+    const auto* owner = this->members.owner_of(shard, now);
+    if (owner == nullptr) {
+        return {.target = job_route::target_type::nobody,
+                .shard = shard,
+                .reason = "shard " + std::to_string(shard.value()) + " has no known owner"};
+    }
+    return {.target = job_route::target_type::peer, .shard = shard, .peer = owner->inner};
+}
+
+std::optional<std::string> host_control::unknown_names(const core::team_id& team, const core::pool_id& pool,
+                                                       core::work_kind kind) const {
+    if (this->config.policies().team(team) == nullptr) {
+        return "team '" + team.value() + "' is not in force";
+    }
+    const auto* policy = this->config.policies().pool(pool);
+    if (policy == nullptr) {
+        return "pool '" + pool.value() + "' is not in force";
+    }
+    if (policy->kind != kind) {
+        return "pool '" + pool.value() + "' takes work of kind " + std::string{core::to_string(policy->kind)};
+    }
+    return std::nullopt;
+}
+
+void host_control::submit(core::shard_id shard, const core::job_spec& spec, core::system_time accepted_at,
+                          bool moved, core::steady_time now, owner_responder respond) {
+    this->current_time = now;
+    auto* keeper = this->owned_keeper(shard);
+    if (keeper == nullptr) {
+        respond({});
+        return;
+    }
+    const bool known = keeper->recorded().find(spec.id) != nullptr;
+    if (const auto unknown = this->unknown_names(spec.id.team, spec.pool, spec.kind);
+        unknown && !known && !moved) {
+        respond({.owner = true,
+                 .answer = {.state = core::answer_state::refused,
+                            .result = core::outcome::not_run,
+                            .reason = *unknown}});
+        return;
+    }
+    keeper->submit(spec, accepted_at, now, std::move(respond));
+}
+
+void host_control::status(core::shard_id shard, const core::job_id& job, core::steady_time now,
+                          const owner_responder& respond) const {
+    const auto* keeper = this->owned_keeper(shard);
+    if (keeper == nullptr) {
+        respond({});
+        return;
+    }
+    keeper->status(job, now, respond);
+}
+
+void host_control::cancel(core::shard_id shard, const core::job_id& job, core::steady_time now,
+                          const owner_responder& respond) {
+    this->current_time = now;
+    auto* keeper = this->owned_keeper(shard);
+    if (keeper == nullptr) {
+        respond({});
+        return;
+    }
+    keeper->cancel(job, now, respond);
+}
+
+void host_control::explain(core::shard_id shard, const core::job_id& job, core::steady_time now,
+                           const owner_responder& respond) const {
+    const auto* keeper = this->owned_keeper(shard);
+    if (keeper == nullptr) {
+        respond({});
+        return;
+    }
+    keeper->explain(job, now, respond);
+}
+
+void host_control::begin_payment(core::shard_id shard, const core::job_spec& spec, core::steady_time now,
+                                 owner_responder respond) {
+    this->current_time = now;
+    auto* keeper = this->owned_keeper(shard);
+    if (keeper == nullptr) {
+        respond({});
+        return;
+    }
+    keeper->begin_payment(spec, spec.service.value(), now, std::move(respond));
+}
+
+void host_control::end_payment(core::shard_id shard, const core::job_id& job, core::outcome result,
+                               const std::string& reason, std::function<void()> recorded) {
+    auto* keeper = this->owned_keeper(shard);
+    if (keeper == nullptr) {
+        recorded();
+        return;
+    }
+    keeper->end_payment(job, result, reason, std::move(recorded));
+}
+
+quick_route host_control::reserve(const core::quick_request& request, core::milliseconds limit,
+                                  core::steady_time now) {
+    this->current_time = now;
+    if (const auto unknown = this->unknown_names(request.id.team, request.pool, core::work_kind::quick)) {
+        return {.target = quick_route::target_type::refused, .reason = *unknown};
+    }
+    const auto& services = this->config.policies().pool(request.pool)->services;
+    if (std::ranges::find(services, request.service) == services.end()) {
+        return {.target = quick_route::target_type::refused,
+                .reason = "pool '" + request.pool.value() + "' does not call service '" +
+                          request.service.value() + "'"};
+    }
+    for (const auto& [shard, keeper] : this->keepers) {
+        if (!keeper->owned()) {
+            continue;
+        }
+        if (auto slot = keeper->slots().reserve(request.service, limit, now)) {
+            return {.target = quick_route::target_type::granted, .shard = shard, .slot = *slot};
+        }
+    }
+    quick_route best;
+    std::uint32_t most = 0;
+    for (const auto* view : this->members.live_views(now)) {
+        for (const auto& owned : view->shards) {
+            for (const auto& room : owned.services) {
+                if (room.service == request.service && room.free_slots > most) {
+                    most = room.free_slots;
+                    best = {
+                        .target = quick_route::target_type::ask, .shard = owned.shard, .peer = view->inner};
+                }
+            }
+        }
+    }
+    return best;
+}
+
+cell::slot_grant host_control::reserve_for_peer(core::shard_id shard, const core::service_id& service,
+                                                core::milliseconds limit, core::steady_time now) {
+    this->current_time = now;
+    auto* keeper = this->owned_keeper(shard);
+    if (keeper == nullptr) {
+        return {.reason = "not the owner of the shard"};
+    }
+    const auto slot = keeper->slots().reserve(service, limit, now);
+    if (!slot) {
+        return {.reason = "no slot is free"};
+    }
+    return {.granted = true, .grant = slot->grant, .executor = slot->executor, .address = slot->address};
+}
+
+void host_control::release_slot(core::shard_id shard, std::uint64_t grant, cell::slot_release how) {
+    auto* keeper = this->owned_keeper(shard);
+    const bool over = how == cell::slot_release::done || how == cell::slot_release::unsent;
+    if (keeper != nullptr && over) {
+        keeper->slots().release(grant);
+    }
+}
+
+void host_control::apply_note(const release::release_note& note, core::milliseconds limit,
+                              core::steady_time now, std::function<void(core::note_answer)> respond) {
+    this->current_time = now;
+    if (!this->config_session.log_available()) {
+        respond({.verdict = core::note_verdict::refused,
+                 .reason = "the platform's log is not available; nothing of the note is recorded"});
+        return;
+    }
+    this->config_session.add(
+        ledger::note_proposed{.note = note, .at = this->hooks.wall_time()}, {.withdrawable = true},
+        [this, note, until = now + limit, respond = std::move(respond)](ledger::settlement settled) {
+            if (settled == ledger::settlement::absent) {
+                respond({.verdict = core::note_verdict::refused,
+                         .reason = "the platform's log did not take the note; nothing of it is recorded"});
+                return;
+            }
+            const auto result = this->config.answer_to(note).value_or(
+                release::note_result{.reason = "the note's record did not count"});
+            if (!result.accepted) {
+                this->change(state_change::kind_type::note_refused, note.id.value() + ": " + result.reason);
+                respond({.verdict = core::note_verdict::refused, .reason = result.reason});
+                return;
+            }
+            this->change(state_change::kind_type::note_in_force, note.id.value());
+            this->notes.push_back({.id = note.id, .until = until, .respond = respond});
+        });
+    this->pump_config(now);
+}
+
+void host_control::answer_notes(core::steady_time now) {
+    std::erase_if(this->notes, [&](const waiting_note& waiting) {
+        const auto missing = this->members.behind(this->config.offset_of(waiting.id).next(), now);
+        if (missing.empty()) {
+            waiting.respond({.verdict = core::note_verdict::accepted});
+            return true;
+        }
+        if (now < waiting.until) {
+            return false;
+        }
+        waiting.respond({.verdict = core::note_verdict::pending,
+                         .reason = "recorded, and not yet in force on every live entry host",
+                         .missing = missing});
+        return true;
+    });
+}
+
+void host_control::leave(core::steady_time now) {
+    this->current_time = now;
+    this->leaving = true;
+    this->members.leave();
+    for (const auto& [shard, keeper] : this->keepers) {
+        keeper->release(now);
+    }
+    this->send_heartbeats(now);
+}
+
+bool host_control::done() const {
+    return this->leaving && std::ranges::none_of(this->keepers, [](const auto& entry) {
+               return entry.second->phase() != shard_phase::released;
+           });
+}
+
+cell::peer_view host_control::view(core::steady_time now) const {
+    cell::peer_view view{.host = this->options.host,
+                         .incarnation = this->options.incarnation,
+                         .inner = this->options.inner,
+                         .data_centre = this->options.data_centre,
+                         .leaving = this->leaving,
+                         .log_available = this->config_session.log_available(),
+                         .config_next = this->config_session.next()};
+    std::map<core::team_id, core::resources> held;
+    for (const auto& [shard, keeper] : this->keepers) {
+        if (!keeper->owned()) {
+            continue;
+        }
+        view.shards.push_back(keeper->view(now));
+        for (const auto& team : keeper->runner()->placement().teams()) {
+            held[team] += keeper->runner()->placement().held(team);
+        }
+    }
+    for (const auto& [team, amount] : held) {
+        if (amount != core::resources{}) {
+            view.teams.push_back({.team = team, .held = amount});
+        }
+    }
+    return view;
+}
+
+core::resources host_control::remote_usage(const core::team_id& team) const {
+    core::resources held;
+    for (const auto* view : this->members.live_views(this->current_time)) {
+        for (const auto& usage : view->teams) {
+            if (usage.team == team) {
+                held += usage.held;
+            }
+        }
+    }
+    for (const auto& [shard, keeper] : this->keepers) {
+        if (keeper->owned()) {
+            held += keeper->runner()->placement().held(team);
+        }
+    }
+    return held;
+}
+
+std::optional<std::string> host_control::never_fits(const core::job_spec& spec) const {
+    const auto* team = this->config.policies().last_team(spec.id.team);
+    if (!this->fleet_known || this->fleet.workers.empty() || team == nullptr ||
+        spec.kind == core::work_kind::quick) {
+        return std::nullopt;
+    }
+    const auto& shards = this->layout.shards_of(team->region);
+    core::resources largest;
+    std::map<core::shard_id, core::resources> totals;
+    bool fits = false;
+    for (const auto& worker : this->fleet.workers) {
+        const auto shard = this->config.shard_of(worker.rack);
+        if (!shard || std::ranges::find(shards, *shard) == shards.end()) {
+            continue;
+        }
+        fits = fits || spec.each.fits_in(worker.capacity);
+        totals[*shard] += worker.capacity;
+        largest = {.millicores = std::max(largest.millicores, worker.capacity.millicores),
+                   .memory_mb = std::max(largest.memory_mb, worker.capacity.memory_mb),
+                   .accelerators = std::max(largest.accelerators, worker.capacity.accelerators)};
+    }
+    if (totals.empty()) {
+        return std::nullopt;
+    }
+    if (!fits) {
+        const auto excess = spec.each.first_excess(largest);
+        return "no worker can ever run a task of " + spec.each.text() + ": " +
+               (excess.empty() ? "no worker has all three amounts at once"
+                               : excess + " exceed the largest worker") +
+               " (" + largest.text() + ")";
+    }
+    if (spec.kind != core::work_kind::gang) {
+        return std::nullopt;
+    }
+    const auto all = spec.each * spec.tasks;
+    const bool room =
+        std::ranges::any_of(totals, [&](const auto& entry) { return all.fits_in(entry.second); });
+    return room ? std::nullopt
+                : std::optional<std::string>{"no shard has room for all " + std::to_string(spec.tasks) +
+                                             " tasks of the gang at once: " + all.text()};
+}
+
+std::optional<core::shard_id> host_control::shard_with_room(const core::job_spec& spec) const {
+    const auto* team = this->config.policies().last_team(spec.id.team);
+    if (team == nullptr) {
+        return std::nullopt;
+    }
+    const auto& shards = this->layout.shards_of(team->region);
+    const auto needed = spec.kind == core::work_kind::gang ? spec.each * spec.tasks : spec.each;
+    std::optional<core::shard_id> best;
+    std::int64_t most = -1;
+    const auto consider = [&](const cell::shard_view& view) {
+        const bool usable = view.serving && view.waiting_tasks == 0 && spec.each.fits_in(view.largest_free) &&
+                            needed.fits_in(view.free) &&
+                            std::ranges::find(shards, view.shard) != shards.end();
+        if (usable && view.free.millicores > most) {
+            most = view.free.millicores;
+            best = view.shard;
+        }
+    };
+    for (const auto* peer : this->members.live_views(this->current_time)) {
+        std::ranges::for_each(peer->shards, consider);
+    }
+    for (const auto& [shard, keeper] : this->keepers) {
+        if (keeper->owned()) {
+            consider(keeper->view(this->current_time));
+        }
+    }
+    return best;
+}
+
+shard_keeper_options host_control::options_for(core::shard_id shard) {
+    auto made = this->options.keeper;
+    made.shard = shard;
+    made.host = this->options.host;
+    made.incarnation = this->options.incarnation;
+    made.session.producer = this->options.incarnation;
+    made.session.stream = this->stream_of(shard);
+    if (const auto next = this->next_sequences.find(shard); next != this->next_sequences.end()) {
+        made.session.first_sequence = next->second;
+    }
+    made.runner.shard = shard;
+    made.runner.lease.holder = this->options.incarnation;
+    made.runner.scheduling.pool = [this](const core::pool_id& pool) {
+        return this->config.policies().last_pool(pool);
+    };
+    made.runner.scheduling.team = [this](const core::team_id& team) {
+        return this->config.policies().last_team(team);
+    };
+    made.runner.scheduling.remote_usage = [this, shard](const core::team_id& team) {
+        const auto* own = this->owned_keeper(shard);
+        const auto all = this->remote_usage(team);
+        return own == nullptr ? all : all - own->runner()->placement().held(team);
+    };
+    made.displaceable = [this](const ledger::shard_owner& owner) {
+        return !this->members.live(owner.incarnation, this->current_time);
+    };
+    made.never_fits = [this](const core::job_spec& spec) { return this->never_fits(spec); };
+    made.shard_with_room = [this](const core::job_spec& spec) { return this->shard_with_room(spec); };
+    return made;
+}
+
+cell::config_copy host_control::copy_config() const {
+    if (!this->ready()) {
+        return {};
+    }
+    return {.available = true, .next = this->config_session.next(), .state = this->config.state()};
+}
+
+core::milliseconds host_control::quick_limit(const core::pool_id& pool) const {
+    const auto* policy = this->config.policies().last_pool(pool);
+    return policy == nullptr ? core::milliseconds{0} : policy->quick_limit;
+}
+
+std::size_t host_control::owned_shards() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->keepers, [](const auto& entry) { return entry.second->owned(); }));
+}
+
+shard_keeper* host_control::keeper_of(core::shard_id shard) const {
+    const auto found = this->keepers.find(shard);
+    return found == this->keepers.end() ? nullptr : found->second.get();
+}
+
+shard_keeper* host_control::owned_keeper(core::shard_id shard) const {
+    auto* keeper = this->keeper_of(shard);
+    return keeper != nullptr && keeper->owned() ? keeper : nullptr;
+}
+
+core::stream_id host_control::stream_of(core::shard_id shard) const {
+    return core::stream_id{this->options.stream_prefix + "-shard-" + std::to_string(shard.value())};
+}
+
+void host_control::change(state_change::kind_type kind, const std::string& detail) const {
+    this->hooks.on_change({.kind = kind, .detail = detail});
+}
+
+} // namespace rattanmount::control
--- /dev/null
+++ b/src/control/job_runner.cpp
@@ -0,0 +1,705 @@
+#include "control/job_runner.h"
+
+#include "core/names.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace rattanmount::control {
+
+namespace {
+
+core::resources no_usage() {
+    return {};
+}
+
+bool may_rerun(const core::job_spec& spec) {
+    return spec.idempotent;
+}
+
+} // namespace
+
+job_runner::job_runner(job_runner_options options, const host_hooks& hooks, const ledger::shard_fold& fold,
+                       ledger::stream_session& session)
+    : options(std::move(options)), hooks(hooks), fold(fold), session(session),
+      decisions(this->options.scheduling) {}
+
+void job_runner::begin(core::steady_time now) {
+    for (const auto& [id, entry] : this->fold.jobs()) {
+        if (entry.ended || entry.moved_to || entry.spec.kind == core::work_kind::quick) {
+            continue;
+        }
+        auto& job = this->jobs[id] = live_job::from_record(entry, now);
+        this->held_back.insert(id);
+        for (std::uint32_t task = 0; task < job.tasks.size(); ++task) {
+            if (job.tasks[task].phase != core::task_phase::started) {
+                continue;
+            }
+            const core::worker_id worker{entry.tasks[task].place};
+            this->attempts[job.attempt_of(task)] = attempt_state{.phase = attempt_phase::adopted,
+                                                                 .worker = worker,
+                                                                 .confirmed = now,
+                                                                 .recorded = true,
+                                                                 .stop_wanted = job.cancelled,
+                                                                 .counted = true};
+            this->decisions.task_running(job.attempt_of(task), worker, job.spec.each, job.spec.pool, now);
+        }
+    }
+}
+
+void job_runner::set_workers(const std::vector<platform::listed_worker>& listed, core::steady_time now) {
+    this->fleet_known = true;
+    for (auto& [name, worker] : this->workers) {
+        worker.listed = false;
+    }
+    for (const auto& info : listed) {
+        const auto found = this->workers.find(info.name);
+        if (found == this->workers.end()) {
+            this->workers.emplace(
+                info.name, worker_state{.info = info, .lease = cell::worker_lease{this->options.lease}});
+        } else {
+            found->second.info = info;
+            found->second.listed = true;
+        }
+        this->decisions.set_worker({.name = info.name,
+                                    .rack = info.rack,
+                                    .data_centre = info.data_centre,
+                                    .capacity = info.capacity});
+    }
+    // A worker that the platform dropped from its list and that holds no lease of ours has ended its tasks.
+    for (auto& [name, worker] : this->workers) {
+        if (!worker.listed && !worker.lease.held(now) && !worker.declared_over) {
+            this->declare_over(worker, now);
+        }
+    }
+    std::set<core::worker_id> unknown;
+    for (const auto& [attempt, state] : this->attempts) {
+        if (!this->workers.contains(state.worker)) {
+            unknown.insert(state.worker);
+        }
+    }
+    for (const auto& name : unknown) {
+        worker_state gone{.info = {.name = name}, .lease = cell::worker_lease{this->options.lease}};
+        this->declare_over(gone, now);
+    }
+}
+
+void job_runner::tick(core::steady_time now) {
+    this->renew_leases(now);
+    this->check_taken_over(now);
+    for (auto waiting = this->backing_off.begin(); waiting != this->backing_off.end();) {
+        const auto job = this->jobs.find(waiting->first);
+        if (job != this->jobs.end()) {
+            std::erase_if(waiting->second, [&](std::uint32_t task) {
+                const bool due = now >= job->second.tasks[task].not_before;
+                if (due && !job->second.ending && !job->second.cancelled) {
+                    this->decisions.requeue(waiting->first, task, now);
+                }
+                return due;
+            });
+        }
+        const bool over = job == this->jobs.end() || waiting->second.empty();
+        waiting = over ? this->backing_off.erase(waiting) : std::next(waiting);
+    }
+    this->send_due_starts(now);
+    if (this->placing) {
+        this->preempt(now);
+        this->place(now);
+    }
+}
+
+void job_runner::renew_leases(core::steady_time now) {
+    for (auto& [name, worker] : this->workers) {
+        const bool held = worker.lease.held(now);
+        this->decisions.set_accepting(name, held && worker.listed && !worker.info.leaving &&
+                                                !worker.lease.new_lease_required());
+        if (!worker.declared_over && worker.lease.surely_over(now)) {
+            this->declare_over(worker, now);
+        }
+        if (!worker.lease.request_due(now)) {
+            continue;
+        }
+        const std::vector<core::attempt_id> forget{worker.forget.begin(), worker.forget.end()};
+        this->hooks.lease({.shard = this->options.shard,
+                           .worker = name,
+                           .address = worker.info.address,
+                           .request = worker.lease.next_request(now, forget),
+                           .sent = now});
+    }
+}
+
+void job_runner::check_taken_over(core::steady_time now) {
+    if (this->taken_over || !this->fleet_known) {
+        return;
+    }
+    const bool all = std::ranges::all_of(this->workers, [](const auto& entry) { return entry.second.taken; });
+    if (!all) {
+        return;
+    }
+    this->taken_over = true;
+    for (const auto& id : std::exchange(this->held_back, {})) {
+        const auto job = this->jobs.find(id);
+        if (job == this->jobs.end() || job->second.ending) {
+            continue;
+        }
+        job->second.waiting_since = now;
+        if (job->second.cancelled) {
+            if (!job->second.anything_running()) {
+                this->end_job(job->second,
+                              job->second.ever_sent ? core::outcome::failed : core::outcome::not_run,
+                              "cancelled", now);
+            }
+            continue;
+        }
+        this->admit(job->second);
+    }
+}
+
+void job_runner::admit(live_job& job) {
+    this->decisions.add_job(job.spec, job.waiting_since, job.waiting_tasks());
+}
+
+void job_runner::on_accepted(const core::job_spec& spec, core::steady_time now) {
+    const auto* entry = this->fold.find(spec.id);
+    if (entry == nullptr || this->jobs.contains(spec.id)) {
+        return;
+    }
+    auto& job = this->jobs[spec.id] = live_job::from_record(*entry, now);
+    this->change(state_change::kind_type::job_accepted, spec.id, {}, std::string{core::to_string(spec.kind)});
+    // The former owner never knew of this job, so it may start before the takeover is complete.
+    this->admit(job);
+}
+
+void job_runner::place(core::steady_time now) {
+    for (const auto& placement : this->decisions.place(now, this->options.placements_per_tick)) {
+        this->begin_attempt(placement, now);
+    }
+}
+
+void job_runner::begin_attempt(const scheduling::placement& placement, core::steady_time now) {
+    const auto found = this->jobs.find(placement.job);
+    if (found == this->jobs.end() || found->second.ending || found->second.cancelled) {
+        this->decisions.placement_dropped(placement.job, placement.task);
+        return;
+    }
+    auto& job = found->second;
+    auto& task = job.tasks[placement.task];
+    assert(task.phase == core::task_phase::waiting);
+    task.phase = core::task_phase::started;
+    ++task.attempt;
+    const auto attempt = job.attempt_of(placement.task);
+    this->attempts[attempt] = attempt_state{
+        .phase = attempt_phase::recording, .worker = placement.worker, .confirmed = now, .counted = true};
+    this->decisions.task_running(attempt, placement.worker, job.spec.each, job.spec.pool, now);
+    this->change(state_change::kind_type::task_placed, placement.job, placement.worker, attempt.text());
+    this->session.add(
+        ledger::task_started{.attempt = attempt, .place = placement.worker.value(), .at = this->wall()}, {},
+        [this, watch = std::weak_ptr<bool>{this->alive}, attempt](ledger::settlement settled) {
+            if (watch.expired() || settled != ledger::settlement::recorded) {
+                return;
+            }
+            const auto state = this->attempts.find(attempt);
+            if (state != this->attempts.end()) {
+                state->second.recorded = true;
+            }
+        });
+}
+
+void job_runner::send_due_starts(core::steady_time now) {
+    const bool outage = !this->session.log_available();
+    std::vector<core::attempt_id> abandoned;
+    for (auto& [attempt, state] : this->attempts) {
+        if (state.phase != attempt_phase::recording) {
+            continue;
+        }
+        if (state.stop_wanted) {
+            abandoned.push_back(attempt);
+            continue;
+        }
+        const auto job = this->jobs.find(attempt.job);
+        // Idempotent work of the shard's own workers goes on without a record while the log is down.
+        if (state.recorded || (outage && job != this->jobs.end() && job->second.spec.idempotent)) {
+            this->send_start(attempt, state, now);
+            if (state.phase == attempt_phase::recording) {
+                abandoned.push_back(attempt);
+            }
+        }
+    }
+    for (const auto& attempt : abandoned) {
+        this->end_attempt(attempt, core::attempt_end::refused, "not sent", core::milliseconds{0}, no_usage(),
+                          now);
+    }
+}
+
+void job_runner::send_start(const core::attempt_id& attempt, attempt_state& state, core::steady_time now) {
+    const auto worker = this->workers.find(state.worker);
+    const auto job = this->jobs.find(attempt.job);
+    if (worker == this->workers.end() || job == this->jobs.end() || !worker->second.lease.held(now) ||
+        worker->second.lease.new_lease_required()) {
+        return;
+    }
+    state.phase = attempt_phase::sending;
+    state.confirmed = now;
+    job->second.ever_sent = true;
+    this->change(state_change::kind_type::task_start_sent, attempt.job, state.worker, attempt.text());
+    this->hooks.start({.shard = this->options.shard,
+                       .worker = state.worker,
+                       .address = worker->second.info.address,
+                       .lease = worker->second.lease.lease(),
+                       .not_after = worker->second.lease.start_deadline(),
+                       .attempt = attempt,
+                       .each = job->second.spec.each,
+                       .payload = job->second.spec.payload});
+}
+
+void job_runner::on_start(const core::attempt_id& attempt, const platform::start_reply& reply,
+                          core::steady_time now) {
+    const auto found = this->attempts.find(attempt);
+    if (found == this->attempts.end() || found->second.phase != attempt_phase::sending) {
+        return;
+    }
+    auto& state = found->second;
+    switch (reply.verdict) {
+    case platform::start_verdict::started:
+        state.phase = attempt_phase::running;
+        state.confirmed = now;
+        this->change(state_change::kind_type::task_started, attempt.job, state.worker, attempt.text());
+        if (state.stop_wanted) {
+            this->send_stop(attempt, state, now);
+        }
+        return;
+    case platform::start_verdict::refused:
+        this->end_attempt(attempt, core::attempt_end::refused, reply.reason, core::milliseconds{0},
+                          no_usage(), now);
+        return;
+    case platform::start_verdict::unknown: {
+        // A new lease makes every start under the old one void; its inventory then tells what began.
+        const auto worker = this->workers.find(state.worker);
+        if (worker != this->workers.end()) {
+            worker->second.lease.require_new_lease();
+            worker->second.lease.hasten();
+        }
+        return;
+    }
+    }
+}
+
+void job_runner::on_lease(const core::worker_id& worker, const platform::lease_reply& reply,
+                          core::steady_time sent, core::steady_time now) {
+    const auto found = this->workers.find(worker);
+    if (found == this->workers.end()) {
+        return;
+    }
+    auto& state = found->second;
+    const auto before = state.lease.lease();
+    if (!state.lease.on_reply(reply, sent, now)) {
+        return;
+    }
+    const bool new_lease = before != reply.lease;
+    if (new_lease) {
+        this->change(state_change::kind_type::lease_taken, {}, worker, std::to_string(reply.lease.value()));
+    }
+    state.declared_over = false;
+    this->take_inventory(state, reply, sent, new_lease, now);
+    state.taken = true;
+}
+
+void job_runner::take_inventory(worker_state& worker, const platform::lease_reply& reply,
+                                core::steady_time sent, bool new_lease, core::steady_time now) {
+    std::set<core::attempt_id> present;
+    for (const auto& item : reply.inventory) {
+        present.insert(item.attempt);
+        this->take_item(worker, item, now);
+    }
+    std::erase_if(worker.forget, [&](const auto& attempt) { return !present.contains(attempt); });
+    this->judge_missing(worker, present, sent, new_lease, now);
+}
+
+void job_runner::take_item(worker_state& worker, const platform::inventory_item& item,
+                           core::steady_time now) {
+    const auto job = this->jobs.find(item.attempt.job);
+    const auto state = this->attempts.find(item.attempt);
+    if (state != this->attempts.end() && state->second.worker == worker.info.name) {
+        if (item.end) {
+            this->end_attempt(item.attempt, *item.end, "reported by " + worker.info.name.value(),
+                              item.run_time, item.used, now);
+            return;
+        }
+        state->second.phase = attempt_phase::running;
+        this->decisions.task_usage(item.attempt, item.used, item.run_time);
+        if (state->second.stop_wanted) {
+            this->send_stop(item.attempt, state->second, now);
+        }
+        return;
+    }
+    const bool unrecorded = job != this->jobs.end() && !job->second.ending &&
+                            item.attempt.task < job->second.tasks.size() &&
+                            job->second.tasks[item.attempt.task].phase == core::task_phase::waiting &&
+                            item.attempt.attempt > job->second.tasks[item.attempt.task].attempt;
+    if (unrecorded) {
+        this->adopt_unrecorded(worker, item, job->second, now);
+        return;
+    }
+    this->take_foreign(worker, item, now);
+}
+
+void job_runner::adopt_unrecorded(worker_state& worker, const platform::inventory_item& item, live_job& job,
+                                  core::steady_time now) {
+    auto& task = job.tasks[item.attempt.task];
+    task.phase = core::task_phase::started;
+    task.attempt = item.attempt.attempt;
+    job.ever_sent = true;
+    this->attempts[item.attempt] = attempt_state{.phase = attempt_phase::running,
+                                                 .worker = worker.info.name,
+                                                 .confirmed = now,
+                                                 .stop_wanted = job.cancelled,
+                                                 .counted = true};
+    this->decisions.task_running(item.attempt, worker.info.name, job.spec.each, job.spec.pool, now);
+    this->session.add(
+        ledger::task_started{.attempt = item.attempt, .place = worker.info.name.value(), .at = this->wall()},
+        {}, {});
+    if (item.end) {
+        this->end_attempt(item.attempt, *item.end, "reported by " + worker.info.name.value(), item.run_time,
+                          item.used, now);
+    }
+}
+
+void job_runner::take_foreign(worker_state& worker, const platform::inventory_item& item,
+                              core::steady_time now) {
+    if (item.end) {
+        if (worker.foreign.erase(item.attempt) > 0) {
+            this->decisions.task_over(item.attempt, core::attempt_end::stopped, item.run_time, item.used,
+                                      now);
+        }
+        // An end that is not recorded yet stays in the inventory, for the next owner to find.
+        const auto* entry = this->fold.find(item.attempt.job);
+        const bool open = entry != nullptr && !entry->ended && item.attempt.task < entry->tasks.size() &&
+                          entry->tasks[item.attempt.task].phase != core::task_phase::ended &&
+                          entry->tasks[item.attempt.task].attempt <= item.attempt.attempt &&
+                          !entry->tasks[item.attempt.task].last_end;
+        if (!open) {
+            worker.forget.insert(item.attempt);
+        }
+        return;
+    }
+    if (worker.foreign.insert(item.attempt).second) {
+        this->decisions.task_running(item.attempt, worker.info.name, item.each, {}, now);
+    }
+    this->hooks.act({.worker = worker.info.name,
+                     .address = worker.info.address,
+                     .lease = worker.lease.lease(),
+                     .attempt = item.attempt,
+                     .action = platform::attempt_action::stop});
+}
+
+void job_runner::judge_missing(worker_state& worker, const std::set<core::attempt_id>& present,
+                               core::steady_time sent, bool new_lease, core::steady_time now) {
+    for (auto foreign = worker.foreign.begin(); foreign != worker.foreign.end();) {
+        if (present.contains(*foreign)) {
+            ++foreign;
+            continue;
+        }
+        this->decisions.task_over(*foreign, core::attempt_end::stopped, core::milliseconds{0}, no_usage(),
+                                  now);
+        foreign = worker.foreign.erase(foreign);
+    }
+    std::vector<std::pair<core::attempt_id, core::attempt_end>> over;
+    for (const auto& [attempt, state] : this->attempts) {
+        if (state.worker != worker.info.name || present.contains(attempt)) {
+            continue;
+        }
+        const bool ran = state.phase == attempt_phase::running || state.phase == attempt_phase::adopted;
+        if (ran && state.confirmed < sent) {
+            over.emplace_back(attempt, core::attempt_end::lost);
+        } else if (state.phase == attempt_phase::sending && new_lease && state.confirmed < sent) {
+            over.emplace_back(attempt, core::attempt_end::refused);
+        }
+    }
+    for (const auto& [attempt, end] : over) {
+        this->end_attempt(attempt, end, "not on " + worker.info.name.value(), core::milliseconds{0},
+                          no_usage(), now);
+    }
+}
+
+void job_runner::declare_over(worker_state& worker, core::steady_time now) {
+    worker.declared_over = true;
+    worker.taken = true;
+    this->change(state_change::kind_type::lease_lost, {}, worker.info.name, "its tasks have surely ended");
+    for (const auto& foreign : std::exchange(worker.foreign, {})) {
+        this->decisions.task_over(foreign, core::attempt_end::lost, core::milliseconds{0}, no_usage(), now);
+    }
+    std::vector<core::attempt_id> over;
+    for (const auto& [attempt, state] : this->attempts) {
+        if (state.worker == worker.info.name && state.phase != attempt_phase::recording) {
+            over.push_back(attempt);
+        }
+    }
+    for (const auto& attempt : over) {
+        this->end_attempt(attempt, core::attempt_end::lost, worker.info.name.value() + " is gone",
+                          core::milliseconds{0}, no_usage(), now);
+    }
+}
+
+void job_runner::end_attempt(const core::attempt_id& attempt, core::attempt_end end,
+                             const std::string& reason, core::milliseconds run_time,
+                             const core::resources& used, core::steady_time now) {
+    const auto found = this->attempts.find(attempt);
+    assert(found != this->attempts.end());
+    const auto worker_name = found->second.worker;
+    if (found->second.counted) {
+        this->decisions.task_over(attempt, end, run_time, used, now);
+    }
+    this->attempts.erase(found);
+    this->change(state_change::kind_type::task_ended, attempt.job, worker_name,
+                 attempt.text() + " " + std::string{core::to_string(end)});
+    this->session.add(
+        ledger::task_ended{.attempt = attempt, .end = end, .reason = reason, .at = this->wall()}, {},
+        [this, watch = std::weak_ptr<bool>{this->alive}, attempt, worker_name](ledger::settlement settled) {
+            if (watch.expired() || settled != ledger::settlement::recorded) {
+                return;
+            }
+            const auto worker = this->workers.find(worker_name);
+            if (worker != this->workers.end()) {
+                worker->second.forget.insert(attempt);
+            }
+        });
+    const auto job = this->jobs.find(attempt.job);
+    if (job == this->jobs.end()) {
+        return;
+    }
+    this->decide_after(job->second, attempt.task, end, reason, now);
+    const auto* entry = this->fold.find(attempt.job);
+    if (entry != nullptr && entry->ended && !job->second.anything_running()) {
+        this->jobs.erase(job);
+    }
+}
+
+void job_runner::decide_after(live_job& job, std::uint32_t index, core::attempt_end end,
+                              const std::string& reason, core::steady_time now) {
+    auto& task = job.tasks[index];
+    task.last_end = end;
+    const bool service = job.spec.kind == core::work_kind::service;
+    task.phase =
+        end == core::attempt_end::finished && !service ? core::task_phase::ended : core::task_phase::waiting;
+    if (end == core::attempt_end::failed) {
+        ++task.failures;
+    }
+    if (job.ending) {
+        return;
+    }
+    if (job.all_ended()) {
+        this->end_job(job, core::outcome::completed, "", now);
+        return;
+    }
+    const bool ran = end == core::attempt_end::lost || end == core::attempt_end::stopped;
+    if (!may_rerun(job.spec) && ran) {
+        this->end_job(job, end == core::attempt_end::lost ? core::outcome::unknown : core::outcome::failed,
+                      "ran once, and its end was not seen: " + reason, now);
+        return;
+    }
+    if (job.cancelled) {
+        if (!job.anything_running()) {
+            this->end_job(job, job.ever_sent ? core::outcome::failed : core::outcome::not_run, "cancelled",
+                          now);
+        }
+        return;
+    }
+    if (!service && task.failures >= job.spec.max_attempts) {
+        this->end_job(job, core::outcome::failed, "task " + std::to_string(index) + ": " + reason, now);
+        return;
+    }
+    if (job.spec.kind == core::work_kind::gang && end != core::attempt_end::finished) {
+        job.restarting = true;
+    }
+    if (job.restarting) {
+        this->restart_gang(job, now);
+        return;
+    }
+    if (task.phase == core::task_phase::waiting) {
+        this->retry(job, index, now);
+    }
+}
+
+void job_runner::retry(live_job& job, std::uint32_t index, core::steady_time now) {
+    auto& task = job.tasks[index];
+    const bool backs_off =
+        job.spec.kind == core::work_kind::service &&
+        (task.last_end == core::attempt_end::finished || task.last_end == core::attempt_end::failed);
+    if (!backs_off) {
+        this->decisions.requeue(job.spec.id, index, now);
+        return;
+    }
+    constexpr std::uint32_t most_doublings = 10;
+    const auto doubled = this->options.service_backoff * (1U << std::min(task.restarts, most_doublings));
+    task.not_before = now + std::min(doubled, this->options.service_backoff_limit);
+    ++task.restarts;
+    this->backing_off[job.spec.id].insert(index);
+}
+
+void job_runner::restart_gang(live_job& job, core::steady_time now) {
+    if (job.anything_running()) {
+        this->stop_all(job, now);
+        return;
+    }
+    job.restarting = false;
+    this->decisions.remove_job(job.spec.id);
+    this->admit(job);
+}
+
+void job_runner::end_job(live_job& job, core::outcome result, const std::string& reason,
+                         core::steady_time now) {
+    job.ending = result;
+    this->decisions.remove_job(job.spec.id);
+    this->stop_all(job, now);
+    this->change(state_change::kind_type::job_ended, job.spec.id, {}, std::string{core::to_string(result)});
+    this->session.add(
+        ledger::job_ended{.job = job.spec.id, .result = result, .reason = reason, .at = this->wall()}, {},
+        [this, watch = std::weak_ptr<bool>{this->alive}, id = job.spec.id](ledger::settlement settled) {
+            if (watch.expired() || settled != ledger::settlement::recorded) {
+                return;
+            }
+            const auto found = this->jobs.find(id);
+            if (found != this->jobs.end() && !found->second.anything_running()) {
+                this->jobs.erase(found);
+            }
+        });
+}
+
+void job_runner::stop_all(live_job& job, core::steady_time now) {
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+        const auto state = this->attempts.find(job.attempt_of(index));
+        if (state == this->attempts.end() || state->second.stop_wanted) {
+            continue;
+        }
+        state->second.stop_wanted = true;
+        if (state->second.phase == attempt_phase::running) {
+            this->send_stop(state->first, state->second, now);
+        }
+    }
+}
+
+void job_runner::send_stop(const core::attempt_id& attempt, const attempt_state& state,
+                           core::steady_time now) {
+    const auto worker = this->workers.find(state.worker);
+    if (worker == this->workers.end() || !worker->second.lease.held(now)) {
+        return;
+    }
+    this->hooks.act({.worker = state.worker,
+                     .address = worker->second.info.address,
+                     .lease = worker->second.lease.lease(),
+                     .attempt = attempt,
+                     .action = platform::attempt_action::stop});
+    worker->second.lease.hasten();
+}
+
+void job_runner::cancel(const core::job_id& id, core::steady_time now,
+                        std::function<void(ledger::settlement)> settled) {
+    const auto found = this->jobs.find(id);
+    assert(found != this->jobs.end());
+    auto& job = found->second;
+    this->session.add(ledger::job_cancelled{.job = id, .at = this->wall()}, {}, std::move(settled));
+    if (job.cancelled) {
+        return;
+    }
+    job.cancelled = true;
+    this->change(state_change::kind_type::job_cancelled, id, {}, "");
+    this->decisions.remove_job(id);
+    this->stop_all(job, now);
+    const bool certain = this->taken_over || !this->held_back.contains(id);
+    if (certain && !job.anything_running() && !job.ending) {
+        this->end_job(job, job.ever_sent ? core::outcome::failed : core::outcome::not_run, "cancelled", now);
+    }
+}
+
+void job_runner::preempt(core::steady_time now) {
+    for (const auto& victim : this->decisions.preempt(now)) {
+        const auto worker = this->workers.find(victim.worker);
+        if (worker == this->workers.end() || !worker->second.lease.held(now)) {
+            continue;
+        }
+        using scheduling::preemption_kind;
+        const auto send = [&](platform::attempt_action action) {
+            this->hooks.act({.worker = victim.worker,
+                             .address = worker->second.info.address,
+                             .lease = worker->second.lease.lease(),
+                             .attempt = victim.attempt,
+                             .action = action});
+        };
+        if (victim.kind == preemption_kind::throttle) {
+            send(platform::attempt_action::throttle);
+        }
+        if (victim.kind == preemption_kind::checkpoint_and_stop) {
+            send(platform::attempt_action::checkpoint);
+        }
+        if (victim.kind != preemption_kind::throttle) {
+            send(platform::attempt_action::stop);
+            worker->second.lease.hasten();
+        }
+        this->change(state_change::kind_type::preempted, victim.attempt.job, victim.worker,
+                     victim.attempt.text() + " for " + victim.for_job.text());
+    }
+}
+
+bool job_runner::quiet() const {
+    return std::ranges::none_of(this->attempts, [](const auto& entry) {
+        return entry.second.phase == attempt_phase::recording || entry.second.phase == attempt_phase::sending;
+    });
+}
+
+void job_runner::release_leases(core::steady_time now) {
+    for (auto& [name, worker] : this->workers) {
+        if (!worker.lease.held(now)) {
+            continue;
+        }
+        this->hooks.lease({.shard = this->options.shard,
+                           .worker = name,
+                           .address = worker.info.address,
+                           .request = {.holder = this->options.lease.holder,
+                                       .renew = worker.lease.lease(),
+                                       .term = core::milliseconds{0}},
+                           .sent = now});
+    }
+}
+
+std::optional<std::string> job_runner::never_fits(const core::job_spec& spec) const {
+    return this->decisions.never_fits(spec);
+}
+
+std::vector<std::string> job_runner::explain(const core::job_id& job, core::steady_time now) const {
+    if (this->held_back.contains(job)) {
+        return {"waits until the leases of all workers of its shard are held by the new owner"};
+    }
+    return this->decisions.explain(job, now);
+}
+
+std::vector<core::job_id> job_runner::movable(core::steady_time now, core::milliseconds waited) const {
+    constexpr std::size_t most = 50;
+    auto found = this->decisions.movable(now, waited, most);
+    std::erase_if(found, [this](const auto& id) {
+        const auto job = this->jobs.find(id);
+        return job == this->jobs.end() || job->second.ever_sent || job->second.cancelled ||
+               job->second.ending || job->second.anything_running();
+    });
+    return found;
+}
+
+void job_runner::drop(const core::job_id& job) {
+    this->decisions.remove_job(job);
+    this->jobs.erase(job);
+}
+
+const live_job* job_runner::find(const core::job_id& job) const {
+    const auto found = this->jobs.find(job);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+void job_runner::change(state_change::kind_type kind, const core::job_id& job, const core::worker_id& worker,
+                        const std::string& detail) const {
+    this->hooks.on_change({.kind = kind,
+                           .job = job.key.empty() ? std::string{} : job.text(),
+                           .worker = worker.value(),
+                           .shard = std::to_string(this->options.shard.value()),
+                           .detail = detail});
+}
+
+} // namespace rattanmount::control
--- /dev/null
+++ b/src/control/job_runner.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "cell/worker_lease.h"
+#include "control/host_hooks.h"
+#include "control/live_job.h"
+#include "core/calls.h"
+#include "core/ids.h"
+#include "core/job.h"
+#include "core/time.h"
+#include "ledger/shard_fold.h"
+#include "ledger/stream_session.h"
+#include "platform/fleet_service.h"
+#include "scheduling/scheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace rattanmount::control {
+
+struct job_runner_options {
+    core::shard_id shard;
+    cell::lease_options lease;
+    scheduling::scheduler_options scheduling;
+    core::milliseconds service_backoff{
+        1000}; ///< Before a service that ended starts again; doubled each time.
+    core::milliseconds service_backoff_limit{60000};
+    std::size_t placements_per_tick = 500;
+};
+
+/// Runs the jobs of one shard that this entry host owns: places tasks, starts them under their workers'
+/// leases, takes their ends, and writes the records.
+///
+/// Made when the shard's claim has won and dropped when the shard is lost or released. It starts no task that
+/// the former owner might have started before every worker's lease is held here. Owned by the shard_keeper;
+/// the control thread only.
+class job_runner {
+public:
+    /// @param options how it runs.
+    /// @param hooks what it has done by others; must outlive it.
+    /// @param fold the shard's recorded state; must outlive it.
+    /// @param session where records go; must outlive it.
+    job_runner(job_runner_options options, const host_hooks& hooks, const ledger::shard_fold& fold,
+               ledger::stream_session& session);
+
+    /// Takes over what is recorded. Called once, when the claim has won.
+    void begin(core::steady_time now);
+
+    /// Sets the workers of the shard as the platform lists them. One that is gone from the list and has no
+    /// lease here has no task any more.
+    void set_workers(const std::vector<platform::listed_worker>& listed, core::steady_time now);
+
+    /// Renews leases, sends what waits, places. To be called often.
+    void tick(core::steady_time now);
+
+    /// Takes a job that has just been recorded as accepted.
+    void on_accepted(const core::job_spec& spec, core::steady_time now);
+
+    /// Decides a cancellation and writes its records.
+    /// @param job a job that has not ended.
+    /// @param settled called when the records' fate is known.
+    void cancel(const core::job_id& job, core::steady_time now,
+                std::function<void(ledger::settlement)> settled);
+
+    void on_lease(const core::worker_id& worker, const platform::lease_reply& reply, core::steady_time sent,
+                  core::steady_time now);
+    void on_start(const core::attempt_id& attempt, const platform::start_reply& reply, core::steady_time now);
+
+    /// @return whether every worker's lease has been taken, so that anything may be started.
+    [[nodiscard]] bool complete() const { return this->taken_over; }
+
+    /// Starts nothing new from now on; running tasks run on.
+    void stop_placing() { this->placing = false; }
+
+    /// @return whether no start is on its way, so that the shard may be released.
+    [[nodiscard]] bool quiet() const;
+
+    /// Gives up all leases, so that the next owner need not wait for their lapse.
+    void release_leases(core::steady_time now);
+
+    /// @return why no worker of the shard can ever run the job's tasks, or empty.
+    [[nodiscard]] std::optional<std::string> never_fits(const core::job_spec& spec) const;
+
+    [[nodiscard]] std::vector<std::string> explain(const core::job_id& job, core::steady_time now) const;
+    [[nodiscard]] const scheduling::scheduler& placement() const { return this->decisions; }
+    /// @return the jobs that wait here and may go to another shard.
+    [[nodiscard]] std::vector<core::job_id> movable(core::steady_time now, core::milliseconds waited) const;
+    /// Forgets a job that was moved to another shard.
+    void drop(const core::job_id& job);
+    [[nodiscard]] const live_job* find(const core::job_id& job) const;
+
+private:
+    /// How far an attempt is that is not known to be over.
+    enum class attempt_phase { recording, sending, running, adopted };
+
+    struct attempt_state {
+        attempt_phase phase = attempt_phase::recording;
+        core::worker_id worker;
+        core::steady_time confirmed; ///< When the worker said that it runs.
+        bool recorded = false;
+        bool stop_wanted = false;
+        bool counted = false; ///< The scheduler counts its room under this attempt.
+    };
+
+    struct worker_state {
+        platform::listed_worker info;
+        cell::worker_lease lease;
+        bool listed = true;
+        bool taken = false; ///< Its lease has been granted here since the claim, or it has no tasks any more.
+        bool declared_over = false;
+        std::set<core::attempt_id> forget;
+        std::set<core::attempt_id> foreign; ///< Runs there, and is none of the current attempts.
+    };
+
+    void place(core::steady_time now);
+    void begin_attempt(const scheduling::placement& placement, core::steady_time now);
+    void send_start(const core::attempt_id& attempt, attempt_state& state, core::steady_time now);
+    void send_stop(const core::attempt_id& attempt, const attempt_state& state, core::steady_time now);
+    void send_due_starts(core::steady_time now);
+    void renew_leases(core::steady_time now);
+    void check_taken_over(core::steady_time now);
+    void admit(live_job& job);
+    void take_inventory(worker_state& worker, const platform::lease_reply& reply, core::steady_time sent,
+                        bool new_lease, core::steady_time now);
+    void take_item(worker_state& worker, const platform::inventory_item& item, core::steady_time now);
+    void adopt_unrecorded(worker_state& worker, const platform::inventory_item& item, live_job& job,
+                          core::steady_time now);
+    void take_foreign(worker_state& worker, const platform::inventory_item& item, core::steady_time now);
+    void judge_missing(worker_state& worker, const std::set<core::attempt_id>& present,
+                       core::steady_time sent, bool new_lease, core::steady_time now);
+    void declare_over(worker_state& worker, core::steady_time now);
+    void end_attempt(const core::attempt_id& attempt, core::attempt_end end, const std::string& reason,
+                     core::milliseconds run_time, const core::resources& used, core::steady_time now);
+    void decide_after(live_job& job, std::uint32_t task, core::attempt_end end, const std::string& reason,
+                      core::steady_time now);
+    void retry(live_job& job, std::uint32_t task, core::steady_time now);
+    void restart_gang(live_job& job, core::steady_time now);
+    void end_job(live_job& job, core::outcome result, const std::string& reason, core::steady_time now);
+    void stop_all(live_job& job, core::steady_time now);
+    void preempt(core::steady_time now);
+    void change(state_change::kind_type kind, const core::job_id& job, const core::worker_id& worker,
+                const std::string& detail) const;
+    [[nodiscard]] core::system_time wall() const { return this->hooks.wall_time(); }
+
+    job_runner_options options;
+    const host_hooks& hooks;
+    const ledger::shard_fold& fold;
+    ledger::stream_session& session;
+    scheduling::scheduler decisions;
+    std::unordered_map<core::job_id, live_job> jobs;
+    std::map<core::attempt_id, attempt_state> attempts;
+    std::map<core::worker_id, worker_state> workers;
+    std::set<core::job_id> held_back; ///< Might run somewhere, started by the former owner without a record.
+    std::map<core::job_id, std::set<std::uint32_t>> backing_off;
+    bool fleet_known = false;
+    bool taken_over = false;
+    bool placing = true;
+    /// Kept by hooks that may be called after this object is gone.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace rattanmount::control
--- /dev/null
+++ b/src/control/shard_keeper.cpp
@@ -0,0 +1,516 @@
+#include "control/shard_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanmount::control {
+
+namespace {
+
+cell::owner_answer answer_of(core::answer_state state, core::outcome result, std::string reason) {
+    return {.owner = true, .answer = {.state = state, .result = result, .reason = std::move(reason)}};
+}
+
+cell::owner_answer refused(std::string reason) {
+    return answer_of(core::answer_state::refused, core::outcome::not_run, std::move(reason));
+}
+
+cell::owner_answer unsettled(std::string reason) {
+    return answer_of(core::answer_state::unsettled, core::outcome::unknown, std::move(reason));
+}
+
+} // namespace
+
+shard_keeper::shard_keeper(shard_keeper_options options, const host_hooks& hooks)
+    : options(std::move(options)), hooks(hooks), fold(this->options.shard), session([this] {
+          auto session_options = this->options.session;
+          session_options.apply = [this](core::log_offset offset, const ledger::record_batch& batch) {
+              return this->apply(offset, batch);
+          };
+          session_options.reset = [this] { this->fold.reset(); };
+          session_options.state = [this] { return this->fold.state(); };
+          return session_options;
+      }()),
+      slot_book(this->options.slots) {}
+
+shard_keeper::~shard_keeper() {
+    this->lose();
+}
+
+bool shard_keeper::apply(core::log_offset offset, const ledger::record_batch& batch) {
+    ++this->entries_since_snapshot;
+    const bool snapshot = std::ranges::any_of(batch.records, [](const auto& record) {
+        return std::holds_alternative<ledger::snapshot_taken>(record);
+    });
+    if (snapshot) {
+        this->entries_since_snapshot = 0;
+    }
+    return ledger::shard_fold::stands(this->fold.apply(offset, batch));
+}
+
+void shard_keeper::tick(core::steady_time now) {
+    this->check_owner(now);
+    if (this->current == shard_phase::reading && this->session.caught_up() && this->fold.anchored()) {
+        const auto& owner = this->fold.owner();
+        if (!owner || owner->incarnation == this->options.incarnation || this->options.displaceable(*owner)) {
+            this->claim(now);
+        }
+    }
+    if (this->run) {
+        this->run->tick(now);
+        if (this->current == shard_phase::taking_over && this->run->complete()) {
+            this->current = shard_phase::serving;
+            this->change(state_change::kind_type::shard_serving,
+                         "epoch " + std::to_string(this->epoch().value()));
+        }
+        this->move_waiting(now);
+        this->keep_house(now);
+    }
+    if (this->current == shard_phase::releasing) {
+        this->finish_release(now);
+    }
+    this->slot_book.expire(now);
+    this->pump(now);
+}
+
+void shard_keeper::pump(core::steady_time now) {
+    if (!this->session.log_available()) {
+        this->session.give_up_withdrawable();
+    }
+    if (const auto append = this->session.next_append(now)) {
+        this->hooks.append(*append);
+    }
+    if (const auto read = this->session.next_read(now)) {
+        this->hooks.read(*read);
+    }
+}
+
+void shard_keeper::claim(core::steady_time now) {
+    this->current = shard_phase::claiming;
+    this->change(state_change::kind_type::shard_claimed,
+                 "after epoch " + std::to_string(this->epoch().value()));
+    this->session.add(ledger::shard_claimed{.previous = this->fold.epoch(), .host = this->options.host},
+                      {.withdrawable = true, .alone = true}, [this, now](ledger::settlement settled) {
+                          if (settled == ledger::settlement::recorded) {
+                              this->take(now);
+                              return;
+                          }
+                          this->current = shard_phase::reading;
+                      });
+    this->pump(now);
+}
+
+void shard_keeper::take(core::steady_time now) {
+    const bool first_owner = this->fold.epoch() == core::epoch_id{1};
+    this->session.set_epoch(this->fold.epoch());
+    this->current = shard_phase::taking_over;
+    if (!first_owner) {
+        this->slot_book.hold_until(now + this->options.longest_quick_limit);
+    }
+    this->run = std::make_unique<job_runner>(this->options.runner, this->hooks, this->fold, this->session);
+    this->run->begin(now);
+    if (this->fleet_known) {
+        this->run->set_workers(this->workers, now);
+    }
+    this->last_snapshot = now - this->options.snapshot_interval / 2;
+    this->settle_orphaned_payments();
+    for (const auto& [id, entry] : this->fold.jobs()) {
+        if (entry.moved_to && !entry.move_confirmed) {
+            this->moving[id] = false;
+        }
+    }
+}
+
+void shard_keeper::settle_orphaned_payments() {
+    for (const auto& [id, entry] : this->fold.jobs()) {
+        if (entry.spec.kind != core::work_kind::quick || entry.ended) {
+            continue;
+        }
+        // The former owner recorded the intent and may have sent the request.
+        this->session.add(ledger::job_ended{.job = id,
+                                            .result = core::outcome::unknown,
+                                            .reason = "its sender was lost before the outcome was recorded",
+                                            .at = this->hooks.wall_time()},
+                          {}, {});
+    }
+}
+
+void shard_keeper::check_owner(core::steady_time now) {
+    static_cast<void>(now);
+    const auto& owner = this->fold.owner();
+    const bool mine = owner && owner->incarnation == this->options.incarnation;
+    if (this->run && !mine && !this->release_recorded) {
+        this->lose();
+    }
+}
+
+void shard_keeper::on_rival(core::epoch_id epoch) {
+    if (this->run && epoch > this->fold.epoch()) {
+        this->lose();
+        this->session.request_read();
+    }
+}
+
+void shard_keeper::lose() {
+    for (auto& [id, pending] : std::exchange(this->accepting, {})) {
+        for (const auto& respond : pending.responders) {
+            respond(unsettled("the shard went to another entry host before the job was recorded"));
+        }
+    }
+    if (!this->run) {
+        return;
+    }
+    this->change(state_change::kind_type::shard_lost, "epoch " + std::to_string(this->epoch().value()));
+    this->run.reset();
+    this->moving.clear();
+    this->current = shard_phase::reading;
+}
+
+bool shard_keeper::owned() const {
+    return this->run != nullptr;
+}
+
+void shard_keeper::set_fleet(const std::vector<platform::listed_worker>& listed,
+                             const std::vector<routing::executor_info>& executors, core::steady_time now) {
+    this->workers = listed;
+    this->fleet_known = true;
+    this->slot_book.set_executors(executors);
+    if (this->run) {
+        this->run->set_workers(listed, now);
+    }
+}
+
+void shard_keeper::on_append(core::sequence_number sequence, const platform::append_reply& reply,
+                             core::steady_time now) {
+    this->session.on_append(sequence, reply, now);
+    this->check_owner(now);
+}
+
+void shard_keeper::on_read(core::log_offset from, const platform::read_reply& reply, core::steady_time now) {
+    this->session.on_read(from, reply, now);
+    this->check_owner(now);
+}
+
+void shard_keeper::on_lease(const core::worker_id& worker, const platform::lease_reply& reply,
+                            core::steady_time sent, core::steady_time now) {
+    if (this->run) {
+        this->run->on_lease(worker, reply, sent, now);
+    }
+}
+
+void shard_keeper::on_start(const core::attempt_id& attempt, const platform::start_reply& reply,
+                            core::steady_time now) {
+    if (this->run) {
+        this->run->on_start(attempt, reply, now);
+    }
+}
+
+cell::owner_answer shard_keeper::answer_for(const ledger::job_entry& entry, core::steady_time now) const {
+    cell::owner_answer answer{.owner = true};
+    core::job_status status{
+        .spec = entry.spec, .accepted_at = entry.accepted_at, .ended = entry.ended, .reason = entry.reason};
+    for (std::uint32_t index = 0; index < entry.tasks.size(); ++index) {
+        const auto& task = entry.tasks[index];
+        status.tasks_waiting += task.phase == core::task_phase::waiting ? 1 : 0;
+        status.tasks_running += task.phase == core::task_phase::started ? 1 : 0;
+        status.tasks_ended += task.phase == core::task_phase::ended ? 1 : 0;
+        if (task.phase == core::task_phase::started) {
+            status.places.push_back("task " + std::to_string(index) + " on " + task.place);
+        }
+    }
+    answer.answer.state = entry.ended ? core::answer_state::ended : core::answer_state::accepted;
+    answer.answer.result = entry.ended.value_or(core::outcome::unknown);
+    answer.answer.reason = entry.reason;
+    if (!entry.ended && this->run && status.tasks_waiting > 0) {
+        const auto why = this->run->explain(entry.spec.id, now);
+        answer.answer.reason = why.empty() ? "" : why.front();
+    }
+    answer.answer.status = std::move(status);
+    return answer;
+}
+
+std::optional<cell::owner_answer> shard_keeper::refusal_for(const core::job_spec& spec) const {
+    if (const auto reason = this->options.never_fits(spec)) {
+        return refused(*reason);
+    }
+    std::size_t open = this->accepting.size();
+    for (const auto& [id, entry] : this->fold.jobs()) {
+        open += entry.ended || entry.moved_to ? 0 : 1;
+    }
+    if (open >= this->options.queue_limit) {
+        return refused("the shard has " + std::to_string(open) + " open jobs, which is its limit");
+    }
+    if (!this->session.log_available()) {
+        return refused("the platform's log is not available, so the job cannot be recorded");
+    }
+    return std::nullopt;
+}
+
+void shard_keeper::submit(const core::job_spec& spec, core::system_time accepted_at, core::steady_time now,
+                          owner_responder respond) {
+    if (!this->run || this->current == shard_phase::releasing) {
+        respond({});
+        return;
+    }
+    const auto* entry = this->fold.find(spec.id);
+    const auto pending = this->accepting.find(spec.id);
+    if (entry == nullptr && pending == this->accepting.end()) {
+        if (auto refusal = this->refusal_for(spec)) {
+            respond(std::move(*refusal));
+            return;
+        }
+        this->accept(spec, accepted_at, now, std::move(respond));
+        return;
+    }
+    const auto& known = entry != nullptr ? entry->spec : pending->second.spec;
+    if (known.fingerprint() != spec.fingerprint()) {
+        respond(refused("key '" + spec.id.key.value() + "' was used before with another body"));
+        return;
+    }
+    if (entry != nullptr) {
+        respond(this->answer_for(*entry, now));
+        return;
+    }
+    pending->second.responders.push_back(std::move(respond));
+}
+
+void shard_keeper::accept(const core::job_spec& spec, core::system_time accepted_at, core::steady_time now,
+                          owner_responder respond) {
+    auto& pending = this->accepting[spec.id];
+    pending.spec = spec;
+    pending.responders.push_back(std::move(respond));
+    this->session.add(ledger::job_accepted{.spec = spec, .at = accepted_at}, {.withdrawable = true},
+                      [this, id = spec.id, now](ledger::settlement settled) {
+                          const auto found = this->accepting.find(id);
+                          if (found == this->accepting.end()) {
+                              return;
+                          }
+                          const auto waiting = std::move(found->second);
+                          this->accepting.erase(found);
+                          const auto* entry = this->fold.find(id);
+                          cell::owner_answer answer = unsettled("the shard went to another entry host");
+                          if (settled == ledger::settlement::absent) {
+                              answer = refused("the platform's log did not take the record");
+                          }
+                          if (settled == ledger::settlement::recorded && entry != nullptr && this->run) {
+                              this->run->on_accepted(entry->spec, now);
+                              answer = this->answer_for(*entry, now);
+                          }
+                          for (const auto& waiter : waiting.responders) {
+                              waiter(answer);
+                          }
+                      });
+    this->pump(now);
+}
+
+void shard_keeper::status(const core::job_id& job, core::steady_time now,
+                          const owner_responder& respond) const {
+    if (!this->run) {
+        respond({});
+        return;
+    }
+    const auto* entry = this->fold.find(job);
+    respond(entry == nullptr ? refused("no job has that key") : this->answer_for(*entry, now));
+}
+
+void shard_keeper::cancel(const core::job_id& job, core::steady_time now, const owner_responder& respond) {
+    if (!this->run) {
+        respond({});
+        return;
+    }
+    const auto* entry = this->fold.find(job);
+    if (entry == nullptr || entry->ended || entry->moved_to || this->run->find(job) == nullptr) {
+        this->status(job, now, respond);
+        return;
+    }
+    this->run->cancel(job, now, [this, job, now, respond](ledger::settlement settled) {
+        const auto* found = this->fold.find(job);
+        const bool recorded = settled == ledger::settlement::recorded && found != nullptr;
+        respond(recorded ? this->answer_for(*found, now) : unsettled("the shard went to another entry host"));
+    });
+}
+
+void shard_keeper::explain(const core::job_id& job, core::steady_time now,
+                           const owner_responder& respond) const {
+    if (!this->run) {
+        respond({});
+        return;
+    }
+    const auto* entry = this->fold.find(job);
+    if (entry == nullptr) {
+        respond(refused("no job has that key"));
+        return;
+    }
+    auto answer = this->answer_for(*entry, now);
+    answer.explanation =
+        entry->ended ? std::vector<std::string>{"ended: " + entry->reason} : this->run->explain(job, now);
+    respond(std::move(answer));
+}
+
+void shard_keeper::begin_payment(const core::job_spec& spec, const std::string& place, core::steady_time now,
+                                 owner_responder respond) {
+    if (!this->run || this->current == shard_phase::releasing) {
+        respond({});
+        return;
+    }
+    const auto* entry = this->fold.find(spec.id);
+    if (entry != nullptr || this->accepting.contains(spec.id)) {
+        const auto& known = entry != nullptr ? entry->spec : this->accepting[spec.id].spec;
+        if (known.fingerprint() != spec.fingerprint()) {
+            respond(refused("key '" + spec.id.key.value() + "' was used before with another body"));
+        } else if (entry != nullptr && entry->ended) {
+            respond(this->answer_for(*entry, now));
+        } else {
+            respond(unsettled("another call with this key is being served; ask again by its key"));
+        }
+        return;
+    }
+    if (!this->session.log_available()) {
+        respond(refused("the platform's log is not available, so the request cannot be recorded"));
+        return;
+    }
+    this->accepting[spec.id].spec = spec;
+    const auto at = this->hooks.wall_time();
+    this->session.add(ledger::job_accepted{.spec = spec, .at = at}, {.withdrawable = true}, {});
+    this->session.add(
+        ledger::task_started{.attempt = {.job = spec.id, .task = 0, .attempt = 1}, .place = place, .at = at},
+        {.withdrawable = true}, [this, id = spec.id, respond](ledger::settlement settled) {
+            this->accepting.erase(id);
+            if (settled == ledger::settlement::absent) {
+                respond(refused("the platform's log did not take the record"));
+                return;
+            }
+            const auto* recorded = this->fold.find(id);
+            const bool mine =
+                settled == ledger::settlement::recorded && recorded != nullptr && !recorded->ended;
+            respond(mine ? answer_of(core::answer_state::accepted, core::outcome::unknown, "")
+                         : unsettled("the shard went to another entry host"));
+        });
+    this->pump(now);
+}
+
+void shard_keeper::end_payment(const core::job_id& job, core::outcome result, const std::string& reason,
+                               std::function<void()> recorded) {
+    this->session.add(
+        ledger::job_ended{.job = job, .result = result, .reason = reason, .at = this->hooks.wall_time()}, {},
+        [recorded = std::move(recorded)](ledger::settlement) { recorded(); });
+}
+
+void shard_keeper::move_waiting(core::steady_time now) {
+    for (auto& [id, ordered] : this->moving) {
+        const auto* entry = this->fold.find(id);
+        if (ordered || entry == nullptr || !entry->moved_to) {
+            continue;
+        }
+        ordered = true;
+        this->hooks.move({.from = this->options.shard,
+                          .to = *entry->moved_to,
+                          .spec = entry->spec,
+                          .accepted_at = entry->accepted_at});
+    }
+    if (this->current != shard_phase::serving || !this->session.log_available()) {
+        return;
+    }
+    for (const auto& id : this->run->movable(now, this->options.move_after)) {
+        const auto target = this->options.shard_with_room(this->run->find(id)->spec);
+        if (!target || *target == this->options.shard) {
+            continue;
+        }
+        this->run->drop(id);
+        this->change(state_change::kind_type::job_moved,
+                     id.text() + " to shard " + std::to_string(target->value()));
+        this->session.add(ledger::job_moved{.job = id, .to = *target}, {},
+                          [this, id](ledger::settlement settled) {
+                              if (settled == ledger::settlement::recorded && this->run) {
+                                  this->moving[id] = false;
+                              }
+                          });
+    }
+}
+
+void shard_keeper::on_moved(const core::job_id& job, bool taken) {
+    const auto found = this->moving.find(job);
+    if (found == this->moving.end()) {
+        return;
+    }
+    if (!taken) {
+        found->second = false;
+        return;
+    }
+    this->moving.erase(found);
+    this->session.add(ledger::move_confirmed{.job = job}, {}, {});
+}
+
+void shard_keeper::keep_house(core::steady_time now) {
+    constexpr core::milliseconds interval{1000};
+    if (now - this->last_house_keeping < interval || !this->session.log_available()) {
+        return;
+    }
+    this->last_house_keeping = now;
+    const auto oldest = this->hooks.wall_time() - this->options.keep_outcomes;
+    constexpr std::size_t most = 200;
+    std::size_t forgotten = 0;
+    for (const auto& [id, entry] : this->fold.jobs()) {
+        if (entry.ended && entry.ended_at < oldest && forgotten < most) {
+            ++forgotten;
+            this->session.add(ledger::job_forgotten{.job = id}, {.withdrawable = true}, {});
+        }
+    }
+    if (this->entries_since_snapshot > 0 && now - this->last_snapshot >= this->options.snapshot_interval) {
+        this->last_snapshot = now;
+        this->session.add(ledger::snapshot_taken{}, {.withdrawable = true, .alone = true}, {});
+    }
+}
+
+void shard_keeper::release(core::steady_time now) {
+    if (this->current == shard_phase::serving || this->current == shard_phase::taking_over) {
+        this->current = shard_phase::releasing;
+        this->run->stop_placing();
+        this->finish_release(now);
+        return;
+    }
+    if (!this->run) {
+        this->current = shard_phase::released;
+    }
+}
+
+void shard_keeper::finish_release(core::steady_time now) {
+    if (this->release_recorded) {
+        this->run->release_leases(now);
+        this->change(state_change::kind_type::shard_released,
+                     "epoch " + std::to_string(this->epoch().value()));
+        this->run.reset();
+        this->current = shard_phase::released;
+        return;
+    }
+    if (this->release_added || !this->run || !this->run->quiet() || !this->accepting.empty() ||
+        this->slot_book.in_use() > 0) {
+        return;
+    }
+    this->release_added = true;
+    this->session.add(ledger::shard_released{}, {.alone = true}, [this](ledger::settlement settled) {
+        this->release_recorded = settled == ledger::settlement::recorded;
+    });
+}
+
+cell::shard_view shard_keeper::view(core::steady_time now) const {
+    cell::shard_view view{.shard = this->options.shard,
+                          .epoch = this->fold.epoch(),
+                          .serving = this->current == shard_phase::serving};
+    if (this->run) {
+        view.waiting_tasks = this->run->placement().waiting_tasks();
+        view.free = this->run->placement().free();
+        view.largest_free = this->run->placement().largest_free();
+    }
+    for (const auto& service : this->slot_book.services()) {
+        view.services.push_back({.service = service, .free_slots = this->slot_book.free_slots(service, now)});
+    }
+    return view;
+}
+
+void shard_keeper::change(state_change::kind_type kind, const std::string& detail) const {
+    this->hooks.on_change(
+        {.kind = kind, .shard = std::to_string(this->options.shard.value()), .detail = detail});
+}
+
+} // namespace rattanmount::control
