--- /dev/null
+++ b/src/ledger/config_fold.cpp
@@ -0,0 +1,252 @@
+#include "ledger/config_fold.h"
+
+#include "core/errors.h"
+#include "ledger/codec.h"
+#include "ledger/conversion.h"
+#include "ledger/thrift_bytes.h"
+
+#include <utility>
+
+namespace rattanmount::ledger {
+
+namespace {
+
+/// Producers whose last sequence is kept: many entry hosts write to this stream, one after another.
+constexpr std::size_t kept_producers = 500;
+
+template <typename Policy>
+gen::policy_data to_generated_record(const release::policy_record<Policy>& record) {
+    gen::policy_data data;
+    data.revision = static_cast<std::int64_t>(record.revision.value());
+    data.in_force = record.in_force;
+    data.changed_by = record.changed_by.value();
+    data.author = record.author;
+    return data;
+}
+
+template <typename Policy>
+release::policy_record<Policy> to_record(Policy policy, gen::policy_data&& data) {
+    return {.last = std::move(policy),
+            .revision = core::revision_id{static_cast<std::uint64_t>(data.revision)},
+            .in_force = data.in_force,
+            .changed_by = core::note_id{std::move(data.changed_by)},
+            .author = std::move(data.author)};
+}
+
+std::vector<gen::policy_data> policies_of(const release::policy_book& book) {
+    std::vector<gen::policy_data> policies;
+    for (const auto& [name, record] : book.pool_records()) {
+        policies.push_back(to_generated_record(record));
+        policies.back().__set_pool(to_generated(record.last));
+    }
+    for (const auto& [name, record] : book.team_records()) {
+        policies.push_back(to_generated_record(record));
+        policies.back().__set_team(to_generated(record.last));
+    }
+    return policies;
+}
+
+void restore(release::policy_book& book, gen::policy_data&& data) {
+    if (data.__isset.pool == data.__isset.team) {
+        throw core::invalid_argument("a policy of a snapshot needs either a pool or a team");
+    }
+    if (data.__isset.pool) {
+        auto pool = from_generated(std::move(data.pool));
+        book.restore(to_record(std::move(pool), std::move(data)));
+        return;
+    }
+    auto team = from_generated(std::move(data.team));
+    book.restore(to_record(std::move(team), std::move(data)));
+}
+
+const snapshot_taken* only_snapshot(const record_batch& batch) {
+    return batch.records.size() == 1 ? std::get_if<snapshot_taken>(&batch.records.front()) : nullptr;
+}
+
+} // namespace
+
+config_fold::config_fold() : producers(kept_producers) {}
+
+config_fold::verdict config_fold::apply(core::log_offset offset, const record_batch& batch) {
+    if (this->known && offset < this->next_offset) {
+        return verdict::repeat;
+    }
+    if (!this->advance(offset, batch)) {
+        return verdict::unanchored;
+    }
+    if (this->producers.repeats(batch.producer, batch.sequence)) {
+        return verdict::repeat;
+    }
+    if (batch.records.empty()) {
+        return verdict::counted;
+    }
+    const snapshot_taken* snapshot = only_snapshot(batch);
+    if (snapshot != nullptr && snapshot->at != offset) {
+        return verdict::missed;
+    }
+    for (const record& item : batch.records) {
+        this->fold(offset, item);
+    }
+    this->producers.count(batch.producer, batch.sequence);
+    return verdict::counted;
+}
+
+bool config_fold::stands(verdict result) {
+    return result == verdict::counted || result == verdict::repeat;
+}
+
+std::optional<core::shard_id> config_fold::shard_of(const core::rack_id& rack) const {
+    const auto found = this->rack_shards.find(rack);
+    return found == this->rack_shards.end() ? std::nullopt : std::optional{found->second};
+}
+
+const release::note_result* config_fold::note(const core::note_id& id) const {
+    const auto found = this->notes.find(id);
+    return found == this->notes.end() ? nullptr : &found->second.result;
+}
+
+core::log_offset config_fold::offset_of(const core::note_id& id) const {
+    const auto found = this->notes.find(id);
+    return found == this->notes.end() ? core::log_offset{} : found->second.offset;
+}
+
+std::optional<release::note_result> config_fold::answer_to(const release::release_note& note) const {
+    const auto found = this->notes.find(note.id);
+    if (found == this->notes.end()) {
+        return std::nullopt;
+    }
+    if (found->second.fingerprint != fingerprint(note)) {
+        return release::note_result{.accepted = false,
+                                    .reason =
+                                        "id: another note was handed in as '" + note.id.value() + "' before"};
+    }
+    return found->second.result;
+}
+
+void config_fold::reset() {
+    this->clear();
+    this->known = false;
+    this->next_offset = core::log_offset{};
+}
+
+std::string config_fold::state() const {
+    gen::config_state_data data;
+    data.policies = policies_of(this->book);
+    for (const auto& [rack, shard] : this->rack_shards) {
+        data.racks.emplace_back();
+        data.racks.back().rack = rack.value();
+        data.racks.back().shard = static_cast<std::int64_t>(shard.value());
+    }
+    for (const core::note_id& id : this->note_order) {
+        const kept_note& note = this->notes.at(id);
+        data.notes.emplace_back();
+        data.notes.back().id = id.value();
+        data.notes.back().fingerprint = static_cast<std::int64_t>(note.fingerprint);
+        data.notes.back().offset = static_cast<std::int64_t>(note.offset.value());
+        data.notes.back().accepted = note.result.accepted;
+        if (!note.result.reason.empty()) {
+            data.notes.back().__set_reason(note.result.reason);
+        }
+    }
+    data.producers = to_generated(this->producers);
+    return to_bytes(data);
+}
+
+void config_fold::load(const std::string& state, core::log_offset next) {
+    config_fold loaded;
+    loaded.read_state(state);
+    loaded.next_offset = next;
+    *this = std::move(loaded);
+}
+
+std::size_t config_fold::state_bytes() const {
+    // Names of pools, teams, racks and notes are short; the texts of refusals are counted in full.
+    constexpr std::size_t node_bytes = 64;
+    std::size_t sum = sizeof(*this);
+    sum += this->book.pool_records().size() * (sizeof(release::pool_record) + node_bytes);
+    sum += this->book.team_records().size() * (sizeof(release::team_record) + node_bytes);
+    sum += this->rack_shards.size() * (sizeof(core::rack_id) + node_bytes);
+    sum += this->producers.entries().size() * (sizeof(producer_table::entry) + node_bytes);
+    for (const auto& [id, note] : this->notes) {
+        sum += sizeof(note) + 2 * sizeof(id) + 2 * id.value().size() + node_bytes + note.result.reason.size();
+    }
+    return sum;
+}
+
+/// Steps over the offset. @return whether the batch is to be folded.
+bool config_fold::advance(core::log_offset offset, const record_batch& batch) {
+    const bool follows = this->known && offset == this->next_offset;
+    this->next_offset = offset.next();
+    if (follows) {
+        return true;
+    }
+    this->clear();
+    this->known = offset == core::log_offset{};
+    const snapshot_taken* snapshot = only_snapshot(batch);
+    if (this->known || snapshot == nullptr || snapshot->at != offset) {
+        return this->known;
+    }
+    try {
+        this->load(snapshot->state, offset.next());
+    } catch (const core::invalid_argument&) {
+        this->known = false;
+    }
+    return this->known;
+}
+
+void config_fold::clear() {
+    this->book = release::policy_book{};
+    this->rack_shards.clear();
+    this->notes.clear();
+    this->note_order.clear();
+    this->producers.clear();
+}
+
+void config_fold::read_state(const std::string& state) {
+    auto data = from_bytes<gen::config_state_data>(state);
+    for (gen::policy_data& policy : data.policies) {
+        restore(this->book, std::move(policy));
+    }
+    for (gen::rack_data& rack : data.racks) {
+        this->rack_shards.emplace(core::rack_id{std::move(rack.rack)},
+                                  core::shard_id{static_cast<std::uint64_t>(rack.shard)});
+    }
+    for (gen::note_result_data& note : data.notes) {
+        this->keep(core::note_id{std::move(note.id)},
+                   {.result = {.accepted = note.accepted, .reason = std::move(note.reason)},
+                    .offset = core::log_offset{static_cast<std::uint64_t>(note.offset)},
+                    .fingerprint = static_cast<std::uint64_t>(note.fingerprint)});
+    }
+    from_generated(data.producers, this->producers);
+}
+
+void config_fold::fold(core::log_offset offset, const record& item) {
+    if (const auto* assigned = std::get_if<rack_assigned>(&item)) {
+        this->rack_shards.emplace(assigned->rack, assigned->shard);
+        return;
+    }
+    if (const auto* proposed = std::get_if<note_proposed>(&item)) {
+        this->fold_note(offset, proposed->note);
+    }
+}
+
+void config_fold::fold_note(core::log_offset offset, const release::release_note& note) {
+    if (this->notes.contains(note.id)) {
+        return;
+    }
+    this->keep(note.id,
+               {.result = this->book.apply(note), .offset = offset, .fingerprint = fingerprint(note)});
+}
+
+void config_fold::keep(const core::note_id& id, kept_note note) {
+    if (!this->notes.emplace(id, std::move(note)).second) {
+        return;
+    }
+    this->note_order.push_back(id);
+    if (this->note_order.size() > kept_notes) {
+        this->notes.erase(this->note_order.front());
+        this->note_order.pop_front();
+    }
+}
+
+} // namespace rattanmount::ledger
--- /dev/null
+++ b/src/ledger/producer_table.cpp
@@ -0,0 +1,34 @@
+#include "ledger/producer_table.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace rattanmount::ledger {
+
+producer_table::producer_table(std::size_t capacity) : capacity(capacity) {
+    assert(capacity >= 1);
+}
+
+bool producer_table::repeats(const core::incarnation_id& producer, core::sequence_number sequence) const {
+    const auto found = std::find_if(this->producers.rbegin(), this->producers.rend(),
+                                    [&](const entry& one) { return one.producer == producer; });
+    return found != this->producers.rend() && sequence <= found->last;
+}
+
+void producer_table::count(const core::incarnation_id& producer, core::sequence_number sequence) {
+    if (!this->producers.empty() && this->producers.back().producer == producer) {
+        this->producers.back().last = sequence;
+        return;
+    }
+    std::erase_if(this->producers, [&](const entry& one) { return one.producer == producer; });
+    this->producers.push_back({.producer = producer, .last = sequence});
+    if (this->producers.size() > this->capacity) {
+        this->producers.erase(this->producers.begin());
+    }
+}
+
+void producer_table::clear() {
+    this->producers.clear();
+}
+
+} // namespace rattanmount::ledger
--- a/src/ledger/records.h
+++ b/src/ledger/records.h
@@ -100,9 +100,13 @@
     friend bool operator==(const note_proposed&, const note_proposed&) = default;
 };
 
-/// The whole state of the stream's fold just before this record, as the codec wrote it.
+/// The whole state of the stream's fold just before this record, as the fold wrote it.
+///
+/// It counts only at the offset that it names: any other entry that came in between may have changed the
+/// state, and the writer may have lost the shard by it.
 struct snapshot_taken {
     std::string state;
+    core::log_offset at; ///< Everything before this offset is in the state.
     friend bool operator==(const snapshot_taken&, const snapshot_taken&) = default;
 };
 
--- a/src/release/release_note.h
+++ b/src/release/release_note.h
@@ -44,7 +44,8 @@
 /// One line of a release note: a pool or a team that is added, changed or withdrawn.
 struct note_item {
     item_change change = item_change::add;
-    core::revision_id replaces; ///< The revision it was written against; 0 for an addition.
+    /// The revision it was written against; 0 for the addition of a name that never was in force.
+    core::revision_id replaces;
     std::variant<pool_policy, team_policy> policy; ///< For a withdrawal only the name matters.
 
     friend bool operator==(const note_item&, const note_item&) = default;
