--- /dev/null
+++ b/src/scheduling/worker_info.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/resources.h"
+
+namespace rattanmount::scheduling {
+
+/// A worker as the scheduler needs to know it.
+struct worker_info {
+    core::worker_id name;
+    core::rack_id rack;
+    core::data_centre_id data_centre;
+    core::resources capacity;
+
+    friend bool operator==(const worker_info&, const worker_info&) = default;
+};
+
+} // namespace rattanmount::scheduling
