Add the HTTP clients of the platform

Cause: the hooks of log, fleet list, workers and executors had nothing behind them. Conclusion: Poco's client session is ruled out, since it connects again and sends again by itself when a kept connection proves dead; the clients use Poco's session and messages and a socket of their own with one deadline for both directions.

--- /dev/null
+++ b/src/platform/base64.cpp
@@ -0,0 +1,34 @@
+#include "platform/base64.h"
+
+#include "core/errors.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/Exception.h>
+
+#include <iterator>
+#include <sstream>
+
+namespace rattanmount::platform {
+
+std::string base64_encode(const std::string& bytes) {
+    std::ostringstream text;
+    Poco::Base64Encoder encoder{text};
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return text.str();
+}
+
+std::string base64_decode(const std::string& text) {
+    constexpr std::size_t group = 4;
+    std::istringstream source{text};
+    Poco::Base64Decoder decoder{source};
+    std::string bytes{std::istreambuf_iterator<char>{decoder}, std::istreambuf_iterator<char>{}};
+    if (text.size() % group != 0 || base64_encode(bytes) != text) {
+        throw core::invalid_argument("not base64");
+    }
+    return bytes;
+}
+
+} // namespace rattanmount::platform
--- /dev/null
+++ b/src/platform/deadline_socket.cpp
@@ -0,0 +1,60 @@
+#include "platform/deadline_socket.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/Socket.h>
+
+#include <algorithm>
+
+namespace rattanmount::platform {
+
+std::chrono::microseconds time_left(core::steady_time end) {
+    const auto left =
+        std::chrono::duration_cast<std::chrono::microseconds>(end - std::chrono::steady_clock::now());
+    return std::max(left, std::chrono::microseconds{0});
+}
+
+deadline_socket::deadline_socket(traffic_counters& counters) : counters(counters) {}
+
+void deadline_socket::begin(core::steady_time end) {
+    this->deadline = end;
+    this->sent_bytes = 0;
+}
+
+std::uint64_t deadline_socket::sent() const {
+    return this->sent_bytes;
+}
+
+int deadline_socket::sendBytes(const void* buffer, int length, int flags) {
+    const auto* bytes = static_cast<const char*>(buffer);
+    int done = 0;
+    while (done < length) {
+        this->wait_for(Poco::Net::Socket::SELECT_WRITE);
+        const int taken = SocketImpl::sendBytes(bytes + done, length - done, flags);
+        if (taken > 0) {
+            done += taken;
+            this->sent_bytes += static_cast<std::uint64_t>(taken);
+            this->counters.bytes_sent += static_cast<std::uint64_t>(taken);
+        }
+    }
+    return done;
+}
+
+int deadline_socket::receiveBytes(void* buffer, int length, int flags) {
+    while (true) {
+        this->wait_for(Poco::Net::Socket::SELECT_READ);
+        const int taken = SocketImpl::receiveBytes(buffer, length, flags);
+        if (taken >= 0) {
+            this->counters.bytes_received += static_cast<std::uint64_t>(taken);
+            return taken;
+        }
+    }
+}
+
+void deadline_socket::wait_for(int mode) {
+    const auto left = time_left(this->deadline);
+    if (left.count() == 0 || !this->poll(Poco::Timespan{left.count()}, mode)) {
+        throw Poco::TimeoutException("no answer within the time limit");
+    }
+}
+
+} // namespace rattanmount::platform
--- /dev/null
+++ b/src/platform/fleet_codec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "platform/fleet_service.h"
+
+#include <string>
+
+namespace rattanmount::platform {
+
+/// @param list a list of hosts.
+/// @return the list as the platform writes it, in JSON.
+[[nodiscard]] std::string encode_fleet(const fleet_list& list);
+
+/// @param text the list as the platform writes it, in JSON.
+/// @return the list.
+/// @throws core::invalid_argument with what is wrong with the text.
+[[nodiscard]] fleet_list decode_fleet(const std::string& text);
+
+} // namespace rattanmount::platform
--- /dev/null
+++ b/src/platform/http_caller.cpp
@@ -0,0 +1,37 @@
+#include "platform/http_caller.h"
+
+#include "core/errors.h"
+
+#include <Poco/URI.h>
+
+namespace rattanmount::platform {
+
+std::string percent_encode(const std::string& text) {
+    std::string encoded;
+    Poco::URI::encode(text, "!?#/'\",;:$&()[]*+=@", encoded);
+    return encoded;
+}
+
+http_caller::http_caller(connection_pool_options options) : pool(options, this->traffic) {}
+
+http_answer http_caller::call(const core::endpoint& peer, http_message message, core::milliseconds timeout) {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    ++this->traffic.calls;
+    if (message.correlation.empty()) {
+        message.correlation = std::to_string(++this->last_number);
+    }
+    try {
+        auto connection = this->pool.acquire(peer, deadline);
+        auto answer = connection->exchange(message, deadline);
+        this->pool.release(peer, std::move(connection), answer);
+        if (answer.fate != exchange_fate::answered) {
+            ++this->traffic.failures;
+        }
+        return answer;
+    } catch (const core::unavailable& error) {
+        ++this->traffic.failures;
+        return http_answer{.fate = exchange_fate::not_sent, .reason = error.what()};
+    }
+}
+
+} // namespace rattanmount::platform
--- /dev/null
+++ b/src/platform/http_fleet_client.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "platform/fleet_service.h"
+#include "platform/http_caller.h"
+
+namespace rattanmount::platform {
+
+struct http_fleet_client_options {
+    core::endpoint address; ///< The service that has the list of hosts.
+    connection_pool_options connections{.max_connections = 2, .max_idle = 1};
+};
+
+/// The platform's list of hosts over HTTP.
+///
+/// Hand its hook to whoever watches the fleet; it refers to the client, which must outlive it.
+/// Owned by the app; any traffic thread may call the hook, which blocks up to its timeout.
+class http_fleet_client {
+public:
+    /// @param options where the service is.
+    explicit http_fleet_client(http_fleet_client_options options);
+
+    /// @return the call of the service.
+    [[nodiscard]] fleet_service hooks();
+
+    /// @return what was sent and received so far.
+    [[nodiscard]] const traffic_counters& counters() const { return this->caller.counters(); }
+
+private:
+    [[nodiscard]] fleet_list list(core::milliseconds timeout);
+
+    http_fleet_client_options options;
+    http_caller caller;
+};
+
+} // namespace rattanmount::platform
--- /dev/null
+++ b/src/platform/http_worker_client.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "platform/http_caller.h"
+#include "platform/worker_service.h"
+
+namespace rattanmount::platform {
+
+struct http_worker_client_options {
+    /// The bounds for each address and port; workers that share one share its connections.
+    connection_pool_options connections{.max_connections = 8, .max_idle = 2};
+};
+
+/// Workers over HTTP.
+///
+/// Hand its hooks to whoever drives workers; they refer to the client, which must outlive them.
+/// Owned by the app; any traffic thread may call the hooks, which block up to their timeout.
+class http_worker_client {
+public:
+    /// @param options the bounds of its connections.
+    explicit http_worker_client(http_worker_client_options options);
+
+    /// @return the calls of a worker.
+    [[nodiscard]] worker_service hooks();
+
+    /// @return what was sent and received so far.
+    [[nodiscard]] const traffic_counters& counters() const { return this->caller.counters(); }
+
+private:
+    [[nodiscard]] lease_reply lease(const core::endpoint& worker, const lease_request& request,
+                                    core::milliseconds timeout);
+    [[nodiscard]] start_reply start(const core::endpoint& worker, core::lease_id lease,
+                                    const core::attempt_id& attempt, const core::resources& each,
+                                    const std::string& payload, core::milliseconds timeout);
+    [[nodiscard]] start_reply act(const core::endpoint& worker, core::lease_id lease,
+                                  const core::attempt_id& attempt, attempt_action action,
+                                  core::milliseconds timeout);
+    [[nodiscard]] http_answer post(const core::endpoint& worker, const char* call, std::string body,
+                                   core::milliseconds timeout);
+
+    http_caller caller;
+};
+
+} // namespace rattanmount::platform
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -4,10 +4,19 @@
 /// The package `platform`: what the platform gives, as hooks (log, fleet list, workers, executors), and
 /// the clients that reach it over HTTP.
 ///
+/// One client for each service encodes its calls; http_caller makes them over a connection_pool of
+/// http_connection, and tells exactly what is known of each: not sent, answered, timed out or broken.
+///
 /// Depends on: core; the clients also on Poco Net and nlohmann-json.
-/// Threads: traffic threads only; every call blocks up to its timeout.
+/// Threads: traffic threads only; every call blocks up to its timeout. Each client's pool has one thread
+/// of its own, which closes idle connections.
 
 #include "platform/executor_service.h"
 #include "platform/fleet_service.h"
+#include "platform/http_executor_client.h"
+#include "platform/http_fleet_client.h"
+#include "platform/http_log_client.h"
+#include "platform/http_worker_client.h"
 #include "platform/log_service.h"
+#include "platform/traffic_counters.h"
 #include "platform/worker_service.h"
