Add the inner protocol between entry hosts

Cause: entry hosts ask each other through cell::peer_calls and need a protocol for it. Conclusion: enumerations travel as i8, since Thrift's enum fields cannot hold an unknown number without undefined behaviour.

--- /dev/null
+++ b/src/inner/call_runner.cpp
@@ -0,0 +1,83 @@
+#include "inner/call_runner.h"
+
+#include "core/errors.h"
+
+#include <utility>
+
+namespace rattanmount::inner {
+
+namespace {
+
+[[noreturn]] void throw_peer_error(const gen::call_error& error) {
+    switch (error.kind) {
+    case gen::error_kind::invalid_argument:
+        throw core::invalid_argument(error.reason);
+    case gen::error_kind::unavailable:
+        throw core::unavailable(error.reason);
+    default:
+        throw core::fate_unknown(error.reason);
+    }
+}
+
+[[noreturn]] void throw_failure(const attempt_result& result, bool sent_before, const core::endpoint& peer) {
+    const auto reason = peer.text() + ": " + result.reason;
+    const bool carried_out = result.fate == attempt_fate::broken || result.fate == attempt_fate::timed_out;
+    if (sent_before || carried_out) {
+        throw core::fate_unknown(reason);
+    }
+    throw core::unavailable(reason);
+}
+
+} // namespace
+
+call_runner::call_runner(connection_pool_options options)
+    : pool(options), peer(options.peer), counters(options.counters) {}
+
+void call_runner::run(const call_halves& call, repeat_rule rule, core::milliseconds limit) {
+    this->counters->calls++;
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    bool reused = false;
+    auto result = this->attempt(call, deadline, reused);
+    bool sent_before = false;
+    const bool lost_connection = result.fate == attempt_fate::not_sent ||
+                                 (result.fate == attempt_fate::broken && rule == repeat_rule::once);
+    if (reused && lost_connection) {
+        sent_before = result.fate == attempt_fate::broken;
+        this->pool.close_idle();
+        result = this->attempt(call, deadline, reused);
+    }
+    if (result.fate == attempt_fate::answered) {
+        return;
+    }
+    this->counters->failed_calls++;
+    throw_failure(result, sent_before, this->peer);
+}
+
+attempt_result call_runner::attempt(const call_halves& call, core::steady_time deadline, bool& reused) {
+    std::unique_ptr<peer_connection> connection;
+    try {
+        connection = this->pool.take(deadline);
+    } catch (const core::unavailable& error) {
+        return {.fate = attempt_fate::not_sent, .reason = error.what()};
+    }
+    reused = connection->reused();
+    attempt_result result;
+    try {
+        result = connection->attempt(call, deadline);
+    } catch (const gen::call_error& error) {
+        this->pool.give_back(std::move(connection));
+        this->counters->failed_calls++;
+        throw_peer_error(error);
+    }
+    if (result.fate == attempt_fate::answered) {
+        this->pool.give_back(std::move(connection));
+        return result;
+    }
+    this->pool.discard(std::move(connection));
+    if (result.fate == attempt_fate::timed_out) {
+        this->pool.close_idle();
+    }
+    return result;
+}
+
+} // namespace rattanmount::inner
--- /dev/null
+++ b/src/inner/conversion.cpp
@@ -0,0 +1,487 @@
+#include "inner/conversion.h"
+
+#include "core/errors.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <limits>
+#include <string>
+#include <utility>
+
+namespace rattanmount::inner {
+
+namespace {
+
+template <typename Core, std::size_t Count>
+using enum_table = std::array<std::pair<Core, int>, Count>;
+
+constexpr enum_table<core::work_kind, 4> kinds{{{core::work_kind::quick, gen::work_kind::quick},
+                                                {core::work_kind::batch, gen::work_kind::batch},
+                                                {core::work_kind::gang, gen::work_kind::gang},
+                                                {core::work_kind::service, gen::work_kind::long_running}}};
+constexpr enum_table<core::outcome, 4> outcomes{{{core::outcome::completed, gen::outcome::completed},
+                                                 {core::outcome::failed, gen::outcome::failed},
+                                                 {core::outcome::not_run, gen::outcome::not_run},
+                                                 {core::outcome::unknown, gen::outcome::unknown}}};
+constexpr enum_table<core::answer_state, 4> states{
+    {{core::answer_state::accepted, gen::answer_state::accepted},
+     {core::answer_state::ended, gen::answer_state::ended},
+     {core::answer_state::refused, gen::answer_state::refused},
+     {core::answer_state::unsettled, gen::answer_state::unsettled}}};
+constexpr enum_table<cell::slot_release, 4> releases{
+    {{cell::slot_release::done, gen::slot_release::done},
+     {cell::slot_release::unsent, gen::slot_release::unsent},
+     {cell::slot_release::lost, gen::slot_release::lost},
+     {cell::slot_release::broken, gen::slot_release::broken}}};
+
+template <typename Table, typename Core>
+std::int8_t number_of(const Table& table, Core value) {
+    const auto found =
+        std::find_if(table.begin(), table.end(), [&](const auto& entry) { return entry.first == value; });
+    if (found == table.end()) {
+        throw core::invalid_argument("not a value of its enumeration: " +
+                                     std::to_string(static_cast<int>(value)));
+    }
+    return static_cast<std::int8_t>(found->second);
+}
+
+template <typename Table>
+auto value_of(const Table& table, std::int8_t number, const char* field) {
+    const auto found =
+        std::find_if(table.begin(), table.end(), [&](const auto& entry) { return entry.second == number; });
+    if (found == table.end()) {
+        throw core::invalid_argument(std::string{field} + ": unknown value " + std::to_string(number));
+    }
+    return found->first;
+}
+
+void require(bool present, const char* field) {
+    if (!present) {
+        throw core::invalid_argument(std::string{field} + ": is missing");
+    }
+}
+
+std::int32_t to_count(std::uint32_t value) {
+    return static_cast<std::int32_t>(value);
+}
+
+std::uint32_t count_from(std::int32_t number, const char* field) {
+    if (number < 0) {
+        throw core::invalid_argument(std::string{field} + ": is negative");
+    }
+    return static_cast<std::uint32_t>(number);
+}
+
+template <typename Number>
+Number number_from(std::int64_t number, const char* field) {
+    if (number < 0) {
+        throw core::invalid_argument(std::string{field} + ": is negative");
+    }
+    return Number{static_cast<std::uint64_t>(number)};
+}
+
+template <typename List, typename Convert>
+auto convert_list(const List& list, const Convert& convert) {
+    std::vector<decltype(convert(*list.begin()))> converted;
+    converted.reserve(list.size());
+    std::transform(list.begin(), list.end(), std::back_inserter(converted), convert);
+    return converted;
+}
+
+gen::service_room service_room_to_wire(const cell::service_room& value) {
+    gen::service_room message;
+    message.__set_service_name(value.service.value());
+    message.__set_free_slots(to_count(value.free_slots));
+    return message;
+}
+
+cell::service_room service_room_from_wire(const gen::service_room& message) {
+    require(message.__isset.service_name, "service_room.service_name");
+    require(message.__isset.free_slots, "service_room.free_slots");
+    return {.service = core::service_id{message.service_name},
+            .free_slots = count_from(message.free_slots, "service_room.free_slots")};
+}
+
+gen::shard_view shard_view_to_wire(const cell::shard_view& value) {
+    gen::shard_view message;
+    message.__set_shard(to_wire(value.shard));
+    message.__set_epoch(to_wire(value.epoch));
+    message.__set_serving(value.serving);
+    message.__set_waiting_tasks(to_count(value.waiting_tasks));
+    message.__set_free(to_wire(value.free));
+    message.__set_largest_free(to_wire(value.largest_free));
+    message.__set_services(convert_list(value.services, service_room_to_wire));
+    return message;
+}
+
+cell::shard_view shard_view_from_wire(const gen::shard_view& message) {
+    require(message.__isset.shard, "shard_view.shard");
+    require(message.__isset.epoch, "shard_view.epoch");
+    require(message.__isset.serving, "shard_view.serving");
+    require(message.__isset.waiting_tasks, "shard_view.waiting_tasks");
+    require(message.__isset.free, "shard_view.free");
+    require(message.__isset.largest_free, "shard_view.largest_free");
+    require(message.__isset.services, "shard_view.services");
+    return {.shard = number_from<core::shard_id>(message.shard, "shard_view.shard"),
+            .epoch = number_from<core::epoch_id>(message.epoch, "shard_view.epoch"),
+            .serving = message.serving,
+            .waiting_tasks = count_from(message.waiting_tasks, "shard_view.waiting_tasks"),
+            .free = from_wire(message.free),
+            .largest_free = from_wire(message.largest_free),
+            .services = convert_list(message.services, service_room_from_wire)};
+}
+
+gen::team_usage team_usage_to_wire(const cell::team_usage& value) {
+    gen::team_usage message;
+    message.__set_team(value.team.value());
+    message.__set_held(to_wire(value.held));
+    return message;
+}
+
+cell::team_usage team_usage_from_wire(const gen::team_usage& message) {
+    require(message.__isset.team, "team_usage.team");
+    require(message.__isset.held, "team_usage.held");
+    return {.team = core::team_id{message.team}, .held = from_wire(message.held)};
+}
+
+gen::job_status status_to_wire(const core::job_status& value) {
+    gen::job_status message;
+    message.__set_spec(to_wire(value.spec));
+    message.__set_accepted_at_ms(core::since_epoch(value.accepted_at).count());
+    if (value.ended) {
+        message.__set_ended(number_of(outcomes, *value.ended));
+    }
+    message.__set_reason(value.reason);
+    message.__set_tasks_waiting(to_count(value.tasks_waiting));
+    message.__set_tasks_running(to_count(value.tasks_running));
+    message.__set_tasks_ended(to_count(value.tasks_ended));
+    message.__set_places(value.places);
+    return message;
+}
+
+core::job_status status_from_wire(const gen::job_status& message) {
+    require(message.__isset.spec, "job_status.spec");
+    require(message.__isset.accepted_at_ms, "job_status.accepted_at_ms");
+    require(message.__isset.reason, "job_status.reason");
+    require(message.__isset.tasks_waiting, "job_status.tasks_waiting");
+    require(message.__isset.tasks_running, "job_status.tasks_running");
+    require(message.__isset.tasks_ended, "job_status.tasks_ended");
+    require(message.__isset.places, "job_status.places");
+    core::job_status value{.spec = from_wire(message.spec),
+                           .accepted_at = core::from_epoch(core::milliseconds{message.accepted_at_ms}),
+                           .ended = std::nullopt,
+                           .reason = message.reason,
+                           .tasks_waiting = count_from(message.tasks_waiting, "job_status.tasks_waiting"),
+                           .tasks_running = count_from(message.tasks_running, "job_status.tasks_running"),
+                           .tasks_ended = count_from(message.tasks_ended, "job_status.tasks_ended"),
+                           .places = message.places};
+    if (message.__isset.ended) {
+        value.ended = value_of(outcomes, message.ended, "job_status.ended");
+    }
+    return value;
+}
+
+gen::job_answer job_answer_to_wire(const core::job_answer& value) {
+    gen::job_answer message;
+    message.__set_state(number_of(states, value.state));
+    message.__set_result(number_of(outcomes, value.result));
+    message.__set_reason(value.reason);
+    if (value.status) {
+        message.__set_status(status_to_wire(*value.status));
+    }
+    return message;
+}
+
+core::job_answer job_answer_from_wire(const gen::job_answer& message) {
+    require(message.__isset.state, "job_answer.state");
+    require(message.__isset.result, "job_answer.result");
+    require(message.__isset.reason, "job_answer.reason");
+    core::job_answer value{.state = value_of(states, message.state, "job_answer.state"),
+                           .result = value_of(outcomes, message.result, "job_answer.result"),
+                           .reason = message.reason,
+                           .status = std::nullopt};
+    if (message.__isset.status) {
+        value.status = status_from_wire(message.status);
+    }
+    return value;
+}
+
+gen::quick_answer quick_answer_to_wire(const core::quick_answer& value) {
+    gen::quick_answer message;
+    message.__set_result(number_of(outcomes, value.result));
+    message.__set_reason(value.reason);
+    message.__set_body(value.body);
+    message.__set_executor(value.executor.value());
+    return message;
+}
+
+core::quick_answer quick_answer_from_wire(const gen::quick_answer& message) {
+    require(message.__isset.result, "quick_answer.result");
+    require(message.__isset.reason, "quick_answer.reason");
+    require(message.__isset.body, "quick_answer.body");
+    require(message.__isset.executor, "quick_answer.executor");
+    return {.result = value_of(outcomes, message.result, "quick_answer.result"),
+            .reason = message.reason,
+            .body = message.body,
+            .executor = core::executor_id{message.executor}};
+}
+
+} // namespace
+
+gen::resources to_wire(const core::resources& value) {
+    gen::resources message;
+    message.__set_millicores(value.millicores);
+    message.__set_memory_mb(value.memory_mb);
+    message.__set_accelerators(value.accelerators);
+    return message;
+}
+
+core::resources from_wire(const gen::resources& message) {
+    require(message.__isset.millicores, "resources.millicores");
+    require(message.__isset.memory_mb, "resources.memory_mb");
+    require(message.__isset.accelerators, "resources.accelerators");
+    return {.millicores = message.millicores,
+            .memory_mb = message.memory_mb,
+            .accelerators = message.accelerators};
+}
+
+gen::endpoint to_wire(const core::endpoint& value) {
+    gen::endpoint message;
+    message.__set_address(value.address);
+    message.__set_port(value.port);
+    if (!value.path.empty()) {
+        message.__set_path(value.path);
+    }
+    return message;
+}
+
+core::endpoint from_wire(const gen::endpoint& message) {
+    require(message.__isset.address, "endpoint.address");
+    require(message.__isset.port, "endpoint.port");
+    if (message.port < 0 || message.port > std::numeric_limits<std::uint16_t>::max()) {
+        throw core::invalid_argument("endpoint.port: not a port: " + std::to_string(message.port));
+    }
+    return {.address = message.address,
+            .port = static_cast<std::uint16_t>(message.port),
+            .path = message.path};
+}
+
+gen::peer_view to_wire(const cell::peer_view& value) {
+    gen::peer_view message;
+    message.__set_host(value.host.value());
+    message.__set_incarnation(value.incarnation.value());
+    message.__set_inner(to_wire(value.inner));
+    message.__set_data_centre(value.data_centre.value());
+    message.__set_leaving(value.leaving);
+    message.__set_config_next(to_wire(value.config_next));
+    message.__set_shards(convert_list(value.shards, shard_view_to_wire));
+    message.__set_teams(convert_list(value.teams, team_usage_to_wire));
+    return message;
+}
+
+cell::peer_view from_wire(const gen::peer_view& message) {
+    require(message.__isset.host, "peer_view.host");
+    require(message.__isset.incarnation, "peer_view.incarnation");
+    require(message.__isset.inner, "peer_view.inner");
+    require(message.__isset.data_centre, "peer_view.data_centre");
+    require(message.__isset.leaving, "peer_view.leaving");
+    require(message.__isset.config_next, "peer_view.config_next");
+    require(message.__isset.shards, "peer_view.shards");
+    require(message.__isset.teams, "peer_view.teams");
+    return {.host = core::host_id{message.host},
+            .incarnation = core::incarnation_id{message.incarnation},
+            .inner = from_wire(message.inner),
+            .data_centre = core::data_centre_id{message.data_centre},
+            .leaving = message.leaving,
+            .config_next = number_from<core::log_offset>(message.config_next, "peer_view.config_next"),
+            .shards = convert_list(message.shards, shard_view_from_wire),
+            .teams = convert_list(message.teams, team_usage_from_wire)};
+}
+
+gen::job_id to_wire(const core::job_id& value) {
+    gen::job_id message;
+    message.__set_team(value.team.value());
+    message.__set_key(value.key.value());
+    return message;
+}
+
+core::job_id from_wire(const gen::job_id& message) {
+    require(message.__isset.team, "job_id.team");
+    require(message.__isset.key, "job_id.key");
+    return {.team = core::team_id{message.team}, .key = core::request_key{message.key}};
+}
+
+gen::job_spec to_wire(const core::job_spec& value) {
+    gen::job_spec message;
+    message.__set_id(to_wire(value.id));
+    message.__set_pool(value.pool.value());
+    message.__set_kind(number_of(kinds, value.kind));
+    message.__set_tasks(to_count(value.tasks));
+    message.__set_each(to_wire(value.each));
+    message.__set_expected_run_time_ms(value.expected_run_time.count());
+    message.__set_idempotent(value.idempotent);
+    message.__set_max_attempts(to_count(value.max_attempts));
+    if (!value.service.empty()) {
+        message.__set_service_name(value.service.value());
+    }
+    if (!value.payload.empty()) {
+        message.__set_payload(value.payload);
+    }
+    return message;
+}
+
+core::job_spec from_wire(const gen::job_spec& message) {
+    require(message.__isset.id, "job_spec.id");
+    require(message.__isset.pool, "job_spec.pool");
+    require(message.__isset.kind, "job_spec.kind");
+    require(message.__isset.tasks, "job_spec.tasks");
+    require(message.__isset.each, "job_spec.each");
+    require(message.__isset.expected_run_time_ms, "job_spec.expected_run_time_ms");
+    require(message.__isset.idempotent, "job_spec.idempotent");
+    require(message.__isset.max_attempts, "job_spec.max_attempts");
+    return {.id = from_wire(message.id),
+            .pool = core::pool_id{message.pool},
+            .kind = value_of(kinds, message.kind, "job_spec.kind"),
+            .tasks = count_from(message.tasks, "job_spec.tasks"),
+            .each = from_wire(message.each),
+            .expected_run_time =
+                duration_from_wire(message.expected_run_time_ms, "job_spec.expected_run_time_ms"),
+            .idempotent = message.idempotent,
+            .max_attempts = count_from(message.max_attempts, "job_spec.max_attempts"),
+            .service = core::service_id{message.service_name},
+            .payload = message.payload};
+}
+
+gen::owner_answer to_wire(const cell::owner_answer& value) {
+    gen::owner_answer message;
+    message.__set_owner(value.owner);
+    if (!value.owner) {
+        return message;
+    }
+    message.__set_answer(job_answer_to_wire(value.answer));
+    if (!value.explanation.empty()) {
+        message.__set_explanation(value.explanation);
+    }
+    return message;
+}
+
+cell::owner_answer from_wire(const gen::owner_answer& message) {
+    require(message.__isset.owner, "owner_answer.owner");
+    if (!message.owner) {
+        return {};
+    }
+    require(message.__isset.answer, "owner_answer.answer");
+    return {.owner = true,
+            .answer = job_answer_from_wire(message.answer),
+            .explanation = message.explanation};
+}
+
+gen::quick_request to_wire(const core::quick_request& value) {
+    gen::quick_request message;
+    message.__set_id(to_wire(value.id));
+    message.__set_pool(value.pool.value());
+    message.__set_service_name(value.service.value());
+    message.__set_idempotent(value.idempotent);
+    message.__set_limit_ms(value.limit.count());
+    message.__set_body(value.body);
+    return message;
+}
+
+core::quick_request from_wire(const gen::quick_request& message) {
+    require(message.__isset.id, "quick_request.id");
+    require(message.__isset.pool, "quick_request.pool");
+    require(message.__isset.service_name, "quick_request.service_name");
+    require(message.__isset.idempotent, "quick_request.idempotent");
+    require(message.__isset.limit_ms, "quick_request.limit_ms");
+    require(message.__isset.body, "quick_request.body");
+    return {.id = from_wire(message.id),
+            .pool = core::pool_id{message.pool},
+            .service = core::service_id{message.service_name},
+            .idempotent = message.idempotent,
+            .limit = duration_from_wire(message.limit_ms, "quick_request.limit_ms"),
+            .body = message.body};
+}
+
+gen::owner_quick_answer to_wire(const cell::owner_quick_answer& value) {
+    gen::owner_quick_answer message;
+    message.__set_owner(value.owner);
+    if (value.owner) {
+        message.__set_answer(quick_answer_to_wire(value.answer));
+    }
+    return message;
+}
+
+cell::owner_quick_answer from_wire(const gen::owner_quick_answer& message) {
+    require(message.__isset.owner, "owner_quick_answer.owner");
+    if (!message.owner) {
+        return {};
+    }
+    require(message.__isset.answer, "owner_quick_answer.answer");
+    return {.owner = true, .answer = quick_answer_from_wire(message.answer)};
+}
+
+gen::slot_grant to_wire(const cell::slot_grant& value) {
+    gen::slot_grant message;
+    message.__set_granted(value.granted);
+    message.__set_grant(static_cast<std::int64_t>(value.grant));
+    if (value.granted) {
+        message.__set_executor(value.executor.value());
+        message.__set_address(to_wire(value.address));
+    }
+    if (!value.reason.empty()) {
+        message.__set_reason(value.reason);
+    }
+    return message;
+}
+
+cell::slot_grant from_wire(const gen::slot_grant& message) {
+    require(message.__isset.granted, "slot_grant.granted");
+    require(message.__isset.grant, "slot_grant.grant");
+    cell::slot_grant value{.granted = message.granted,
+                           .grant = static_cast<std::uint64_t>(message.grant),
+                           .reason = message.reason};
+    if (message.granted) {
+        require(message.__isset.executor, "slot_grant.executor");
+        require(message.__isset.address, "slot_grant.address");
+        value.executor = core::executor_id{message.executor};
+        value.address = from_wire(message.address);
+    }
+    return value;
+}
+
+gen::config_copy to_wire(const cell::config_copy& value) {
+    gen::config_copy message;
+    message.__set_available(value.available);
+    message.__set_next_offset(to_wire(value.next));
+    if (value.available) {
+        message.__set_state(value.state);
+    }
+    return message;
+}
+
+cell::config_copy from_wire(const gen::config_copy& message) {
+    require(message.__isset.available, "config_copy.available");
+    require(message.__isset.next_offset, "config_copy.next_offset");
+    require(!message.available || message.__isset.state, "config_copy.state");
+    return {.available = message.available,
+            .next = number_from<core::log_offset>(message.next_offset, "config_copy.next_offset"),
+            .state = message.state};
+}
+
+std::int8_t to_wire(cell::slot_release how) {
+    return number_of(releases, how);
+}
+
+cell::slot_release slot_release_from_wire(std::int8_t number) {
+    return value_of(releases, number, "slot_release");
+}
+
+core::milliseconds duration_from_wire(std::int64_t wire_ms, const char* field) {
+    if (wire_ms < 0) {
+        throw core::invalid_argument(std::string{field} + ": is negative");
+    }
+    return core::milliseconds{wire_ms};
+}
+
+} // namespace rattanmount::inner
--- /dev/null
+++ b/src/inner/inner.thrift
@@ -0,0 +1,192 @@
+/**
+ * The protocol between the entry hosts of one cell.
+ *
+ * Every time span is in milliseconds, every point of the calendar in milliseconds since 1970. A field that
+ * is not marked optional must be present: the conversion to core types refuses a message without it.
+ * A field of type i8 holds a value of the enumeration that is named like it (kind: work_kind, result and
+ * ended: outcome, state: answer_state, how: slot_release); a number that the enumeration does not have is
+ * refused as well.
+ * Regenerate with: thrift -r --gen cpp:no_skeleton,moveable_types -out src/inner/gen src/inner/inner.thrift
+ */
+namespace cpp rattanmount.inner.gen
+
+struct resources {
+  1: i64 millicores
+  2: i64 memory_mb
+  3: i64 accelerators
+}
+
+struct endpoint {
+  1: string address
+  2: i32 port
+  3: optional string path
+}
+
+struct service_room {
+  1: string service_name
+  2: i32 free_slots
+}
+
+struct shard_view {
+  1: i64 shard
+  2: i64 epoch
+  3: bool serving
+  4: i32 waiting_tasks
+  5: resources free
+  6: resources largest_free
+  7: list<service_room> services
+}
+
+struct team_usage {
+  1: string team
+  2: resources held
+}
+
+struct peer_view {
+  1: string host
+  2: string incarnation
+  3: endpoint inner
+  4: string data_centre
+  5: bool leaving
+  6: i64 config_next
+  7: list<shard_view> shards
+  8: list<team_usage> teams
+}
+
+enum work_kind {
+  quick = 1,
+  batch = 2,
+  gang = 3,
+  long_running = 4
+}
+
+enum outcome {
+  completed = 1,
+  failed = 2,
+  not_run = 3,
+  unknown = 4
+}
+
+enum answer_state {
+  accepted = 1,
+  ended = 2,
+  refused = 3,
+  unsettled = 4
+}
+
+enum slot_release {
+  done = 1,
+  unsent = 2,
+  lost = 3,
+  broken = 4
+}
+
+struct job_id {
+  1: string team
+  2: string key
+}
+
+struct job_spec {
+  1: job_id id
+  2: string pool
+  3: i8 kind
+  4: i32 tasks
+  5: resources each
+  6: i64 expected_run_time_ms
+  7: bool idempotent
+  8: i32 max_attempts
+  9: optional string service_name
+  10: optional binary payload
+}
+
+struct job_status {
+  1: job_spec spec
+  2: i64 accepted_at_ms
+  3: optional i8 ended
+  4: string reason
+  5: i32 tasks_waiting
+  6: i32 tasks_running
+  7: i32 tasks_ended
+  8: list<string> places
+}
+
+struct job_answer {
+  1: i8 state
+  2: i8 result
+  3: string reason
+  4: optional job_status status
+}
+
+/** owner is false where the callee does not own the shard; the rest is then absent. */
+struct owner_answer {
+  1: bool owner
+  2: optional job_answer answer
+  3: optional list<string> explanation
+}
+
+struct quick_request {
+  1: job_id id
+  2: string pool
+  3: string service_name
+  4: bool idempotent
+  5: i64 limit_ms
+  6: binary body
+}
+
+struct quick_answer {
+  1: i8 result
+  2: string reason
+  3: binary body
+  4: string executor
+}
+
+struct owner_quick_answer {
+  1: bool owner
+  2: optional quick_answer answer
+}
+
+/** The slot is described only where it is granted. */
+struct slot_grant {
+  1: bool granted
+  2: i64 grant
+  3: optional string executor
+  4: optional endpoint address
+  5: optional string reason
+}
+
+struct config_copy {
+  1: bool available
+  2: i64 next_offset
+  3: optional binary state
+}
+
+enum error_kind {
+  /** The request is not valid: it was not carried out. */
+  invalid_argument = 1,
+  /** Certainly not carried out. */
+  unavailable = 2,
+  /** It may have been carried out. */
+  fate_unknown = 3
+}
+
+exception call_error {
+  1: i8 kind
+  2: string reason
+}
+
+service peer_service {
+  peer_view heartbeat(1: peer_view caller, 2: i64 limit_ms) throws (1: call_error error)
+  owner_answer submit(1: i64 shard, 2: job_spec spec, 3: i64 limit_ms) throws (1: call_error error)
+  owner_answer status(1: i64 shard, 2: job_id id, 3: i64 limit_ms) throws (1: call_error error)
+  owner_answer cancel(1: i64 shard, 2: job_id id, 3: i64 limit_ms) throws (1: call_error error)
+  owner_answer explain(1: i64 shard, 2: job_id id, 3: i64 limit_ms) throws (1: call_error error)
+  owner_quick_answer quick(1: i64 shard, 2: quick_request request) throws (1: call_error error)
+  owner_answer take_job(1: i64 shard, 2: job_spec spec, 3: i64 accepted_at_ms, 4: i64 limit_ms)
+    throws (1: call_error error)
+  slot_grant reserve_slot(1: i64 shard, 2: string service_name, 3: string caller, 4: i64 request_limit_ms,
+                          5: i64 limit_ms) throws (1: call_error error)
+  void release_slot(1: i64 shard, 2: i64 grant, 3: i8 how, 4: i64 limit_ms)
+    throws (1: call_error error)
+  config_copy copy_config(1: i64 limit_ms) throws (1: call_error error)
+  string timeline(1: i64 limit_ms) throws (1: call_error error)
+}
--- /dev/null
+++ b/src/inner/service_handler.cpp
@@ -0,0 +1,133 @@
+#include "inner/service_handler.h"
+
+#include "core/errors.h"
+#include "inner/conversion.h"
+
+#include <utility>
+
+namespace rattanmount::inner {
+
+namespace {
+
+gen::call_error make_error(gen::error_kind::type kind, const std::string& reason) {
+    gen::call_error error;
+    error.__set_kind(static_cast<std::int8_t>(kind));
+    error.__set_reason(reason);
+    return error;
+}
+
+core::shard_id shard_from(std::int64_t number) {
+    if (number < 0) {
+        throw core::invalid_argument("shard: is negative");
+    }
+    return core::shard_id{static_cast<std::uint64_t>(number)};
+}
+
+core::milliseconds limit_from(std::int64_t limit_ms) {
+    return duration_from_wire(limit_ms, "limit_ms");
+}
+
+} // namespace
+
+service_handler::service_handler(cell::peer_calls calls, std::shared_ptr<traffic_counters> counters)
+    : calls(std::move(calls)), counters(std::move(counters)) {}
+
+template <typename Hook, typename Work>
+void service_handler::carry_out(const Hook& hook, const Work& work) {
+    this->counters->calls++;
+    try {
+        if (!hook) {
+            throw core::unavailable("this host does not offer the call");
+        }
+        work();
+        return;
+    } catch (const core::invalid_argument& error) {
+        this->counters->failed_calls++;
+        throw make_error(gen::error_kind::invalid_argument, error.what());
+    } catch (const core::unavailable& error) {
+        this->counters->failed_calls++;
+        throw make_error(gen::error_kind::unavailable, error.what());
+    } catch (const std::exception& error) {
+        this->counters->failed_calls++;
+        throw make_error(gen::error_kind::fate_unknown, error.what());
+    }
+}
+
+void service_handler::heartbeat(gen::peer_view& answer, const gen::peer_view& caller, std::int64_t limit_ms) {
+    this->carry_out(this->calls.heartbeat, [&] {
+        answer = to_wire(this->calls.heartbeat(from_wire(caller), limit_from(limit_ms)));
+    });
+}
+
+void service_handler::submit(gen::owner_answer& answer, std::int64_t shard, const gen::job_spec& spec,
+                             std::int64_t limit_ms) {
+    this->carry_out(this->calls.submit, [&] {
+        answer = to_wire(this->calls.submit(shard_from(shard), from_wire(spec), limit_from(limit_ms)));
+    });
+}
+
+void service_handler::status(gen::owner_answer& answer, std::int64_t shard, const gen::job_id& id,
+                             std::int64_t limit_ms) {
+    this->carry_out(this->calls.status, [&] {
+        answer = to_wire(this->calls.status(shard_from(shard), from_wire(id), limit_from(limit_ms)));
+    });
+}
+
+void service_handler::cancel(gen::owner_answer& answer, std::int64_t shard, const gen::job_id& id,
+                             std::int64_t limit_ms) {
+    this->carry_out(this->calls.cancel, [&] {
+        answer = to_wire(this->calls.cancel(shard_from(shard), from_wire(id), limit_from(limit_ms)));
+    });
+}
+
+void service_handler::explain(gen::owner_answer& answer, std::int64_t shard, const gen::job_id& id,
+                              std::int64_t limit_ms) {
+    this->carry_out(this->calls.explain, [&] {
+        answer = to_wire(this->calls.explain(shard_from(shard), from_wire(id), limit_from(limit_ms)));
+    });
+}
+
+void service_handler::quick(gen::owner_quick_answer& answer, std::int64_t shard,
+                            const gen::quick_request& request) {
+    this->carry_out(this->calls.quick, [&] {
+        answer = to_wire(this->calls.quick(shard_from(shard), from_wire(request)));
+    });
+}
+
+void service_handler::take_job(gen::owner_answer& answer, std::int64_t shard, const gen::job_spec& spec,
+                               std::int64_t accepted_at_ms, std::int64_t limit_ms) {
+    this->carry_out(this->calls.take_job, [&] {
+        const auto accepted_at = core::from_epoch(core::milliseconds{accepted_at_ms});
+        answer = to_wire(
+            this->calls.take_job(shard_from(shard), from_wire(spec), accepted_at, limit_from(limit_ms)));
+    });
+}
+
+void service_handler::reserve_slot(gen::slot_grant& answer, std::int64_t shard,
+                                   const std::string& service_name, const std::string& caller,
+                                   std::int64_t request_limit_ms, std::int64_t limit_ms) {
+    this->carry_out(this->calls.reserve_slot, [&] {
+        answer = to_wire(this->calls.reserve_slot(
+            shard_from(shard), core::service_id{service_name}, core::incarnation_id{caller},
+            duration_from_wire(request_limit_ms, "request_limit_ms"), limit_from(limit_ms)));
+    });
+}
+
+void service_handler::release_slot(std::int64_t shard, std::int64_t grant, std::int8_t how,
+                                   std::int64_t limit_ms) {
+    this->carry_out(this->calls.release_slot, [&] {
+        this->calls.release_slot(shard_from(shard), static_cast<std::uint64_t>(grant),
+                                 slot_release_from_wire(how), limit_from(limit_ms));
+    });
+}
+
+void service_handler::copy_config(gen::config_copy& answer, std::int64_t limit_ms) {
+    this->carry_out(this->calls.copy_config,
+                    [&] { answer = to_wire(this->calls.copy_config(limit_from(limit_ms))); });
+}
+
+void service_handler::timeline(std::string& answer, std::int64_t limit_ms) {
+    this->carry_out(this->calls.timeline, [&] { answer = this->calls.timeline(limit_from(limit_ms)); });
+}
+
+} // namespace rattanmount::inner
