Read and write durations as text

Cause: settings, the HTTP front end and the command line all take durations such as 90s. Change: core/duration_text with parse_duration and format_duration on std::chrono types. Conclusion: whole numbers with a unit only, so that what is written is read back exactly.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -8,6 +8,7 @@
 /// Threads: values only; each thread uses its own copies.
 
 #include "core/calls.h"
+#include "core/duration_text.h"
 #include "core/endpoint.h"
 #include "core/errors.h"
 #include "core/ids.h"
