Read and check the settings of an entry host

Cause: an entry host learns its addresses, its data centre and all limits from JSON with comments, and a fault in it must be told whole before the host starts. Change: typed option structs with defaults, a reader that notes every fault with its place (keys that are unknown, missing or given twice at any depth, types, units, ranges), cross checks that leave out values already at fault, an example. The options of the log live in telemetry, so settings depends on it. Conclusion: the parser's own tree was ruled out for reading, since it drops duplicate keys silently; its SAX events show them.

--- /dev/null
+++ b/src/settings/document.cpp
@@ -0,0 +1,43 @@
+#include "settings/document.h"
+
+#include "settings/document_builder.h"
+
+#include <algorithm>
+
+namespace rattanmount::settings {
+
+namespace {
+
+/// @return "line 3, column 7" for a number of bytes read.
+std::string place_of(const std::string& text, std::size_t bytes_read) {
+    const auto last = std::min(bytes_read == 0 ? 0 : bytes_read - 1, text.size());
+    const auto before = text.substr(0, last);
+    const auto line = 1 + std::count(before.begin(), before.end(), '\n');
+    const auto line_start = before.rfind('\n');
+    const auto column = line_start == std::string::npos ? last + 1 : last - line_start;
+    return "line " + std::to_string(line) + ", column " + std::to_string(column);
+}
+
+/// Cuts "[json.exception.parse_error.101] parse error at line 1, column 2: " from the parser's text.
+std::string without_prefix(const std::string& text) {
+    const std::string mark = ": ";
+    const auto start = text.find(mark);
+    return start == std::string::npos ? text : text.substr(start + mark.size());
+}
+
+} // namespace
+
+document parse_document(const std::string& text) {
+    document_builder builder;
+    constexpr bool strict = true;
+    constexpr bool ignore_comments = true;
+    const bool parsed = nlohmann::json::sax_parse(text, &builder, nlohmann::json::input_format_t::json,
+                                                  strict, ignore_comments);
+    if (!parsed) {
+        throw settings_error(std::vector{fault{.place = place_of(text, builder.error_position()),
+                                               .message = without_prefix(builder.error())}});
+    }
+    return builder.take();
+}
+
+} // namespace rattanmount::settings
--- /dev/null
+++ b/src/settings/section_reader.cpp
@@ -0,0 +1,280 @@
+#include "settings/section_reader.h"
+
+#include "core/duration_text.h"
+#include "core/errors.h"
+#include "core/job.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace rattanmount::settings {
+
+namespace {
+
+/// Turns "cell.regions[2].name" into "cell.regions[].name".
+std::string without_indexes(const std::string& path) {
+    std::string text;
+    bool inside = false;
+    for (const char letter : path) {
+        inside = inside && letter != ']';
+        if (!inside) {
+            text += letter;
+        }
+        inside = inside || letter == '[';
+    }
+    return text;
+}
+
+std::string text_of(double number) {
+    std::ostringstream text;
+    text << number;
+    return text.str();
+}
+
+std::string between(const std::string& least, const std::string& greatest) {
+    return "must be from " + least + " to " + greatest;
+}
+
+} // namespace
+
+section_reader::section_reader(const nlohmann::json& value, std::string path, reading& shared)
+    : value(value), path(std::move(path)), shared(shared) {
+    if (!this->value.is_object()) {
+        this->wrong_type(this->path, "an object", this->value);
+    }
+}
+
+void section_reader::required_endpoint(const std::string& key, core::endpoint& target) {
+    const auto* found = this->find(key, need::required, "");
+    if (found == nullptr) {
+        return;
+    }
+    if (!found->is_string()) {
+        this->wrong_type(this->path_of(key), "a text such as \"10.0.0.7:7000\"", *found);
+        return;
+    }
+    try {
+        target = core::endpoint::parse(found->get<std::string>());
+    } catch (const core::invalid_argument& error) {
+        this->wrong(this->path_of(key), error.what());
+    }
+}
+
+void section_reader::required_count(const std::string& key, std::uint32_t& target,
+                                    range<std::uint32_t> allowed) {
+    if (const auto* found = this->find(key, need::required, "")) {
+        this->read_count(key, *found, target, allowed);
+    }
+}
+
+void section_reader::name(const std::string& key, std::string& target) {
+    if (const auto* found = this->find(key, need::optional, target)) {
+        this->read_name(key, *found, target);
+    }
+}
+
+void section_reader::count(const std::string& key, std::uint32_t& target, range<std::uint32_t> allowed) {
+    if (const auto* found = this->find(key, need::optional, std::to_string(target))) {
+        this->read_count(key, *found, target, allowed);
+    }
+}
+
+void section_reader::ratio(const std::string& key, double& target, range<double> allowed) {
+    const auto* found = this->find(key, need::optional, text_of(target));
+    if (found == nullptr) {
+        return;
+    }
+    if (!found->is_number()) {
+        this->wrong_type(this->path_of(key), "a number", *found);
+        return;
+    }
+    const auto number = found->get<double>();
+    if (number < allowed.least || number > allowed.greatest) {
+        this->wrong(this->path_of(key), between(text_of(allowed.least), text_of(allowed.greatest)));
+        return;
+    }
+    target = number;
+}
+
+void section_reader::duration(const std::string& key, core::milliseconds& target,
+                              range<core::milliseconds> allowed) {
+    const auto* found = this->find(key, need::optional, core::format_duration(target));
+    if (found == nullptr) {
+        return;
+    }
+    if (!found->is_string()) {
+        this->wrong_type(this->path_of(key), "a text with a unit, such as \"250ms\"", *found);
+        return;
+    }
+    try {
+        const auto read = core::parse_duration(found->get<std::string>());
+        if (read < allowed.least || read > allowed.greatest) {
+            this->wrong(this->path_of(key), between(core::format_duration(allowed.least),
+                                                    core::format_duration(allowed.greatest)));
+            return;
+        }
+        target = read;
+    } catch (const core::invalid_argument& error) {
+        this->wrong(this->path_of(key), error.what());
+    }
+}
+
+void section_reader::choice(const std::string& key, std::string default_value,
+                            const std::function<void(const std::string&)>& parse) {
+    const auto* found = this->find(key, need::optional, default_value);
+    if (found == nullptr) {
+        return;
+    }
+    if (!found->is_string()) {
+        this->wrong_type(this->path_of(key), "a text", *found);
+        return;
+    }
+    try {
+        parse(found->get<std::string>());
+    } catch (const core::invalid_argument& error) {
+        this->wrong(this->path_of(key), error.what());
+    }
+}
+
+void section_reader::section(const std::string& key, const std::function<void(section_reader&)>& read) {
+    static const auto nothing = nlohmann::json::object();
+    this->asked.push_back(key);
+    const bool given = this->value.is_object() && this->value.contains(key);
+    this->read_section(given ? this->value.at(key) : nothing, this->path_of(key), read);
+}
+
+void section_reader::required_list(const std::string& key,
+                                   const std::function<void(section_reader&)>& read_entry) {
+    const auto* found = this->find_list(key);
+    if (found == nullptr) {
+        return;
+    }
+    std::size_t index = 0;
+    for (const auto& entry : *found) {
+        this->read_section(entry, this->path_of(key) + "[" + std::to_string(index) + "]", read_entry);
+        ++index;
+    }
+}
+
+void section_reader::required_names(const std::string& key,
+                                    const std::function<void(const std::string&)>& take) {
+    const auto* found = this->find_list(key);
+    if (found == nullptr) {
+        return;
+    }
+    std::size_t index = 0;
+    for (const auto& entry : *found) {
+        std::string text;
+        this->read_name(key + "[" + std::to_string(index) + "]", entry, text);
+        take(text);
+        ++index;
+    }
+}
+
+void section_reader::finish() {
+    if (!this->value.is_object()) {
+        return;
+    }
+    for (const auto& [key, unused] : this->value.items()) {
+        if (std::find(this->asked.begin(), this->asked.end(), key) == this->asked.end()) {
+            this->wrong(this->path_of(key), "there is no such key");
+        }
+    }
+}
+
+const nlohmann::json* section_reader::find(const std::string& key, need needed,
+                                           const std::string& default_value) {
+    this->asked.push_back(key);
+    const auto place = this->path_of(key);
+    const auto known = without_indexes(place);
+    const bool seen = std::any_of(this->shared.keys.begin(), this->shared.keys.end(),
+                                  [&](const setting_key& each) { return each.path == known; });
+    if (!seen) {
+        this->shared.keys.push_back({.path = known, .default_value = default_value});
+    }
+    if (!this->value.is_object()) {
+        return nullptr;
+    }
+    const auto found = this->value.find(key);
+    if (found != this->value.end()) {
+        return &*found;
+    }
+    if (needed == need::required) {
+        this->wrong(place, "this key must be given");
+    }
+    return nullptr;
+}
+
+const nlohmann::json* section_reader::find_list(const std::string& key) {
+    const auto* found = this->find(key, need::required, "");
+    if (found == nullptr) {
+        return nullptr;
+    }
+    if (!found->is_array()) {
+        this->wrong_type(this->path_of(key), "a list", *found);
+        return nullptr;
+    }
+    if (found->empty()) {
+        this->wrong(this->path_of(key), "must not be empty");
+        return nullptr;
+    }
+    return found;
+}
+
+void section_reader::required_name(const std::string& key, std::string& target) {
+    if (const auto* found = this->find(key, need::required, "")) {
+        this->read_name(key, *found, target);
+    }
+}
+
+void section_reader::read_name(const std::string& key, const nlohmann::json& value, std::string& target) {
+    if (!value.is_string()) {
+        this->wrong_type(this->path_of(key), "a text", value);
+        return;
+    }
+    const auto& text = value.get_ref<const std::string&>();
+    if (text.empty() || text.size() > core::job_limits::max_name_bytes) {
+        this->wrong(this->path_of(key),
+                    "must be a text of 1 to " + std::to_string(core::job_limits::max_name_bytes) + " bytes");
+        return;
+    }
+    target = text;
+}
+
+void section_reader::read_count(const std::string& key, const nlohmann::json& value, std::uint32_t& target,
+                                range<std::uint32_t> allowed) {
+    if (!value.is_number_integer()) {
+        this->wrong_type(this->path_of(key), "a whole number", value);
+        return;
+    }
+    const bool too_great = value.is_number_unsigned() && value.get<std::uint64_t>() > allowed.greatest;
+    if (too_great || value.get<std::int64_t>() < static_cast<std::int64_t>(allowed.least)) {
+        this->wrong(this->path_of(key),
+                    between(std::to_string(allowed.least), std::to_string(allowed.greatest)));
+        return;
+    }
+    target = value.get<std::uint32_t>();
+}
+
+void section_reader::read_section(const nlohmann::json& value, const std::string& place,
+                                  const std::function<void(section_reader&)>& read) {
+    section_reader reader{value, place, this->shared};
+    read(reader);
+    reader.finish();
+}
+
+std::string section_reader::path_of(const std::string& key) const {
+    return this->path.empty() ? key : this->path + "." + key;
+}
+
+void section_reader::wrong(const std::string& place, std::string message) {
+    this->shared.faults.push_back({.place = place, .message = std::move(message)});
+}
+
+void section_reader::wrong_type(const std::string& place, const std::string& wanted,
+                                const nlohmann::json& value) {
+    this->wrong(place, "must be " + wanted + ", not " + value.type_name());
+}
+
+} // namespace rattanmount::settings
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// @file
+/// The package `settings`: the settings of an entry host, read from JSON with comments and checked.
+///
+/// Depends on: core, telemetry (for the options of its logs), nlohmann-json.
+/// Threads: values and plain functions; read once at start, then shared as constants.
+
+#include "settings/host_settings.h"
+#include "settings/settings_error.h"
+#include "settings/settings_reader.h"
