--- a/src/cell/peer_calls.h
+++ b/src/cell/peer_calls.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,7 +35,8 @@
 struct owner_answer {
     bool owner = false; ///< false: the callee does not own the shard now; `answer` is empty.
     core::job_answer answer;
-    std::vector<std::string> explanation; ///< For explain.
+    std::vector<std::string> explanation;   ///< For explain.
+    std::optional<core::shard_id> moved_to; ///< The job went to that shard, whose owner is to be asked.
 };
 
 /// As owner_answer, for a quick request that is not idempotent and is sent by the owner of its key's shard.
--- a/src/cell/peer_view.h
+++ b/src/cell/peer_view.h
@@ -46,6 +46,7 @@
     core::data_centre_id data_centre;
     bool leaving = false;
     bool log_available = false;   ///< Its last call to the platform's log was answered.
+    std::uint64_t clock = 0;      ///< Its hybrid logical clock, as a number.
     core::log_offset config_next; ///< The first offset of the configuration stream that it has not applied.
     std::vector<shard_view> shards;
     std::vector<team_usage> teams;
--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -1,5 +1,7 @@
 #include "control/host_control.h"
 
+#include "core/names.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -334,7 +336,10 @@
         return {.target = job_route::target_type::refused,
                 .reason = "region '" + team->region.value() + "' of the team is not in the settings"};
     }
-    const auto shard = cell::home_shard(job, shards);
+    return this->route_to(cell::home_shard(job, shards), now);
+}
+
+job_route host_control::route_to(core::shard_id shard, core::steady_time now) const {
     if (this->owned_keeper(shard) != nullptr) {
         return {.target = job_route::target_type::local, .shard = shard};
     }
--- a/src/control/host_control.h
+++ b/src/control/host_control.h
@@ -94,7 +94,12 @@
     void on_config_copy(const cell::config_copy& copy, core::steady_time now);
 
     // Calls of callers and peers.
+    /// @param job a job.
+    /// @return where calls on it go: to the owner of the shard that its key hashes to.
     [[nodiscard]] job_route route(const core::job_id& job, core::steady_time now) const;
+    /// @param shard a shard of the cell.
+    /// @return where its owner is.
+    [[nodiscard]] job_route route_to(core::shard_id shard, core::steady_time now) const;
     void submit(core::shard_id shard, const core::job_spec& spec, core::system_time accepted_at, bool moved,
                 core::steady_time now, owner_responder respond);
     void status(core::shard_id shard, const core::job_id& job, core::steady_time now,
--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -206,7 +206,7 @@
 }
 
 cell::owner_answer shard_keeper::answer_for(const ledger::job_entry& entry, core::steady_time now) const {
-    cell::owner_answer answer{.owner = true};
+    cell::owner_answer answer{.owner = true, .moved_to = entry.moved_to};
     core::job_status status{
         .spec = entry.spec, .accepted_at = entry.accepted_at, .ended = entry.ended, .reason = entry.reason};
     for (std::uint32_t index = 0; index < entry.tasks.size(); ++index) {
--- a/src/inner/conversion.cpp
+++ b/src/inner/conversion.cpp
@@ -262,9 +262,8 @@
     if (message.port < 0 || message.port > std::numeric_limits<std::uint16_t>::max()) {
         throw core::invalid_argument("endpoint.port: not a port: " + std::to_string(message.port));
     }
-    return {.address = message.address,
-            .port = static_cast<std::uint16_t>(message.port),
-            .path = message.path};
+    return {
+        .address = message.address, .port = static_cast<std::uint16_t>(message.port), .path = message.path};
 }
 
 gen::peer_view to_wire(const cell::peer_view& value) {
@@ -274,6 +273,8 @@
     message.__set_inner(to_wire(value.inner));
     message.__set_data_centre(value.data_centre.value());
     message.__set_leaving(value.leaving);
+    message.__set_log_available(value.log_available);
+    message.__set_clock(static_cast<std::int64_t>(value.clock));
     message.__set_config_next(to_wire(value.config_next));
     message.__set_shards(convert_list(value.shards, shard_view_to_wire));
     message.__set_teams(convert_list(value.teams, team_usage_to_wire));
@@ -286,6 +287,8 @@
     require(message.__isset.inner, "peer_view.inner");
     require(message.__isset.data_centre, "peer_view.data_centre");
     require(message.__isset.leaving, "peer_view.leaving");
+    require(message.__isset.log_available, "peer_view.log_available");
+    require(message.__isset.clock, "peer_view.clock");
     require(message.__isset.config_next, "peer_view.config_next");
     require(message.__isset.shards, "peer_view.shards");
     require(message.__isset.teams, "peer_view.teams");
@@ -294,6 +297,8 @@
             .inner = from_wire(message.inner),
             .data_centre = core::data_centre_id{message.data_centre},
             .leaving = message.leaving,
+            .log_available = message.log_available,
+            .clock = static_cast<std::uint64_t>(message.clock),
             .config_next = number_from<core::log_offset>(message.config_next, "peer_view.config_next"),
             .shards = convert_list(message.shards, shard_view_from_wire),
             .teams = convert_list(message.teams, team_usage_from_wire)};
@@ -363,6 +368,9 @@
     if (!value.explanation.empty()) {
         message.__set_explanation(value.explanation);
     }
+    if (value.moved_to) {
+        message.__set_moved_to(static_cast<std::int64_t>(value.moved_to->value()));
+    }
     return message;
 }
 
@@ -374,7 +382,10 @@
     require(message.__isset.answer, "owner_answer.answer");
     return {.owner = true,
             .answer = job_answer_from_wire(message.answer),
-            .explanation = message.explanation};
+            .explanation = message.explanation,
+            .moved_to = message.__isset.moved_to
+                            ? std::optional{core::shard_id{static_cast<std::uint64_t>(message.moved_to)}}
+                            : std::nullopt};
 }
 
 gen::quick_request to_wire(const core::quick_request& value) {
--- a/src/inner/gen/inner_types.cpp
+++ b/src/inner/gen/inner_types.cpp
@@ -310,24 +310,11 @@
   accelerators = other0.accelerators;
   __isset = other0.__isset;
 }
-resources::resources(resources&& other1) noexcept {
+resources& resources::operator=(const resources& other1) noexcept {
   millicores = other1.millicores;
   memory_mb = other1.memory_mb;
   accelerators = other1.accelerators;
   __isset = other1.__isset;
-}
-resources& resources::operator=(const resources& other2) noexcept {
-  millicores = other2.millicores;
-  memory_mb = other2.memory_mb;
-  accelerators = other2.accelerators;
-  __isset = other2.__isset;
-  return *this;
-}
-resources& resources::operator=(resources&& other3) noexcept {
-  millicores = other3.millicores;
-  memory_mb = other3.memory_mb;
-  accelerators = other3.accelerators;
-  __isset = other3.__isset;
   return *this;
 }
 void resources::printTo(std::ostream& out) const {
@@ -451,30 +438,17 @@
   swap(a.__isset, b.__isset);
 }
 
-endpoint::endpoint(const endpoint& other4) {
-  address = other4.address;
-  port = other4.port;
-  path = other4.path;
-  __isset = other4.__isset;
-}
-endpoint::endpoint(endpoint&& other5) noexcept {
-  address = std::move(other5.address);
-  port = other5.port;
-  path = std::move(other5.path);
-  __isset = other5.__isset;
-}
-endpoint& endpoint::operator=(const endpoint& other6) {
-  address = other6.address;
-  port = other6.port;
-  path = other6.path;
-  __isset = other6.__isset;
-  return *this;
+endpoint::endpoint(const endpoint& other2) {
+  address = other2.address;
+  port = other2.port;
+  path = other2.path;
+  __isset = other2.__isset;
 }
-endpoint& endpoint::operator=(endpoint&& other7) noexcept {
-  address = std::move(other7.address);
-  port = other7.port;
-  path = std::move(other7.path);
-  __isset = other7.__isset;
+endpoint& endpoint::operator=(const endpoint& other3) {
+  address = other3.address;
+  port = other3.port;
+  path = other3.path;
+  __isset = other3.__isset;
   return *this;
 }
 void endpoint::printTo(std::ostream& out) const {
@@ -579,26 +553,15 @@
   swap(a.__isset, b.__isset);
 }
 
-service_room::service_room(const service_room& other8) {
-  service_name = other8.service_name;
-  free_slots = other8.free_slots;
-  __isset = other8.__isset;
-}
-service_room::service_room(service_room&& other9) noexcept {
-  service_name = std::move(other9.service_name);
-  free_slots = other9.free_slots;
-  __isset = other9.__isset;
-}
-service_room& service_room::operator=(const service_room& other10) {
-  service_name = other10.service_name;
-  free_slots = other10.free_slots;
-  __isset = other10.__isset;
-  return *this;
+service_room::service_room(const service_room& other4) {
+  service_name = other4.service_name;
+  free_slots = other4.free_slots;
+  __isset = other4.__isset;
 }
-service_room& service_room::operator=(service_room&& other11) noexcept {
-  service_name = std::move(other11.service_name);
-  free_slots = other11.free_slots;
-  __isset = other11.__isset;
+service_room& service_room::operator=(const service_room& other5) {
+  service_name = other5.service_name;
+  free_slots = other5.free_slots;
+  __isset = other5.__isset;
   return *this;
 }
 void service_room::printTo(std::ostream& out) const {
@@ -721,14 +684,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->services.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->services.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
             {
-              xfer += this->services[_i16].read(iprot);
+              xfer += this->services[_i10].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -781,10 +744,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<service_room> ::const_iterator _iter17;
-    for (_iter17 = this->services.begin(); _iter17 != this->services.end(); ++_iter17)
+    std::vector<service_room> ::const_iterator _iter11;
+    for (_iter11 = this->services.begin(); _iter11 != this->services.end(); ++_iter11)
     {
-      xfer += (*_iter17).write(oprot);
+      xfer += (*_iter11).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -807,46 +770,25 @@
   swap(a.__isset, b.__isset);
 }
 
-shard_view::shard_view(const shard_view& other18) {
-  shard = other18.shard;
-  epoch = other18.epoch;
-  serving = other18.serving;
-  waiting_tasks = other18.waiting_tasks;
-  free = other18.free;
-  largest_free = other18.largest_free;
-  services = other18.services;
-  __isset = other18.__isset;
-}
-shard_view::shard_view(shard_view&& other19) noexcept {
-  shard = other19.shard;
-  epoch = other19.epoch;
-  serving = other19.serving;
-  waiting_tasks = other19.waiting_tasks;
-  free = std::move(other19.free);
-  largest_free = std::move(other19.largest_free);
-  services = std::move(other19.services);
-  __isset = other19.__isset;
-}
-shard_view& shard_view::operator=(const shard_view& other20) {
-  shard = other20.shard;
-  epoch = other20.epoch;
-  serving = other20.serving;
-  waiting_tasks = other20.waiting_tasks;
-  free = other20.free;
-  largest_free = other20.largest_free;
-  services = other20.services;
-  __isset = other20.__isset;
-  return *this;
-}
-shard_view& shard_view::operator=(shard_view&& other21) noexcept {
-  shard = other21.shard;
-  epoch = other21.epoch;
-  serving = other21.serving;
-  waiting_tasks = other21.waiting_tasks;
-  free = std::move(other21.free);
-  largest_free = std::move(other21.largest_free);
-  services = std::move(other21.services);
-  __isset = other21.__isset;
+shard_view::shard_view(const shard_view& other12) {
+  shard = other12.shard;
+  epoch = other12.epoch;
+  serving = other12.serving;
+  waiting_tasks = other12.waiting_tasks;
+  free = other12.free;
+  largest_free = other12.largest_free;
+  services = other12.services;
+  __isset = other12.__isset;
+}
+shard_view& shard_view::operator=(const shard_view& other13) {
+  shard = other13.shard;
+  epoch = other13.epoch;
+  serving = other13.serving;
+  waiting_tasks = other13.waiting_tasks;
+  free = other13.free;
+  largest_free = other13.largest_free;
+  services = other13.services;
+  __isset = other13.__isset;
   return *this;
 }
 void shard_view::printTo(std::ostream& out) const {
@@ -955,26 +897,15 @@
   swap(a.__isset, b.__isset);
 }
 
-team_usage::team_usage(const team_usage& other22) {
-  team = other22.team;
-  held = other22.held;
-  __isset = other22.__isset;
-}
-team_usage::team_usage(team_usage&& other23) noexcept {
-  team = std::move(other23.team);
-  held = std::move(other23.held);
-  __isset = other23.__isset;
-}
-team_usage& team_usage::operator=(const team_usage& other24) {
-  team = other24.team;
-  held = other24.held;
-  __isset = other24.__isset;
-  return *this;
+team_usage::team_usage(const team_usage& other14) {
+  team = other14.team;
+  held = other14.held;
+  __isset = other14.__isset;
 }
-team_usage& team_usage::operator=(team_usage&& other25) noexcept {
-  team = std::move(other25.team);
-  held = std::move(other25.held);
-  __isset = other25.__isset;
+team_usage& team_usage::operator=(const team_usage& other15) {
+  team = other15.team;
+  held = other15.held;
+  __isset = other15.__isset;
   return *this;
 }
 void team_usage::printTo(std::ostream& out) const {
@@ -1021,6 +952,14 @@
 void peer_view::__set_teams(const std::vector<team_usage> & val) {
   this->teams = val;
 }
+
+void peer_view::__set_log_available(const bool val) {
+  this->log_available = val;
+}
+
+void peer_view::__set_clock(const int64_t val) {
+  this->clock = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_view& obj)
 {
   obj.printTo(out);
@@ -1101,14 +1040,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shards.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->shards.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->shards.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->shards[_i30].read(iprot);
+              xfer += this->shards[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1121,14 +1060,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->teams.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->teams.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->teams.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
-              xfer += this->teams[_i35].read(iprot);
+              xfer += this->teams[_i25].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1137,6 +1076,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->log_available);
+          this->__isset.log_available = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock);
+          this->__isset.clock = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1181,10 +1136,10 @@
   xfer += oprot->writeFieldBegin("shards", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shards.size()));
-    std::vector<shard_view> ::const_iterator _iter36;
-    for (_iter36 = this->shards.begin(); _iter36 != this->shards.end(); ++_iter36)
+    std::vector<shard_view> ::const_iterator _iter26;
+    for (_iter26 = this->shards.begin(); _iter26 != this->shards.end(); ++_iter26)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter26).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1193,15 +1148,23 @@
   xfer += oprot->writeFieldBegin("teams", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->teams.size()));
-    std::vector<team_usage> ::const_iterator _iter37;
-    for (_iter37 = this->teams.begin(); _iter37 != this->teams.end(); ++_iter37)
+    std::vector<team_usage> ::const_iterator _iter27;
+    for (_iter27 = this->teams.begin(); _iter27 != this->teams.end(); ++_iter27)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("log_available", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->log_available);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clock", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->clock);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1217,53 +1180,36 @@
   swap(a.config_next, b.config_next);
   swap(a.shards, b.shards);
   swap(a.teams, b.teams);
+  swap(a.log_available, b.log_available);
+  swap(a.clock, b.clock);
   swap(a.__isset, b.__isset);
 }
 
-peer_view::peer_view(const peer_view& other38) {
-  host = other38.host;
-  incarnation = other38.incarnation;
-  inner = other38.inner;
-  data_centre = other38.data_centre;
-  leaving = other38.leaving;
-  config_next = other38.config_next;
-  shards = other38.shards;
-  teams = other38.teams;
-  __isset = other38.__isset;
-}
-peer_view::peer_view(peer_view&& other39) noexcept {
-  host = std::move(other39.host);
-  incarnation = std::move(other39.incarnation);
-  inner = std::move(other39.inner);
-  data_centre = std::move(other39.data_centre);
-  leaving = other39.leaving;
-  config_next = other39.config_next;
-  shards = std::move(other39.shards);
-  teams = std::move(other39.teams);
-  __isset = other39.__isset;
-}
-peer_view& peer_view::operator=(const peer_view& other40) {
-  host = other40.host;
-  incarnation = other40.incarnation;
-  inner = other40.inner;
-  data_centre = other40.data_centre;
-  leaving = other40.leaving;
-  config_next = other40.config_next;
-  shards = other40.shards;
-  teams = other40.teams;
-  __isset = other40.__isset;
-  return *this;
-}
-peer_view& peer_view::operator=(peer_view&& other41) noexcept {
-  host = std::move(other41.host);
-  incarnation = std::move(other41.incarnation);
-  inner = std::move(other41.inner);
-  data_centre = std::move(other41.data_centre);
-  leaving = other41.leaving;
-  config_next = other41.config_next;
-  shards = std::move(other41.shards);
-  teams = std::move(other41.teams);
-  __isset = other41.__isset;
+peer_view::peer_view(const peer_view& other28) {
+  host = other28.host;
+  incarnation = other28.incarnation;
+  inner = other28.inner;
+  data_centre = other28.data_centre;
+  leaving = other28.leaving;
+  config_next = other28.config_next;
+  shards = other28.shards;
+  teams = other28.teams;
+  log_available = other28.log_available;
+  clock = other28.clock;
+  __isset = other28.__isset;
+}
+peer_view& peer_view::operator=(const peer_view& other29) {
+  host = other29.host;
+  incarnation = other29.incarnation;
+  inner = other29.inner;
+  data_centre = other29.data_centre;
+  leaving = other29.leaving;
+  config_next = other29.config_next;
+  shards = other29.shards;
+  teams = other29.teams;
+  log_available = other29.log_available;
+  clock = other29.clock;
+  __isset = other29.__isset;
   return *this;
 }
 void peer_view::printTo(std::ostream& out) const {
@@ -1277,6 +1223,8 @@
   out << ", " << "config_next=" << to_string(config_next);
   out << ", " << "shards=" << to_string(shards);
   out << ", " << "teams=" << to_string(teams);
+  out << ", " << "log_available=" << to_string(log_available);
+  out << ", " << "clock=" << to_string(clock);
   out << ")";
 }
 
@@ -1373,26 +1321,15 @@
   swap(a.__isset, b.__isset);
 }
 
-job_id::job_id(const job_id& other42) {
-  team = other42.team;
-  key = other42.key;
-  __isset = other42.__isset;
-}
-job_id::job_id(job_id&& other43) noexcept {
-  team = std::move(other43.team);
-  key = std::move(other43.key);
-  __isset = other43.__isset;
-}
-job_id& job_id::operator=(const job_id& other44) {
-  team = other44.team;
-  key = other44.key;
-  __isset = other44.__isset;
-  return *this;
+job_id::job_id(const job_id& other30) {
+  team = other30.team;
+  key = other30.key;
+  __isset = other30.__isset;
 }
-job_id& job_id::operator=(job_id&& other45) noexcept {
-  team = std::move(other45.team);
-  key = std::move(other45.key);
-  __isset = other45.__isset;
+job_id& job_id::operator=(const job_id& other31) {
+  team = other31.team;
+  key = other31.key;
+  __isset = other31.__isset;
   return *this;
 }
 void job_id::printTo(std::ostream& out) const {
@@ -1636,58 +1573,31 @@
   swap(a.__isset, b.__isset);
 }
 
-job_spec::job_spec(const job_spec& other46) {
-  id = other46.id;
-  pool = other46.pool;
-  kind = other46.kind;
-  tasks = other46.tasks;
-  each = other46.each;
-  expected_run_time_ms = other46.expected_run_time_ms;
-  idempotent = other46.idempotent;
-  max_attempts = other46.max_attempts;
-  service_name = other46.service_name;
-  payload = other46.payload;
-  __isset = other46.__isset;
-}
-job_spec::job_spec(job_spec&& other47) noexcept {
-  id = std::move(other47.id);
-  pool = std::move(other47.pool);
-  kind = other47.kind;
-  tasks = other47.tasks;
-  each = std::move(other47.each);
-  expected_run_time_ms = other47.expected_run_time_ms;
-  idempotent = other47.idempotent;
-  max_attempts = other47.max_attempts;
-  service_name = std::move(other47.service_name);
-  payload = std::move(other47.payload);
-  __isset = other47.__isset;
-}
-job_spec& job_spec::operator=(const job_spec& other48) {
-  id = other48.id;
-  pool = other48.pool;
-  kind = other48.kind;
-  tasks = other48.tasks;
-  each = other48.each;
-  expected_run_time_ms = other48.expected_run_time_ms;
-  idempotent = other48.idempotent;
-  max_attempts = other48.max_attempts;
-  service_name = other48.service_name;
-  payload = other48.payload;
-  __isset = other48.__isset;
-  return *this;
-}
-job_spec& job_spec::operator=(job_spec&& other49) noexcept {
-  id = std::move(other49.id);
-  pool = std::move(other49.pool);
-  kind = other49.kind;
-  tasks = other49.tasks;
-  each = std::move(other49.each);
-  expected_run_time_ms = other49.expected_run_time_ms;
-  idempotent = other49.idempotent;
-  max_attempts = other49.max_attempts;
-  service_name = std::move(other49.service_name);
-  payload = std::move(other49.payload);
-  __isset = other49.__isset;
+job_spec::job_spec(const job_spec& other32) {
+  id = other32.id;
+  pool = other32.pool;
+  kind = other32.kind;
+  tasks = other32.tasks;
+  each = other32.each;
+  expected_run_time_ms = other32.expected_run_time_ms;
+  idempotent = other32.idempotent;
+  max_attempts = other32.max_attempts;
+  service_name = other32.service_name;
+  payload = other32.payload;
+  __isset = other32.__isset;
+}
+job_spec& job_spec::operator=(const job_spec& other33) {
+  id = other33.id;
+  pool = other33.pool;
+  kind = other33.kind;
+  tasks = other33.tasks;
+  each = other33.each;
+  expected_run_time_ms = other33.expected_run_time_ms;
+  idempotent = other33.idempotent;
+  max_attempts = other33.max_attempts;
+  service_name = other33.service_name;
+  payload = other33.payload;
+  __isset = other33.__isset;
   return *this;
 }
 void job_spec::printTo(std::ostream& out) const {
@@ -1831,14 +1741,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->places.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->places.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->places.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += iprot->readString(this->places[_i54]);
+              xfer += iprot->readString(this->places[_i38]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1896,10 +1806,10 @@
   xfer += oprot->writeFieldBegin("places", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->places.size()));
-    std::vector<std::string> ::const_iterator _iter55;
-    for (_iter55 = this->places.begin(); _iter55 != this->places.end(); ++_iter55)
+    std::vector<std::string> ::const_iterator _iter39;
+    for (_iter39 = this->places.begin(); _iter39 != this->places.end(); ++_iter39)
     {
-      xfer += oprot->writeString((*_iter55));
+      xfer += oprot->writeString((*_iter39));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1923,50 +1833,27 @@
   swap(a.__isset, b.__isset);
 }
 
-job_status::job_status(const job_status& other56) {
-  spec = other56.spec;
-  accepted_at_ms = other56.accepted_at_ms;
-  ended = other56.ended;
-  reason = other56.reason;
-  tasks_waiting = other56.tasks_waiting;
-  tasks_running = other56.tasks_running;
-  tasks_ended = other56.tasks_ended;
-  places = other56.places;
-  __isset = other56.__isset;
-}
-job_status::job_status(job_status&& other57) noexcept {
-  spec = std::move(other57.spec);
-  accepted_at_ms = other57.accepted_at_ms;
-  ended = other57.ended;
-  reason = std::move(other57.reason);
-  tasks_waiting = other57.tasks_waiting;
-  tasks_running = other57.tasks_running;
-  tasks_ended = other57.tasks_ended;
-  places = std::move(other57.places);
-  __isset = other57.__isset;
-}
-job_status& job_status::operator=(const job_status& other58) {
-  spec = other58.spec;
-  accepted_at_ms = other58.accepted_at_ms;
-  ended = other58.ended;
-  reason = other58.reason;
-  tasks_waiting = other58.tasks_waiting;
-  tasks_running = other58.tasks_running;
-  tasks_ended = other58.tasks_ended;
-  places = other58.places;
-  __isset = other58.__isset;
-  return *this;
+job_status::job_status(const job_status& other40) {
+  spec = other40.spec;
+  accepted_at_ms = other40.accepted_at_ms;
+  ended = other40.ended;
+  reason = other40.reason;
+  tasks_waiting = other40.tasks_waiting;
+  tasks_running = other40.tasks_running;
+  tasks_ended = other40.tasks_ended;
+  places = other40.places;
+  __isset = other40.__isset;
 }
-job_status& job_status::operator=(job_status&& other59) noexcept {
-  spec = std::move(other59.spec);
-  accepted_at_ms = other59.accepted_at_ms;
-  ended = other59.ended;
-  reason = std::move(other59.reason);
-  tasks_waiting = other59.tasks_waiting;
-  tasks_running = other59.tasks_running;
-  tasks_ended = other59.tasks_ended;
-  places = std::move(other59.places);
-  __isset = other59.__isset;
+job_status& job_status::operator=(const job_status& other41) {
+  spec = other41.spec;
+  accepted_at_ms = other41.accepted_at_ms;
+  ended = other41.ended;
+  reason = other41.reason;
+  tasks_waiting = other41.tasks_waiting;
+  tasks_running = other41.tasks_running;
+  tasks_ended = other41.tasks_ended;
+  places = other41.places;
+  __isset = other41.__isset;
   return *this;
 }
 void job_status::printTo(std::ostream& out) const {
@@ -2112,34 +1999,19 @@
   swap(a.__isset, b.__isset);
 }
 
-job_answer::job_answer(const job_answer& other60) {
-  state = other60.state;
-  result = other60.result;
-  reason = other60.reason;
-  status = other60.status;
-  __isset = other60.__isset;
-}
-job_answer::job_answer(job_answer&& other61) noexcept {
-  state = other61.state;
-  result = other61.result;
-  reason = std::move(other61.reason);
-  status = std::move(other61.status);
-  __isset = other61.__isset;
-}
-job_answer& job_answer::operator=(const job_answer& other62) {
-  state = other62.state;
-  result = other62.result;
-  reason = other62.reason;
-  status = other62.status;
-  __isset = other62.__isset;
-  return *this;
+job_answer::job_answer(const job_answer& other42) {
+  state = other42.state;
+  result = other42.result;
+  reason = other42.reason;
+  status = other42.status;
+  __isset = other42.__isset;
 }
-job_answer& job_answer::operator=(job_answer&& other63) noexcept {
-  state = other63.state;
-  result = other63.result;
-  reason = std::move(other63.reason);
-  status = std::move(other63.status);
-  __isset = other63.__isset;
+job_answer& job_answer::operator=(const job_answer& other43) {
+  state = other43.state;
+  result = other43.result;
+  reason = other43.reason;
+  status = other43.status;
+  __isset = other43.__isset;
   return *this;
 }
 void job_answer::printTo(std::ostream& out) const {
@@ -2170,6 +2042,11 @@
   this->explanation = val;
 __isset.explanation = true;
 }
+
+void owner_answer::__set_moved_to(const int64_t val) {
+  this->moved_to = val;
+__isset.moved_to = true;
+}
 std::ostream& operator<<(std::ostream& out, const owner_answer& obj)
 {
   obj.printTo(out);
@@ -2218,14 +2095,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->explanation.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->explanation.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->explanation.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += iprot->readString(this->explanation[_i68]);
+              xfer += iprot->readString(this->explanation[_i48]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2234,6 +2111,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->moved_to);
+          this->__isset.moved_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2264,15 +2149,20 @@
     xfer += oprot->writeFieldBegin("explanation", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->explanation.size()));
-      std::vector<std::string> ::const_iterator _iter69;
-      for (_iter69 = this->explanation.begin(); _iter69 != this->explanation.end(); ++_iter69)
+      std::vector<std::string> ::const_iterator _iter49;
+      for (_iter49 = this->explanation.begin(); _iter49 != this->explanation.end(); ++_iter49)
       {
-        xfer += oprot->writeString((*_iter69));
+        xfer += oprot->writeString((*_iter49));
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.moved_to) {
+    xfer += oprot->writeFieldBegin("moved_to", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->moved_to);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2283,33 +2173,23 @@
   swap(a.owner, b.owner);
   swap(a.answer, b.answer);
   swap(a.explanation, b.explanation);
+  swap(a.moved_to, b.moved_to);
   swap(a.__isset, b.__isset);
 }
 
-owner_answer::owner_answer(const owner_answer& other70) {
-  owner = other70.owner;
-  answer = other70.answer;
-  explanation = other70.explanation;
-  __isset = other70.__isset;
+owner_answer::owner_answer(const owner_answer& other50) {
+  owner = other50.owner;
+  answer = other50.answer;
+  explanation = other50.explanation;
+  moved_to = other50.moved_to;
+  __isset = other50.__isset;
 }
-owner_answer::owner_answer(owner_answer&& other71) noexcept {
-  owner = other71.owner;
-  answer = std::move(other71.answer);
-  explanation = std::move(other71.explanation);
-  __isset = other71.__isset;
-}
-owner_answer& owner_answer::operator=(const owner_answer& other72) {
-  owner = other72.owner;
-  answer = other72.answer;
-  explanation = other72.explanation;
-  __isset = other72.__isset;
-  return *this;
-}
-owner_answer& owner_answer::operator=(owner_answer&& other73) noexcept {
-  owner = other73.owner;
-  answer = std::move(other73.answer);
-  explanation = std::move(other73.explanation);
-  __isset = other73.__isset;
+owner_answer& owner_answer::operator=(const owner_answer& other51) {
+  owner = other51.owner;
+  answer = other51.answer;
+  explanation = other51.explanation;
+  moved_to = other51.moved_to;
+  __isset = other51.__isset;
   return *this;
 }
 void owner_answer::printTo(std::ostream& out) const {
@@ -2318,6 +2198,7 @@
   out << "owner=" << to_string(owner);
   out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
   out << ", " << "explanation="; (__isset.explanation ? (out << to_string(explanation)) : (out << "<null>"));
+  out << ", " << "moved_to="; (__isset.moved_to ? (out << to_string(moved_to)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2482,42 +2363,23 @@
   swap(a.__isset, b.__isset);
 }
 
-quick_request::quick_request(const quick_request& other74) {
-  id = other74.id;
-  pool = other74.pool;
-  service_name = other74.service_name;
-  idempotent = other74.idempotent;
-  limit_ms = other74.limit_ms;
-  body = other74.body;
-  __isset = other74.__isset;
-}
-quick_request::quick_request(quick_request&& other75) noexcept {
-  id = std::move(other75.id);
-  pool = std::move(other75.pool);
-  service_name = std::move(other75.service_name);
-  idempotent = other75.idempotent;
-  limit_ms = other75.limit_ms;
-  body = std::move(other75.body);
-  __isset = other75.__isset;
-}
-quick_request& quick_request::operator=(const quick_request& other76) {
-  id = other76.id;
-  pool = other76.pool;
-  service_name = other76.service_name;
-  idempotent = other76.idempotent;
-  limit_ms = other76.limit_ms;
-  body = other76.body;
-  __isset = other76.__isset;
-  return *this;
-}
-quick_request& quick_request::operator=(quick_request&& other77) noexcept {
-  id = std::move(other77.id);
-  pool = std::move(other77.pool);
-  service_name = std::move(other77.service_name);
-  idempotent = other77.idempotent;
-  limit_ms = other77.limit_ms;
-  body = std::move(other77.body);
-  __isset = other77.__isset;
+quick_request::quick_request(const quick_request& other52) {
+  id = other52.id;
+  pool = other52.pool;
+  service_name = other52.service_name;
+  idempotent = other52.idempotent;
+  limit_ms = other52.limit_ms;
+  body = other52.body;
+  __isset = other52.__isset;
+}
+quick_request& quick_request::operator=(const quick_request& other53) {
+  id = other53.id;
+  pool = other53.pool;
+  service_name = other53.service_name;
+  idempotent = other53.idempotent;
+  limit_ms = other53.limit_ms;
+  body = other53.body;
+  __isset = other53.__isset;
   return *this;
 }
 void quick_request::printTo(std::ostream& out) const {
@@ -2659,34 +2521,19 @@
   swap(a.__isset, b.__isset);
 }
 
-quick_answer::quick_answer(const quick_answer& other78) {
-  result = other78.result;
-  reason = other78.reason;
-  body = other78.body;
-  executor = other78.executor;
-  __isset = other78.__isset;
-}
-quick_answer::quick_answer(quick_answer&& other79) noexcept {
-  result = other79.result;
-  reason = std::move(other79.reason);
-  body = std::move(other79.body);
-  executor = std::move(other79.executor);
-  __isset = other79.__isset;
-}
-quick_answer& quick_answer::operator=(const quick_answer& other80) {
-  result = other80.result;
-  reason = other80.reason;
-  body = other80.body;
-  executor = other80.executor;
-  __isset = other80.__isset;
-  return *this;
+quick_answer::quick_answer(const quick_answer& other54) {
+  result = other54.result;
+  reason = other54.reason;
+  body = other54.body;
+  executor = other54.executor;
+  __isset = other54.__isset;
 }
-quick_answer& quick_answer::operator=(quick_answer&& other81) noexcept {
-  result = other81.result;
-  reason = std::move(other81.reason);
-  body = std::move(other81.body);
-  executor = std::move(other81.executor);
-  __isset = other81.__isset;
+quick_answer& quick_answer::operator=(const quick_answer& other55) {
+  result = other55.result;
+  reason = other55.reason;
+  body = other55.body;
+  executor = other55.executor;
+  __isset = other55.__isset;
   return *this;
 }
 void quick_answer::printTo(std::ostream& out) const {
@@ -2794,26 +2641,15 @@
   swap(a.__isset, b.__isset);
 }
 
-owner_quick_answer::owner_quick_answer(const owner_quick_answer& other82) {
-  owner = other82.owner;
-  answer = other82.answer;
-  __isset = other82.__isset;
-}
-owner_quick_answer::owner_quick_answer(owner_quick_answer&& other83) noexcept {
-  owner = other83.owner;
-  answer = std::move(other83.answer);
-  __isset = other83.__isset;
-}
-owner_quick_answer& owner_quick_answer::operator=(const owner_quick_answer& other84) {
-  owner = other84.owner;
-  answer = other84.answer;
-  __isset = other84.__isset;
-  return *this;
+owner_quick_answer::owner_quick_answer(const owner_quick_answer& other56) {
+  owner = other56.owner;
+  answer = other56.answer;
+  __isset = other56.__isset;
 }
-owner_quick_answer& owner_quick_answer::operator=(owner_quick_answer&& other85) noexcept {
-  owner = other85.owner;
-  answer = std::move(other85.answer);
-  __isset = other85.__isset;
+owner_quick_answer& owner_quick_answer::operator=(const owner_quick_answer& other57) {
+  owner = other57.owner;
+  answer = other57.answer;
+  __isset = other57.__isset;
   return *this;
 }
 void owner_quick_answer::printTo(std::ostream& out) const {
@@ -2974,38 +2810,21 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_grant::slot_grant(const slot_grant& other86) {
-  granted = other86.granted;
-  grant = other86.grant;
-  executor = other86.executor;
-  address = other86.address;
-  reason = other86.reason;
-  __isset = other86.__isset;
-}
-slot_grant::slot_grant(slot_grant&& other87) noexcept {
-  granted = other87.granted;
-  grant = other87.grant;
-  executor = std::move(other87.executor);
-  address = std::move(other87.address);
-  reason = std::move(other87.reason);
-  __isset = other87.__isset;
-}
-slot_grant& slot_grant::operator=(const slot_grant& other88) {
-  granted = other88.granted;
-  grant = other88.grant;
-  executor = other88.executor;
-  address = other88.address;
-  reason = other88.reason;
-  __isset = other88.__isset;
-  return *this;
+slot_grant::slot_grant(const slot_grant& other58) {
+  granted = other58.granted;
+  grant = other58.grant;
+  executor = other58.executor;
+  address = other58.address;
+  reason = other58.reason;
+  __isset = other58.__isset;
 }
-slot_grant& slot_grant::operator=(slot_grant&& other89) noexcept {
-  granted = other89.granted;
-  grant = other89.grant;
-  executor = std::move(other89.executor);
-  address = std::move(other89.address);
-  reason = std::move(other89.reason);
-  __isset = other89.__isset;
+slot_grant& slot_grant::operator=(const slot_grant& other59) {
+  granted = other59.granted;
+  grant = other59.grant;
+  executor = other59.executor;
+  address = other59.address;
+  reason = other59.reason;
+  __isset = other59.__isset;
   return *this;
 }
 void slot_grant::printTo(std::ostream& out) const {
@@ -3131,30 +2950,17 @@
   swap(a.__isset, b.__isset);
 }
 
-config_copy::config_copy(const config_copy& other90) {
-  available = other90.available;
-  next_offset = other90.next_offset;
-  state = other90.state;
-  __isset = other90.__isset;
-}
-config_copy::config_copy(config_copy&& other91) noexcept {
-  available = other91.available;
-  next_offset = other91.next_offset;
-  state = std::move(other91.state);
-  __isset = other91.__isset;
-}
-config_copy& config_copy::operator=(const config_copy& other92) {
-  available = other92.available;
-  next_offset = other92.next_offset;
-  state = other92.state;
-  __isset = other92.__isset;
-  return *this;
+config_copy::config_copy(const config_copy& other60) {
+  available = other60.available;
+  next_offset = other60.next_offset;
+  state = other60.state;
+  __isset = other60.__isset;
 }
-config_copy& config_copy::operator=(config_copy&& other93) noexcept {
-  available = other93.available;
-  next_offset = other93.next_offset;
-  state = std::move(other93.state);
-  __isset = other93.__isset;
+config_copy& config_copy::operator=(const config_copy& other61) {
+  available = other61.available;
+  next_offset = other61.next_offset;
+  state = other61.state;
+  __isset = other61.__isset;
   return *this;
 }
 void config_copy::printTo(std::ostream& out) const {
@@ -3259,26 +3065,15 @@
   swap(a.__isset, b.__isset);
 }
 
-call_error::call_error(const call_error& other94) : TException() {
-  kind = other94.kind;
-  reason = other94.reason;
-  __isset = other94.__isset;
-}
-call_error::call_error(call_error&& other95) noexcept : TException() {
-  kind = other95.kind;
-  reason = std::move(other95.reason);
-  __isset = other95.__isset;
-}
-call_error& call_error::operator=(const call_error& other96) {
-  kind = other96.kind;
-  reason = other96.reason;
-  __isset = other96.__isset;
-  return *this;
+call_error::call_error(const call_error& other62) : TException() {
+  kind = other62.kind;
+  reason = other62.reason;
+  __isset = other62.__isset;
 }
-call_error& call_error::operator=(call_error&& other97) noexcept {
-  kind = other97.kind;
-  reason = std::move(other97.reason);
-  __isset = other97.__isset;
+call_error& call_error::operator=(const call_error& other63) {
+  kind = other63.kind;
+  reason = other63.reason;
+  __isset = other63.__isset;
   return *this;
 }
 void call_error::printTo(std::ostream& out) const {
--- a/src/inner/gen/inner_types.h
+++ b/src/inner/gen/inner_types.h
@@ -149,9 +149,7 @@
  public:
 
   resources(const resources&) noexcept;
-  resources(resources&&) noexcept;
   resources& operator=(const resources&) noexcept;
-  resources& operator=(resources&&) noexcept;
   resources() noexcept
             : millicores(0),
               memory_mb(0),
@@ -208,9 +206,7 @@
  public:
 
   endpoint(const endpoint&);
-  endpoint(endpoint&&) noexcept;
   endpoint& operator=(const endpoint&);
-  endpoint& operator=(endpoint&&) noexcept;
   endpoint() noexcept
            : address(),
              port(0),
@@ -268,9 +264,7 @@
  public:
 
   service_room(const service_room&);
-  service_room(service_room&&) noexcept;
   service_room& operator=(const service_room&);
-  service_room& operator=(service_room&&) noexcept;
   service_room() noexcept
                : service_name(),
                  free_slots(0) {
@@ -325,9 +319,7 @@
  public:
 
   shard_view(const shard_view&);
-  shard_view(shard_view&&) noexcept;
   shard_view& operator=(const shard_view&);
-  shard_view& operator=(shard_view&&) noexcept;
   shard_view() noexcept
              : shard(0),
                epoch(0),
@@ -404,9 +396,7 @@
  public:
 
   team_usage(const team_usage&);
-  team_usage(team_usage&&) noexcept;
   team_usage& operator=(const team_usage&);
-  team_usage& operator=(team_usage&&) noexcept;
   team_usage() noexcept
              : team() {
   }
@@ -446,7 +436,7 @@
 std::ostream& operator<<(std::ostream& out, const team_usage& obj);
 
 typedef struct _peer_view__isset {
-  _peer_view__isset() : host(false), incarnation(false), inner(false), data_centre(false), leaving(false), config_next(false), shards(false), teams(false) {}
+  _peer_view__isset() : host(false), incarnation(false), inner(false), data_centre(false), leaving(false), config_next(false), shards(false), teams(false), log_available(false), clock(false) {}
   bool host :1;
   bool incarnation :1;
   bool inner :1;
@@ -455,21 +445,23 @@
   bool config_next :1;
   bool shards :1;
   bool teams :1;
+  bool log_available :1;
+  bool clock :1;
 } _peer_view__isset;
 
 class peer_view : public virtual ::apache::thrift::TBase {
  public:
 
   peer_view(const peer_view&);
-  peer_view(peer_view&&) noexcept;
   peer_view& operator=(const peer_view&);
-  peer_view& operator=(peer_view&&) noexcept;
   peer_view() noexcept
             : host(),
               incarnation(),
               data_centre(),
               leaving(0),
-              config_next(0) {
+              config_next(0),
+              log_available(0),
+              clock(0) {
   }
 
   virtual ~peer_view() noexcept;
@@ -481,6 +473,8 @@
   int64_t config_next;
   std::vector<shard_view>  shards;
   std::vector<team_usage>  teams;
+  bool log_available;
+  int64_t clock;
 
   _peer_view__isset __isset;
 
@@ -500,6 +494,10 @@
 
   void __set_teams(const std::vector<team_usage> & val);
 
+  void __set_log_available(const bool val);
+
+  void __set_clock(const int64_t val);
+
   bool operator == (const peer_view & rhs) const
   {
     if (!(host == rhs.host))
@@ -518,6 +516,10 @@
       return false;
     if (!(teams == rhs.teams))
       return false;
+    if (!(log_available == rhs.log_available))
+      return false;
+    if (!(clock == rhs.clock))
+      return false;
     return true;
   }
   bool operator != (const peer_view &rhs) const {
@@ -546,9 +548,7 @@
  public:
 
   job_id(const job_id&);
-  job_id(job_id&&) noexcept;
   job_id& operator=(const job_id&);
-  job_id& operator=(job_id&&) noexcept;
   job_id() noexcept
          : team(),
            key() {
@@ -606,9 +606,7 @@
  public:
 
   job_spec(const job_spec&);
-  job_spec(job_spec&&) noexcept;
   job_spec& operator=(const job_spec&);
-  job_spec& operator=(job_spec&&) noexcept;
   job_spec() noexcept
            : pool(),
              kind(0),
@@ -714,9 +712,7 @@
  public:
 
   job_status(const job_status&);
-  job_status(job_status&&) noexcept;
   job_status& operator=(const job_status&);
-  job_status& operator=(job_status&&) noexcept;
   job_status() noexcept
              : accepted_at_ms(0),
                ended(0),
@@ -804,9 +800,7 @@
  public:
 
   job_answer(const job_answer&);
-  job_answer(job_answer&&) noexcept;
   job_answer& operator=(const job_answer&);
-  job_answer& operator=(job_answer&&) noexcept;
   job_answer() noexcept
              : state(0),
                result(0),
@@ -860,10 +854,11 @@
 std::ostream& operator<<(std::ostream& out, const job_answer& obj);
 
 typedef struct _owner_answer__isset {
-  _owner_answer__isset() : owner(false), answer(false), explanation(false) {}
+  _owner_answer__isset() : owner(false), answer(false), explanation(false), moved_to(false) {}
   bool owner :1;
   bool answer :1;
   bool explanation :1;
+  bool moved_to :1;
 } _owner_answer__isset;
 
 /**
@@ -873,17 +868,17 @@
  public:
 
   owner_answer(const owner_answer&);
-  owner_answer(owner_answer&&) noexcept;
   owner_answer& operator=(const owner_answer&);
-  owner_answer& operator=(owner_answer&&) noexcept;
   owner_answer() noexcept
-               : owner(0) {
+               : owner(0),
+                 moved_to(0) {
   }
 
   virtual ~owner_answer() noexcept;
   bool owner;
   job_answer answer;
   std::vector<std::string>  explanation;
+  int64_t moved_to;
 
   _owner_answer__isset __isset;
 
@@ -893,6 +888,8 @@
 
   void __set_explanation(const std::vector<std::string> & val);
 
+  void __set_moved_to(const int64_t val);
+
   bool operator == (const owner_answer & rhs) const
   {
     if (!(owner == rhs.owner))
@@ -905,6 +902,10 @@
       return false;
     else if (__isset.explanation && !(explanation == rhs.explanation))
       return false;
+    if (__isset.moved_to != rhs.__isset.moved_to)
+      return false;
+    else if (__isset.moved_to && !(moved_to == rhs.moved_to))
+      return false;
     return true;
   }
   bool operator != (const owner_answer &rhs) const {
@@ -937,9 +938,7 @@
  public:
 
   quick_request(const quick_request&);
-  quick_request(quick_request&&) noexcept;
   quick_request& operator=(const quick_request&);
-  quick_request& operator=(quick_request&&) noexcept;
   quick_request() noexcept
                 : pool(),
                   service_name(),
@@ -1014,9 +1013,7 @@
  public:
 
   quick_answer(const quick_answer&);
-  quick_answer(quick_answer&&) noexcept;
   quick_answer& operator=(const quick_answer&);
-  quick_answer& operator=(quick_answer&&) noexcept;
   quick_answer() noexcept
                : result(0),
                  reason(),
@@ -1078,9 +1075,7 @@
  public:
 
   owner_quick_answer(const owner_quick_answer&);
-  owner_quick_answer(owner_quick_answer&&) noexcept;
   owner_quick_answer& operator=(const owner_quick_answer&);
-  owner_quick_answer& operator=(owner_quick_answer&&) noexcept;
   owner_quick_answer() noexcept
                      : owner(0) {
   }
@@ -1137,9 +1132,7 @@
  public:
 
   slot_grant(const slot_grant&);
-  slot_grant(slot_grant&&) noexcept;
   slot_grant& operator=(const slot_grant&);
-  slot_grant& operator=(slot_grant&&) noexcept;
   slot_grant() noexcept
              : granted(0),
                grant(0),
@@ -1213,9 +1206,7 @@
  public:
 
   config_copy(const config_copy&);
-  config_copy(config_copy&&) noexcept;
   config_copy& operator=(const config_copy&);
-  config_copy& operator=(config_copy&&) noexcept;
   config_copy() noexcept
               : available(0),
                 next_offset(0),
@@ -1273,9 +1264,7 @@
  public:
 
   call_error(const call_error&);
-  call_error(call_error&&) noexcept;
   call_error& operator=(const call_error&);
-  call_error& operator=(call_error&&) noexcept;
   call_error() noexcept
              : kind(0),
                reason() {
--- a/src/inner/gen/peer_service.h
+++ b/src/inner/gen/peer_service.h
@@ -107,9 +107,7 @@
  public:
 
   peer_service_heartbeat_args(const peer_service_heartbeat_args&);
-  peer_service_heartbeat_args(peer_service_heartbeat_args&&) noexcept;
   peer_service_heartbeat_args& operator=(const peer_service_heartbeat_args&);
-  peer_service_heartbeat_args& operator=(peer_service_heartbeat_args&&) noexcept;
   peer_service_heartbeat_args() noexcept
                               : limit_ms(0) {
   }
@@ -166,9 +164,7 @@
  public:
 
   peer_service_heartbeat_result(const peer_service_heartbeat_result&);
-  peer_service_heartbeat_result(peer_service_heartbeat_result&&) noexcept;
   peer_service_heartbeat_result& operator=(const peer_service_heartbeat_result&);
-  peer_service_heartbeat_result& operator=(peer_service_heartbeat_result&&) noexcept;
   peer_service_heartbeat_result() noexcept {
   }
 
@@ -232,9 +228,7 @@
  public:
 
   peer_service_submit_args(const peer_service_submit_args&);
-  peer_service_submit_args(peer_service_submit_args&&) noexcept;
   peer_service_submit_args& operator=(const peer_service_submit_args&);
-  peer_service_submit_args& operator=(peer_service_submit_args&&) noexcept;
   peer_service_submit_args() noexcept
                            : shard(0),
                              limit_ms(0) {
@@ -298,9 +292,7 @@
  public:
 
   peer_service_submit_result(const peer_service_submit_result&);
-  peer_service_submit_result(peer_service_submit_result&&) noexcept;
   peer_service_submit_result& operator=(const peer_service_submit_result&);
-  peer_service_submit_result& operator=(peer_service_submit_result&&) noexcept;
   peer_service_submit_result() noexcept {
   }
 
@@ -364,9 +356,7 @@
  public:
 
   peer_service_status_args(const peer_service_status_args&);
-  peer_service_status_args(peer_service_status_args&&) noexcept;
   peer_service_status_args& operator=(const peer_service_status_args&);
-  peer_service_status_args& operator=(peer_service_status_args&&) noexcept;
   peer_service_status_args() noexcept
                            : shard(0),
                              limit_ms(0) {
@@ -430,9 +420,7 @@
  public:
 
   peer_service_status_result(const peer_service_status_result&);
-  peer_service_status_result(peer_service_status_result&&) noexcept;
   peer_service_status_result& operator=(const peer_service_status_result&);
-  peer_service_status_result& operator=(peer_service_status_result&&) noexcept;
   peer_service_status_result() noexcept {
   }
 
@@ -496,9 +484,7 @@
  public:
 
   peer_service_cancel_args(const peer_service_cancel_args&);
-  peer_service_cancel_args(peer_service_cancel_args&&) noexcept;
   peer_service_cancel_args& operator=(const peer_service_cancel_args&);
-  peer_service_cancel_args& operator=(peer_service_cancel_args&&) noexcept;
   peer_service_cancel_args() noexcept
                            : shard(0),
                              limit_ms(0) {
@@ -562,9 +548,7 @@
  public:
 
   peer_service_cancel_result(const peer_service_cancel_result&);
-  peer_service_cancel_result(peer_service_cancel_result&&) noexcept;
   peer_service_cancel_result& operator=(const peer_service_cancel_result&);
-  peer_service_cancel_result& operator=(peer_service_cancel_result&&) noexcept;
   peer_service_cancel_result() noexcept {
   }
 
@@ -628,9 +612,7 @@
  public:
 
   peer_service_explain_args(const peer_service_explain_args&);
-  peer_service_explain_args(peer_service_explain_args&&) noexcept;
   peer_service_explain_args& operator=(const peer_service_explain_args&);
-  peer_service_explain_args& operator=(peer_service_explain_args&&) noexcept;
   peer_service_explain_args() noexcept
                             : shard(0),
                               limit_ms(0) {
@@ -694,9 +676,7 @@
  public:
 
   peer_service_explain_result(const peer_service_explain_result&);
-  peer_service_explain_result(peer_service_explain_result&&) noexcept;
   peer_service_explain_result& operator=(const peer_service_explain_result&);
-  peer_service_explain_result& operator=(peer_service_explain_result&&) noexcept;
   peer_service_explain_result() noexcept {
   }
 
@@ -759,9 +739,7 @@
  public:
 
   peer_service_quick_args(const peer_service_quick_args&);
-  peer_service_quick_args(peer_service_quick_args&&) noexcept;
   peer_service_quick_args& operator=(const peer_service_quick_args&);
-  peer_service_quick_args& operator=(peer_service_quick_args&&) noexcept;
   peer_service_quick_args() noexcept
                           : shard(0) {
   }
@@ -818,9 +796,7 @@
  public:
 
   peer_service_quick_result(const peer_service_quick_result&);
-  peer_service_quick_result(peer_service_quick_result&&) noexcept;
   peer_service_quick_result& operator=(const peer_service_quick_result&);
-  peer_service_quick_result& operator=(peer_service_quick_result&&) noexcept;
   peer_service_quick_result() noexcept {
   }
 
@@ -885,9 +861,7 @@
  public:
 
   peer_service_take_job_args(const peer_service_take_job_args&);
-  peer_service_take_job_args(peer_service_take_job_args&&) noexcept;
   peer_service_take_job_args& operator=(const peer_service_take_job_args&);
-  peer_service_take_job_args& operator=(peer_service_take_job_args&&) noexcept;
   peer_service_take_job_args() noexcept
                              : shard(0),
                                accepted_at_ms(0),
@@ -958,9 +932,7 @@
  public:
 
   peer_service_take_job_result(const peer_service_take_job_result&);
-  peer_service_take_job_result(peer_service_take_job_result&&) noexcept;
   peer_service_take_job_result& operator=(const peer_service_take_job_result&);
-  peer_service_take_job_result& operator=(peer_service_take_job_result&&) noexcept;
   peer_service_take_job_result() noexcept {
   }
 
@@ -1026,9 +998,7 @@
  public:
 
   peer_service_reserve_slot_args(const peer_service_reserve_slot_args&);
-  peer_service_reserve_slot_args(peer_service_reserve_slot_args&&) noexcept;
   peer_service_reserve_slot_args& operator=(const peer_service_reserve_slot_args&);
-  peer_service_reserve_slot_args& operator=(peer_service_reserve_slot_args&&) noexcept;
   peer_service_reserve_slot_args() noexcept
                                  : shard(0),
                                    service_name(),
@@ -1107,9 +1077,7 @@
  public:
 
   peer_service_reserve_slot_result(const peer_service_reserve_slot_result&);
-  peer_service_reserve_slot_result(peer_service_reserve_slot_result&&) noexcept;
   peer_service_reserve_slot_result& operator=(const peer_service_reserve_slot_result&);
-  peer_service_reserve_slot_result& operator=(peer_service_reserve_slot_result&&) noexcept;
   peer_service_reserve_slot_result() noexcept {
   }
 
@@ -1174,9 +1142,7 @@
  public:
 
   peer_service_release_slot_args(const peer_service_release_slot_args&) noexcept;
-  peer_service_release_slot_args(peer_service_release_slot_args&&) noexcept;
   peer_service_release_slot_args& operator=(const peer_service_release_slot_args&) noexcept;
-  peer_service_release_slot_args& operator=(peer_service_release_slot_args&&) noexcept;
   peer_service_release_slot_args() noexcept
                                  : shard(0),
                                    grant(0),
@@ -1247,9 +1213,7 @@
  public:
 
   peer_service_release_slot_result(const peer_service_release_slot_result&);
-  peer_service_release_slot_result(peer_service_release_slot_result&&) noexcept;
   peer_service_release_slot_result& operator=(const peer_service_release_slot_result&);
-  peer_service_release_slot_result& operator=(peer_service_release_slot_result&&) noexcept;
   peer_service_release_slot_result() noexcept {
   }
 
@@ -1304,9 +1268,7 @@
  public:
 
   peer_service_copy_config_args(const peer_service_copy_config_args&) noexcept;
-  peer_service_copy_config_args(peer_service_copy_config_args&&) noexcept;
   peer_service_copy_config_args& operator=(const peer_service_copy_config_args&) noexcept;
-  peer_service_copy_config_args& operator=(peer_service_copy_config_args&&) noexcept;
   peer_service_copy_config_args() noexcept
                                 : limit_ms(0) {
   }
@@ -1357,9 +1319,7 @@
  public:
 
   peer_service_copy_config_result(const peer_service_copy_config_result&);
-  peer_service_copy_config_result(peer_service_copy_config_result&&) noexcept;
   peer_service_copy_config_result& operator=(const peer_service_copy_config_result&);
-  peer_service_copy_config_result& operator=(peer_service_copy_config_result&&) noexcept;
   peer_service_copy_config_result() noexcept {
   }
 
@@ -1421,9 +1381,7 @@
  public:
 
   peer_service_timeline_args(const peer_service_timeline_args&) noexcept;
-  peer_service_timeline_args(peer_service_timeline_args&&) noexcept;
   peer_service_timeline_args& operator=(const peer_service_timeline_args&) noexcept;
-  peer_service_timeline_args& operator=(peer_service_timeline_args&&) noexcept;
   peer_service_timeline_args() noexcept
                              : limit_ms(0) {
   }
@@ -1474,9 +1432,7 @@
  public:
 
   peer_service_timeline_result(const peer_service_timeline_result&);
-  peer_service_timeline_result(peer_service_timeline_result&&) noexcept;
   peer_service_timeline_result& operator=(const peer_service_timeline_result&);
-  peer_service_timeline_result& operator=(peer_service_timeline_result&&) noexcept;
   peer_service_timeline_result() noexcept
                                : success() {
   }
--- a/src/inner/inner.thrift
+++ b/src/inner/inner.thrift
@@ -51,6 +51,8 @@
   6: i64 config_next
   7: list<shard_view> shards
   8: list<team_usage> teams
+  9: bool log_available
+  10: i64 clock
 }
 
 enum work_kind {
@@ -122,6 +124,7 @@
   1: bool owner
   2: optional job_answer answer
   3: optional list<string> explanation
+  4: optional i64 moved_to
 }
 
 struct quick_request {
--- a/src/inner/inner_server.cpp
+++ b/src/inner/inner_server.cpp
@@ -66,9 +66,9 @@
     auto processor = std::make_shared<gen::peer_serviceProcessor>(
         std::make_shared<service_handler>(this->options.calls, this->options.counters));
     processor->setEventHandler(this->tracker);
-    this->server = std::make_unique<TThreadedServer>(
-        processor, this->socket, std::make_shared<framing_factory>(limits),
-        std::make_shared<TCompactProtocolFactory>());
+    this->server =
+        std::make_unique<TThreadedServer>(processor, this->socket, std::make_shared<framing_factory>(limits),
+                                          std::make_shared<TCompactProtocolFactory>());
     this->server->setConcurrentClientLimit(this->options.max_connections);
 
     const auto signal = std::make_shared<start_signal>();
--- a/src/ledger/stream_session.cpp
+++ b/src/ledger/stream_session.cpp
@@ -148,6 +148,17 @@
     return std::max(deadline, now);
 }
 
+void stream_session::skip_to(core::log_offset offset) {
+    assert(!this->in_flight);
+    if (offset <= this->next_offset) {
+        return;
+    }
+    this->next_offset = offset;
+    this->known_end = std::max(this->known_end, offset);
+    this->anchored = true;
+    this->read_requested = true;
+}
+
 void stream_session::request_read() {
     this->read_requested = true;
 }
--- a/src/ledger/stream_session.h
+++ b/src/ledger/stream_session.h
@@ -127,6 +127,10 @@
     /// @return when to call next_append() and next_read() again at the latest.
     [[nodiscard]] core::steady_time next_deadline(core::steady_time now) const;
 
+    /// Goes on from an offset whose state was had otherwise, such as from a peer. No append may be in flight.
+    /// @param offset the first offset that the state does not contain.
+    void skip_to(core::log_offset offset);
+
     /// Makes a read due at once.
     void request_read();
 
--- /dev/null
+++ b/tests/end_to_end/process.cpp
@@ -0,0 +1,52 @@
+#include "tests/end_to_end/process.h"
+
+#include <Poco/PipeStream.h>
+
+#include <csignal>
+#include <sstream>
+#include <stdexcept>
+
+namespace rattanmount::tests {
+
+process::process(const std::string& program, const std::vector<std::string>& arguments)
+    : handle(Poco::Process::launch(program, arguments, nullptr, &this->output, nullptr)) {}
+
+process::~process() {
+    this->kill();
+}
+
+int process::listening_port() {
+    std::string line;
+    char character = 0;
+    while (this->output.readBytes(&character, 1) == 1 && character != '\n') {
+        line += character;
+    }
+    std::istringstream words{line};
+    std::string word;
+    int port = 0;
+    if (!(words >> word >> port) || word != "listening") {
+        throw std::runtime_error("a stand-in said '" + line + "' in place of its port");
+    }
+    return port;
+}
+
+void process::signal(int number) {
+    if (this->handle) {
+        ::kill(this->handle->id(), number);
+    }
+}
+
+int process::wait() {
+    const int code = this->handle ? this->handle->wait() : 0;
+    this->handle.reset();
+    return code;
+}
+
+void process::kill() {
+    if (this->handle) {
+        this->signal(SIGKILL);
+        this->wait();
+    }
+}
+
+} // namespace rattanmount::tests
