Add the stand-ins for the platform

Change: the program rattanmount-stand-in with a role for each service, its classes as a library for tests in one process; the fleet client asks for the list only where its version changed. Conclusion: paths are split before they are decoded, since Poco's segments split a stream name that holds a slash.

--- /dev/null
+++ b/dev/stand_ins/fleet_role.cpp
@@ -0,0 +1,83 @@
+#include "stand_ins/fleet_role.h"
+
+#include "core/errors.h"
+#include "platform/fleet_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace rattanmount::stand_ins {
+
+namespace {
+
+constexpr std::size_t max_lists = 1000;
+
+std::string with_version(const std::string& text, std::uint64_t version) {
+    auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object()) {
+        throw core::invalid_argument("not a fleet list: no JSON object");
+    }
+    if (!json.contains("version")) {
+        json["version"] = version;
+    }
+    return json.dump();
+}
+
+} // namespace
+
+fleet_role::fleet_role(journal& log, fault_board& faults) : log(log), faults(faults) {
+    this->lists.push_back({.text = platform::encode_fleet({}), .put_at = std::chrono::steady_clock::now()});
+}
+
+role_hooks fleet_role::hooks() {
+    return {.name = [](const stand_in_call& call) { return call.method == "GET" ? "list" : ""; },
+            .handle = [this](const stand_in_call& call) { return this->handle(call); }};
+}
+
+std::uint64_t fleet_role::put(const std::string& text) {
+    const auto now = std::chrono::steady_clock::now();
+    const std::lock_guard lock{this->mutex};
+    const auto complete = with_version(text, this->lists.back().version + 1);
+    const auto version = platform::decode_fleet(complete).version;
+    this->lists.push_back({.text = complete, .version = version, .put_at = now});
+    if (this->lists.size() > max_lists) {
+        this->lists.pop_front();
+    }
+    this->log.add(now, {.kind = journal_kind::list, .value = version});
+    return version;
+}
+
+stand_in_reply fleet_role::handle(const stand_in_call& call) {
+    if (call.path.size() != 1 || call.path[0] != "fleet") {
+        return refusal(404, "no such path");
+    }
+    if (call.method == "PUT") {
+        return {.body = nlohmann::json{{"version", this->put(call.body)}}.dump()};
+    }
+    if (call.method == "GET") {
+        return this->get(call);
+    }
+    return refusal(405, "the fleet list takes GET and PUT");
+}
+
+stand_in_reply fleet_role::get(const stand_in_call& call) {
+    const auto now = std::chrono::steady_clock::now();
+    const auto lag = this->faults.take(fault_kind::lag, {.call = "list", .target = "", .now = now});
+    const std::lock_guard lock{this->mutex};
+    const auto& list = this->shown(lag ? now - lag->length : now);
+    const auto version = "\"" + std::to_string(list.version) + "\"";
+    if (call.known_version == version) {
+        return {.status = 304, .version = version};
+    }
+    return {.body = list.text, .version = version};
+}
+
+const fleet_role::listed& fleet_role::shown(core::steady_time as_of) const {
+    for (auto list = this->lists.rbegin(); list != this->lists.rend(); ++list) {
+        if (list->put_at <= as_of) {
+            return *list;
+        }
+    }
+    return this->lists.front();
+}
+
+} // namespace rattanmount::stand_ins
--- /dev/null
+++ b/dev/stand_ins/stand_in_handler.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+
+namespace rattanmount::stand_ins {
+
+class stand_in_server;
+
+/// Hands one request to the server. Owned by Poco; used by the connection's thread.
+class stand_in_handler : public Poco::Net::HTTPRequestHandler {
+public:
+    /// @param server who answers; must outlive the handler.
+    explicit stand_in_handler(stand_in_server& server);
+
+    void handleRequest(Poco::Net::HTTPServerRequest& request,
+                       Poco::Net::HTTPServerResponse& response) override;
+
+private:
+    stand_in_server& server;
+};
+
+/// Makes a handler for each request, and tells connections to end.
+///
+/// Owned by the server and Poco; any thread may call.
+class stand_in_handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
+public:
+    /// @param server who answers; must outlive the factory's handlers.
+    explicit stand_in_handler_factory(stand_in_server& server);
+
+    Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest& request) override;
+
+    /// Waits for the request in flight on each connection and closes the connection.
+    void close_connections();
+
+private:
+    stand_in_server& server;
+};
+
+} // namespace rattanmount::stand_ins
--- /dev/null
+++ b/dev/stand_ins/stand_in_server.cpp
@@ -0,0 +1,319 @@
+#include "stand_ins/stand_in_server.h"
+
+#include "core/errors.h"
+#include "platform/http_message.h"
+#include "stand_ins/stand_in_connection.h"
+#include "stand_ins/stand_in_handler.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <iterator>
+
+namespace rattanmount::stand_ins {
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int listen_backlog = 1024;
+constexpr int min_threads = 8;
+constexpr int idle_thread_seconds = 60;
+constexpr long connection_idle_seconds = 3600;
+constexpr core::milliseconds closed_check_interval{200};
+
+core::steady_time now() {
+    return std::chrono::steady_clock::now();
+}
+
+std::uint64_t parse_number(const std::string& text) {
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        throw core::invalid_argument("not a number: '" + text + "'");
+    }
+    return number;
+}
+
+std::string percent_decode(const std::string& text) {
+    std::string decoded;
+    Poco::URI::decode(text, decoded);
+    return decoded;
+}
+
+/// Splits before it decodes, so that a name may hold a slash.
+std::vector<std::string> path_segments(const std::string& uri) {
+    const auto path = uri.substr(0, uri.find('?'));
+    std::vector<std::string> segments;
+    for (std::size_t begin = 0; begin < path.size();) {
+        const auto end = std::min(path.find('/', begin), path.size());
+        if (end > begin) {
+            segments.push_back(percent_decode(path.substr(begin, end - begin)));
+        }
+        begin = end + 1;
+    }
+    return segments;
+}
+
+stand_in_call decode_call(HTTPServerRequest& request) {
+    const Poco::URI uri{request.getURI()};
+    stand_in_call call{.method = request.getMethod(),
+                       .path = path_segments(request.getURI()),
+                       .correlation = request.get(platform::correlation_header, ""),
+                       .request_id = percent_decode(request.get(platform::request_id_header, "")),
+                       .limit = core::milliseconds{parse_number(request.get(platform::limit_header, "0"))},
+                       .known_version = request.get("If-None-Match", ""),
+                       .connection = request.clientAddress().toString()};
+    for (const auto& [name, value] : uri.getQueryParameters()) {
+        if (name == "from") {
+            call.from = parse_number(value);
+        } else if (name == "max") {
+            call.max = parse_number(value);
+        }
+    }
+    call.body.assign(std::istreambuf_iterator<char>{request.stream()}, {});
+    return call;
+}
+
+void prepare(HTTPServerResponse& response, const stand_in_reply& reply, const std::string& correlation) {
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status));
+    response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
+    response.erase(Poco::Net::HTTPResponse::DATE);
+    response.erase(Poco::Net::HTTPMessage::CONNECTION);
+    if (!correlation.empty()) {
+        response.set(platform::correlation_header, correlation);
+    }
+    if (!reply.version.empty()) {
+        response.set("ETag", reply.version);
+    }
+    if (reply.close) {
+        response.setKeepAlive(false);
+    }
+}
+
+void send(HTTPServerResponse& response, const stand_in_reply& reply, const std::string& correlation) {
+    prepare(response, reply, correlation);
+    response.sendBuffer(reply.body.data(), reply.body.size());
+}
+
+void send_short(HTTPServerResponse& response, const stand_in_reply& reply, const std::string& correlation) {
+    prepare(response, reply, correlation);
+    response.setKeepAlive(false);
+    response.setContentLength64(static_cast<Poco::Int64>(reply.body.size()) + 1);
+    response.send() << reply.body;
+}
+
+Poco::Net::StreamSocket& socket_of(HTTPServerRequest& request) {
+    return dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+}
+
+void close_without_answer(HTTPServerRequest& request) {
+    request.response().setKeepAlive(false);
+    socket_of(request).shutdown();
+}
+
+Poco::Net::HTTPServerParams::Ptr server_params(int max_threads) {
+    Poco::Net::HTTPServerParams::Ptr params{Poco::makeAuto<Poco::Net::HTTPServerParams>()};
+    params->setMaxThreads(max_threads);
+    params->setMaxQueued(max_threads);
+    params->setKeepAlive(true);
+    params->setKeepAliveTimeout(Poco::Timespan{connection_idle_seconds, 0});
+    return params;
+}
+
+Poco::Net::ServerSocket listen_at(std::uint16_t port) {
+    return Poco::Net::ServerSocket{Poco::Net::SocketAddress{"127.0.0.1", port}, listen_backlog};
+}
+
+} // namespace
+
+stand_in_server::stand_in_server(stand_in_server_options options, role_hooks role, journal& log,
+                                 fault_board& faults)
+    : role(std::move(role)), log(log), faults(faults),
+      threads(min_threads, options.max_threads, idle_thread_seconds),
+      handlers(Poco::makeShared<stand_in_handler_factory>(*this)) {
+    const auto params = server_params(options.max_threads);
+    const Poco::Net::TCPServerConnectionFactory::Ptr connections{
+        Poco::makeShared<stand_in_connection_factory>(params, this->handlers, *this)};
+    this->server =
+        std::make_unique<Poco::Net::TCPServer>(connections, this->threads, listen_at(options.port), params);
+    this->server->start();
+}
+
+stand_in_server::~stand_in_server() {
+    this->stop();
+}
+
+std::uint16_t stand_in_server::port() const {
+    return this->server->port();
+}
+
+void stand_in_server::order(const fault& ordered) {
+    const auto time = now();
+    const auto in_force = this->faults.put(ordered, time);
+    this->log.add(time, {.kind = journal_kind::fault,
+                         .target = ordered.target,
+                         .detail = std::string{to_string(ordered.kind)}});
+    if (ordered.kind == fault_kind::silent_connections) {
+        const std::lock_guard lock{this->mutex};
+        this->silent_connections = this->open_connections;
+    }
+    this->role.on_fault(in_force, time);
+}
+
+void stand_in_server::stop() {
+    {
+        const std::lock_guard lock{this->mutex};
+        this->stop_requested = true;
+    }
+    this->stopped.notify_all();
+    this->server->stop();
+    this->handlers->close_connections();
+    this->threads.joinAll();
+}
+
+void stand_in_server::opened(const std::string& connection) {
+    this->log.add(now(), {.kind = journal_kind::connection_opened, .target = connection});
+    const std::lock_guard lock{this->mutex};
+    this->open_connections.insert(connection);
+}
+
+void stand_in_server::closed(const std::string& connection) {
+    this->log.add(now(), {.kind = journal_kind::connection_closed, .target = connection});
+    this->role.on_closed(connection);
+    const std::lock_guard lock{this->mutex};
+    this->open_connections.erase(connection);
+    this->silent_connections.erase(connection);
+}
+
+void stand_in_server::serve(HTTPServerRequest& request, HTTPServerResponse& response) {
+    try {
+        const auto call = decode_call(request);
+        if (!this->serve_control(call, response)) {
+            this->serve_role(call, request, response);
+        }
+    } catch (const core::invalid_argument& error) {
+        send(response, refusal(400, error.what()), request.get(platform::correlation_header, ""));
+    } catch (const Poco::SyntaxException& error) {
+        send(response, refusal(400, error.displayText()), request.get(platform::correlation_header, ""));
+    }
+}
+
+bool stand_in_server::serve_control(const stand_in_call& call, HTTPServerResponse& response) {
+    if (call.path.size() != 1) {
+        return false;
+    }
+    if (call.path[0] == "journal" && call.method == "GET") {
+        this->role.settle(now());
+        send(response, {.body = this->log.json(call.from)}, call.correlation);
+        return true;
+    }
+    if (call.path[0] != "faults") {
+        return false;
+    }
+    if (call.method == "PUT") {
+        this->order(decode_fault(call.body));
+    } else if (call.method == "DELETE") {
+        this->faults.clear();
+        const std::lock_guard lock{this->mutex};
+        this->silent_connections.clear();
+    } else {
+        throw core::invalid_argument("faults are set by PUT and cleared by DELETE");
+    }
+    send(response, {.body = "{}"}, call.correlation);
+    return true;
+}
+
+void stand_in_server::serve_role(const stand_in_call& call, HTTPServerRequest& request,
+                                 HTTPServerResponse& response) {
+    const auto name = this->role.name(call);
+    const auto target = call.target();
+    if (name.empty()) {
+        send(response, this->handle(call), call.correlation);
+        return;
+    }
+    const auto hit = [this, &name, &target](fault_kind kind) {
+        return this->faults.take(kind, {.call = name, .target = target, .now = now()});
+    };
+    if (this->silent(call.connection)) {
+        this->hold_until_closed(request);
+        return;
+    }
+    this->wait_while_frozen({.call = name, .target = target, .now = now()});
+    if (this->stopping() || hit(fault_kind::down)) {
+        close_without_answer(request);
+        return;
+    }
+    if (const auto slow = hit(fault_kind::slow)) {
+        this->pause(now() + slow->length);
+    }
+    const auto reply = this->handle(call);
+    this->wait_while_frozen({.call = name, .target = target, .now = now()});
+    if (hit(fault_kind::effect_without_answer)) {
+        close_without_answer(request);
+    } else if (hit(fault_kind::crossed_answer)) {
+        send(response, reply, call.correlation + "0");
+    } else if (hit(fault_kind::short_answer)) {
+        send_short(response, reply, call.correlation);
+        close_without_answer(request);
+    } else {
+        send(response, reply, call.correlation);
+    }
+}
+
+stand_in_reply stand_in_server::handle(const stand_in_call& call) const {
+    try {
+        return this->role.handle(call);
+    } catch (const core::invalid_argument& error) {
+        return refusal(400, error.what());
+    }
+}
+
+void stand_in_server::hold_until_closed(HTTPServerRequest& request) {
+    auto& socket = socket_of(request);
+    std::array<char, 1024> ignored{};
+    request.response().setKeepAlive(false);
+    while (!this->stopping()) {
+        if (socket.poll(Poco::Timespan{std::chrono::microseconds{closed_check_interval}.count()},
+                        Poco::Net::Socket::SELECT_READ) &&
+            socket.receiveBytes(ignored.data(), ignored.size()) <= 0) {
+            return;
+        }
+    }
+    close_without_answer(request);
+}
+
+void stand_in_server::wait_while_frozen(const fault_site& site) {
+    while (const auto frozen = this->faults.take(fault_kind::freeze, {site.call, site.target, now()})) {
+        if (this->stopping()) {
+            return;
+        }
+        this->pause(frozen->until);
+    }
+}
+
+void stand_in_server::pause(core::steady_time until) {
+    std::unique_lock lock{this->mutex};
+    this->stopped.wait_until(lock, until, [this] { return this->stop_requested; });
+}
+
+bool stand_in_server::silent(const std::string& connection) {
+    const std::lock_guard lock{this->mutex};
+    return this->silent_connections.contains(connection);
+}
+
+bool stand_in_server::stopping() {
+    const std::lock_guard lock{this->mutex};
+    return this->stop_requested;
+}
+
+} // namespace rattanmount::stand_ins
--- a/src/platform/http_connection.cpp
+++ b/src/platform/http_connection.cpp
@@ -100,10 +100,11 @@
     Poco::Net::HTTPResponse head;
     Poco::Net::HTTPHeaderInputStream stream{*this};
     head.read(stream);
-    if (!head.hasContentLength()) {
+    const bool bodiless = head.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+    if (!head.hasContentLength() && !bodiless) {
         return this->failure("the answer has no content length", false);
     }
-    const auto length = head.getContentLength64();
+    const auto length = bodiless ? 0 : head.getContentLength64();
     if (length < 0 || static_cast<std::uint64_t>(length) > max_answer_bytes) {
         return this->failure("the answer's content length cannot be taken", false);
     }
@@ -115,6 +116,7 @@
     return http_answer{.fate = exchange_fate::answered,
                        .status = static_cast<std::uint16_t>(head.getStatus()),
                        .body = std::move(body),
+                       .version = head.get("ETag", ""),
                        .keep_alive = head.getKeepAlive()};
 }
 
--- a/src/platform/http_fleet_client.h
+++ b/src/platform/http_fleet_client.h
@@ -4,6 +4,9 @@
 #include "platform/fleet_service.h"
 #include "platform/http_caller.h"
 
+#include <mutex>
+#include <string>
+
 namespace rattanmount::platform {
 
 struct http_fleet_client_options {
@@ -13,6 +16,7 @@
 
 /// The platform's list of hosts over HTTP.
 ///
+/// A list that has not changed since the last call is not sent again.
 /// Hand its hook to whoever watches the fleet; it refers to the client, which must outlive it.
 /// Owned by the app; any traffic thread may call the hook, which blocks up to its timeout.
 class http_fleet_client {
@@ -28,8 +32,13 @@
 
 private:
     [[nodiscard]] fleet_list list(core::milliseconds timeout);
+    [[nodiscard]] http_answer ask(const std::string& known_version, core::milliseconds timeout);
+    [[nodiscard]] fleet_list take(const http_answer& answer);
 
     http_fleet_client_options options;
+    std::mutex mutex;
+    fleet_list last;          ///< The last whole list, which stands while its version does.
+    std::string last_version; ///< The server's name for it; "" where there is none.
     http_caller caller;
 };
 
--- a/src/platform/http_message.h
+++ b/src/platform/http_message.h
@@ -43,6 +43,7 @@
     exchange_fate fate = exchange_fate::broken;
     std::uint16_t status = 0; ///< For answered.
     std::string body;         ///< For answered; whole.
+    std::string version;      ///< The header ETag, where the server sent one.
     std::string reason;       ///< Why it is not answered.
     bool keep_alive = false;  ///< The connection may carry another exchange.
 
