Count, time and log what an entry host does

Cause: operators need counters, a time line of events over all processes, and log lines only for changes of state. Change: counters, gauges and distributions with labels and the text form for collectors; a hybrid logical clock and core::hybrid_time; a bounded time line of typed events with JSON lines, merging, filters, text and trace events; spdlog set up as key=value or JSON lines.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -11,6 +11,7 @@
 #include "core/duration_text.h"
 #include "core/endpoint.h"
 #include "core/errors.h"
+#include "core/hybrid_time.h"
 #include "core/ids.h"
 #include "core/job.h"
 #include "core/names.h"
--- /dev/null
+++ b/src/telemetry/logging.cpp
@@ -0,0 +1,92 @@
+#include "telemetry/logging.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <memory>
+
+namespace rattanmount::telemetry {
+
+namespace {
+
+std::atomic<log_format>& current_format() {
+    static std::atomic<log_format> format{log_format::text};
+    return format;
+}
+
+spdlog::level::level_enum level_of(log_level level) {
+    switch (level) {
+    case log_level::debug:
+        return spdlog::level::debug;
+    case log_level::info:
+        return spdlog::level::info;
+    case log_level::warning:
+        return spdlog::level::warn;
+    case log_level::error:
+        return spdlog::level::err;
+    }
+    return spdlog::level::info;
+}
+
+std::string json_text(std::string_view text) {
+    return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/// Puts quotes around a value only where its end would not be seen.
+std::string text_value(const std::string& value) {
+    const bool plain = !value.empty() && std::all_of(value.begin(), value.end(), [](unsigned char letter) {
+        return letter > ' ' && letter < 0x7F && letter != '"' && letter != '=' && letter != '\\';
+    });
+    return plain ? value : json_text(value);
+}
+
+std::string text_line(std::string_view what, std::initializer_list<field> fields) {
+    std::string line = "what=" + json_text(what);
+    for (const auto& each : fields) {
+        line += " " + std::string{each.name} + "=" + text_value(each.value);
+    }
+    return line;
+}
+
+std::string json_line(std::string_view what, std::initializer_list<field> fields) {
+    std::string line = "\"what\":" + json_text(what);
+    for (const auto& each : fields) {
+        line += "," + json_text(each.name) + ":" + json_text(each.value);
+    }
+    return line;
+}
+
+} // namespace
+
+void configure_logging(const logging_options& options, std::ostream& out) {
+    constexpr bool flush_each_line = true;
+    auto sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(out, flush_each_line);
+    auto logger = std::make_shared<spdlog::logger>("rattanmount", std::move(sink));
+    const auto* const pattern = options.format == log_format::text
+                                    ? "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v"
+                                    : R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})";
+    logger->set_pattern(pattern, spdlog::pattern_time_type::utc);
+    logger->set_level(level_of(options.level));
+    current_format() = options.format;
+    spdlog::set_default_logger(std::move(logger));
+}
+
+void configure_logging(const logging_options& options) {
+    configure_logging(options, std::cerr);
+}
+
+void log_state(std::string_view what, std::initializer_list<field> fields, log_level level) {
+    auto* const logger = spdlog::default_logger_raw();
+    if (!logger->should_log(level_of(level))) {
+        return;
+    }
+    const auto line =
+        current_format() == log_format::text ? text_line(what, fields) : json_line(what, fields);
+    logger->log(level_of(level), "{}", line);
+}
+
+} // namespace rattanmount::telemetry
