Wire an entry host: orders, calls and the control thread

Cause: the parts have to serve one request from end to end. Change: entry_host joins control, orders, front and inner; state changes are the time line's events. Conclusion: the control package uses telemetry's event type, so nothing is mapped twice.

--- a/src/app/control_orders.cpp
+++ b/src/app/control_orders.cpp
@@ -27,7 +27,8 @@
             .fetch_fleet = [this] { this->fetch_fleet(); },
             .copy_config = [this](const auto& peer) { this->copy_config(peer); },
             .on_change = this->options.on_change,
-            .wall_time = [] { return std::chrono::system_clock::now(); }};
+            .wall_time = [] { return std::chrono::system_clock::now(); },
+            .hybrid_time = this->options.hybrid_time};
 }
 
 void control_orders::stop() {
@@ -116,6 +117,7 @@
     this->peer_pool.post([this, peer, view] {
         try {
             const auto answer = this->options.connect(peer).heartbeat(view, this->options.peer_timeout);
+            this->options.observe_time(answer.clock);
             this->control.load()->reply(
                 [answer](host_control& state, core::steady_time now) { state.on_view(answer, now); });
         } catch (const core::error&) {
--- a/src/app/control_orders.h
+++ b/src/app/control_orders.h
@@ -26,7 +26,9 @@
     std::size_t log_threads = 4;
     std::size_t worker_threads = 16;
     std::size_t peer_threads = 8;
-    std::function<void(const control::state_change&)> on_change;
+    std::function<std::uint64_t()> hybrid_time;      ///< This host's hybrid clock.
+    std::function<void(std::uint64_t)> observe_time; ///< Takes a peer's.
+    std::function<void(telemetry::event_kind, const telemetry::event_fields&)> on_change;
 };
 
 /// Carries out what the control thread orders, on traffic threads, and posts the replies to it.
--- a/src/app/entry_host.cpp
+++ b/src/app/entry_host.cpp
@@ -79,57 +79,9 @@
             .keeper = keeper_options(settings)};
 }
 
-telemetry::event_kind event_kind_of(control::state_change::kind_type kind) {
-    using from = control::state_change::kind_type;
-    using to = telemetry::event_kind;
-    switch (kind) {
-    case from::job_accepted:
-        return to::job_accepted;
-    case from::task_placed:
-        return to::task_placed;
-    case from::task_start_sent:
-        return to::task_start_sent;
-    case from::task_started:
-        return to::task_started;
-    case from::task_ended:
-        return to::task_ended;
-    case from::job_ended:
-        return to::job_ended;
-    case from::job_cancelled:
-        return to::job_cancelled;
-    case from::job_moved:
-        return to::job_moved;
-    case from::shard_claimed:
-        return to::shard_claimed;
-    case from::shard_serving:
-        return to::shard_serving;
-    case from::shard_lost:
-        return to::shard_lost;
-    case from::shard_released:
-        return to::shard_released;
-    case from::lease_taken:
-        return to::lease_taken;
-    case from::lease_lost:
-        return to::lease_lost;
-    case from::note_in_force:
-        return to::note_in_force;
-    case from::note_refused:
-        return to::note_refused;
-    case from::peer_joined:
-        return to::peer_joined;
-    case from::log_down:
-        return to::log_down;
-    case from::log_up:
-        return to::log_up;
-    case from::preempted:
-        return to::preempted;
-    }
-    return to::host_started;
-}
-
 /// Changes of the cell's state are logged; those of single jobs and leases are counted and on the time line.
-bool is_logged(control::state_change::kind_type kind) {
-    using type = control::state_change::kind_type;
+bool is_logged(telemetry::event_kind kind) {
+    using type = telemetry::event_kind;
     return kind == type::shard_serving || kind == type::shard_lost || kind == type::shard_released ||
            kind == type::log_down || kind == type::log_up || kind == type::peer_joined ||
            kind == type::note_in_force || kind == type::note_refused || kind == type::lease_lost;
@@ -139,7 +91,9 @@
 
 entry_host::entry_host(const settings::host_settings& settings)
     : settings(settings), incarnation(make_incarnation(settings.host.name)),
-      events({.host = settings.host.name, .incarnation = this->incarnation}, this->hybrid),
+      events({.host = settings.host.name,
+              .incarnation = this->incarnation,
+              .now = [this] { return this->hybrid.now(); }}),
       log({.address = settings.platform.log.address}), fleet({.address = settings.platform.fleet.address}),
       workers({}),
       executors({.max_connections_per_executor = settings.platform.executors.connections_per_host,
@@ -156,20 +110,27 @@
               .worker_timeout = settings.platform.workers.timeout,
               .log_threads = settings.traffic.log_threads,
               .worker_threads = settings.traffic.worker_threads,
-              .on_change = [this](const control::state_change& change) { this->record(change); }}),
+              .hybrid_time = [this] { return this->hybrid.now().number(); },
+              .observe_time =
+                  [this](std::uint64_t time) { this->hybrid.observe(core::hybrid_time::from_number(time)); },
+              .on_change = [this](telemetry::event_kind kind,
+                                  const telemetry::event_fields& about) { this->record(kind, about); }}),
       state(control_options(settings, this->incarnation), this->orders.hooks()) {}
 
 entry_host::~entry_host() {
     this->stop();
 }
 
-void entry_host::record(const control::state_change& change) {
-    const auto kind = event_kind_of(change.kind);
-    this->events.record(
-        kind, {.job = change.job, .worker = change.worker, .shard = change.shard, .detail = change.detail});
-    if (is_logged(change.kind)) {
-        telemetry::log_state(telemetry::to_string(kind),
-                             {{"worker", change.worker}, {"shard", change.shard}, {"detail", change.detail}});
+void entry_host::record(telemetry::event_kind kind, const telemetry::event_fields& about) {
+    this->events.record(kind, about);
+    this->counts
+        .counter("rattanmount_events_total", "Changes of state", {{"kind", std::string{to_string(kind)}}})
+        .add(1);
+    if (is_logged(kind)) {
+        telemetry::log_state(to_string(kind),
+                             {{"worker", about.worker.value()},
+                              {"shard", about.shard ? std::to_string(about.shard->value()) : ""},
+                              {"detail", about.detail}});
     }
 }
 
@@ -311,6 +272,7 @@
     return {
         .heartbeat =
             [this](const cell::peer_view& caller, core::milliseconds limit) {
+                this->hybrid.observe(core::hybrid_time::from_number(caller.clock));
                 return ask<cell::peer_view>(
                            *this->control, limit,
                            [caller](host_control& host, core::steady_time now, const auto& respond) {
--- a/src/app/entry_host.h
+++ b/src/app/entry_host.h
@@ -44,7 +44,7 @@
     [[nodiscard]] cell::owner_answer take_job(core::shard_id to, const core::job_spec& spec,
                                               core::system_time accepted_at, core::milliseconds limit);
     [[nodiscard]] std::string render_metrics();
-    void record(const control::state_change& change);
+    void record(telemetry::event_kind kind, const telemetry::event_fields& about);
 
     const settings::host_settings settings;
     const core::incarnation_id incarnation;
--- a/src/app/job_calls.cpp
+++ b/src/app/job_calls.cpp
@@ -30,11 +30,15 @@
                                           const call_forms& forms) {
     const auto deadline = std::chrono::steady_clock::now() + limit;
     bool may_have_effect = false;
+    std::optional<core::shard_id> moved;
+    cell::owner_answer home_answer;
     std::string reason = "no owner of the job's shard was reached in time";
     while (left_until(deadline).count() > 0) {
-        const auto route = ask<job_route>(this->control, left_until(deadline),
-                                          [job](host_control& state, core::steady_time now,
-                                                const auto& respond) { respond(state.route(job, now)); });
+        const auto route =
+            ask<job_route>(this->control, left_until(deadline),
+                           [job, moved](host_control& state, core::steady_time now, const auto& respond) {
+                               respond(moved ? state.route_to(*moved, now) : state.route(job, now));
+                           });
         if (!route.taken) {
             return final_answer(core::answer_state::refused, core::outcome::not_run,
                                 "this entry host is overloaded");
@@ -68,9 +72,18 @@
                 reason = error.what();
             }
         }
-        if (answer.owner) {
+        const bool on_its_way = moved && answer.answer.state == core::answer_state::refused;
+        if (answer.owner && !answer.moved_to && !on_its_way) {
             return answer;
         }
+        if (answer.owner && answer.moved_to) {
+            moved = answer.moved_to;
+            home_answer = answer;
+            continue;
+        }
+        if (on_its_way && forms.read_only) {
+            return home_answer;
+        }
         std::this_thread::sleep_for(this->options.retry_pause);
     }
     if (may_have_effect) {
@@ -118,7 +131,8 @@
                  [job](host_control& state, core::shard_id shard, core::steady_time now,
                        const control::owner_responder& respond) { state.cancel(shard, job, now, respond); },
              .remote = [&job](const cell::peer_calls& peer, core::shard_id shard,
-                              core::milliseconds left) { return peer.cancel(shard, job, left); }})
+                              core::milliseconds left) { return peer.cancel(shard, job, left); },
+             .read_only = false})
         .answer;
 }
 
--- a/src/app/job_calls.h
+++ b/src/app/job_calls.h
@@ -40,6 +40,7 @@
                            control::owner_responder)>
             local;
         std::function<cell::owner_answer(const cell::peer_calls&, core::shard_id, core::milliseconds)> remote;
+        bool read_only = true; ///< The home shard's answer will do while the job is on its way to another.
     };
 
     cell::owner_answer reach_owner(const core::job_id& job, core::milliseconds limit,
--- a/src/app/quick_calls.cpp
+++ b/src/app/quick_calls.cpp
@@ -275,11 +275,12 @@
     }
     bool may_retry = false;
     auto result = this->send(request, deadline, may_retry);
-    const auto recorded = ask<bool>(
+    // A caller who asks again before this is recorded is told `unsettled`, and the outcome afterwards.
+    static_cast<void>(ask<bool>(
         this->control, this->options.record_limit,
         [shard, id = request.id, result](host_control& state, core::steady_time, const auto& respond) {
             state.end_payment(shard, id, result.result, result.reason, [respond] { respond(true); });
-        });
+        }));
     return {.owner = true, .answer = result};
 }
 
--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -73,7 +73,7 @@
     }
     if (available != this->log_was_available) {
         this->log_was_available = available;
-        this->change(available ? state_change::kind_type::log_up : state_change::kind_type::log_down, "");
+        this->change(available ? telemetry::event_kind::log_up : telemetry::event_kind::log_down, "");
     }
     if (const auto append = this->config_session.next_append(now)) {
         this->hooks.append(*append);
@@ -185,7 +185,7 @@
     }
     this->last_contact = now;
     if (this->members.on_view(view, now)) {
-        this->change(state_change::kind_type::peer_joined, view.incarnation.value());
+        this->change(telemetry::event_kind::peer_joined, view.incarnation.value());
     }
     this->check_rivals(view);
 }
@@ -516,11 +516,11 @@
             const auto result = this->config.answer_to(note).value_or(
                 release::note_result{.reason = "the note's record did not count"});
             if (!result.accepted) {
-                this->change(state_change::kind_type::note_refused, note.id.value() + ": " + result.reason);
+                this->change(telemetry::event_kind::note_refused, note.id.value() + ": " + result.reason);
                 respond({.verdict = core::note_verdict::refused, .reason = result.reason});
                 return;
             }
-            this->change(state_change::kind_type::note_in_force, note.id.value());
+            this->change(telemetry::event_kind::note_in_force, note.id.value());
             this->notes.push_back({.id = note.id, .until = until, .respond = respond});
         });
     this->pump_config(now);
@@ -566,6 +566,7 @@
                          .data_centre = this->options.data_centre,
                          .leaving = this->leaving,
                          .log_available = this->config_session.log_available(),
+                         .clock = this->hooks.hybrid_time(),
                          .config_next = this->config_session.next()};
     std::map<core::team_id, core::resources> held;
     for (const auto& [shard, keeper] : this->keepers) {
@@ -735,8 +736,8 @@
     return core::stream_id{this->options.stream_prefix + "-shard-" + std::to_string(shard.value())};
 }
 
-void host_control::change(state_change::kind_type kind, const std::string& detail) const {
-    this->hooks.on_change({.kind = kind, .detail = detail});
+void host_control::change(telemetry::event_kind kind, const std::string& detail) const {
+    this->hooks.on_change(kind, {.detail = detail});
 }
 
 } // namespace rattanmount::control
--- a/src/control/host_control.h
+++ b/src/control/host_control.h
@@ -164,7 +164,7 @@
     void check_rivals(const cell::peer_view& view);
     void check_isolation(core::steady_time now);
     void answer_notes(core::steady_time now);
-    void change(state_change::kind_type kind, const std::string& detail) const;
+    void change(telemetry::event_kind kind, const std::string& detail) const;
 
     host_control_options options;
     host_hooks hooks;
--- a/src/control/host_hooks.h
+++ b/src/control/host_hooks.h
@@ -8,6 +8,7 @@
 #include "core/time.h"
 #include "ledger/stream_session.h"
 #include "platform/worker_service.h"
+#include "telemetry/event.h"
 
 #include <functional>
 #include <string>
@@ -53,37 +54,6 @@
     core::system_time accepted_at;
 };
 
-/// A change of state, for the time line and the log.
-struct state_change {
-    enum class kind_type : std::uint8_t {
-        job_accepted,
-        task_placed,
-        task_start_sent,
-        task_started,
-        task_ended,
-        job_ended,
-        job_cancelled,
-        job_moved,
-        shard_claimed,
-        shard_serving,
-        shard_lost,
-        shard_released,
-        lease_taken,
-        lease_lost,
-        note_in_force,
-        note_refused,
-        peer_joined,
-        log_down,
-        log_up,
-        preempted,
-    };
-    kind_type kind = kind_type::job_accepted;
-    std::string job;
-    std::string worker;
-    std::string shard;
-    std::string detail;
-};
-
 /// What the control thread has done by others, as hooks.
 ///
 /// Each hook returns at once and is called by the control thread only; the traffic threads that carry an
@@ -98,8 +68,11 @@
     std::function<void(const core::endpoint& peer, const cell::peer_view&)> heartbeat;
     std::function<void()> fetch_fleet;
     std::function<void(const core::endpoint& peer)> copy_config;
-    std::function<void(const state_change&)> on_change;
+    /// Takes a change of state, for the time line and the log.
+    std::function<void(telemetry::event_kind, const telemetry::event_fields&)> on_change;
     std::function<core::system_time()> wall_time;
+    /// The hybrid clock of the host, as a number, for messages to peers.
+    std::function<std::uint64_t()> hybrid_time = [] { return 0; };
 };
 
 } // namespace rattanmount::control
--- a/src/control/job_runner.cpp
+++ b/src/control/job_runner.cpp
@@ -165,7 +165,7 @@
         return;
     }
     auto& job = this->jobs[spec.id] = live_job::from_record(*entry, now);
-    this->change(state_change::kind_type::job_accepted, spec.id, {}, std::string{core::to_string(spec.kind)});
+    this->change(telemetry::event_kind::job_accepted, spec.id, {}, std::string{core::to_string(spec.kind)});
     // The former owner never knew of this job, so it may start before the takeover is complete.
     this->admit(job);
 }
@@ -191,7 +191,7 @@
     this->attempts[attempt] = attempt_state{
         .phase = attempt_phase::recording, .worker = placement.worker, .confirmed = now, .counted = true};
     this->decisions.task_running(attempt, placement.worker, job.spec.each, job.spec.pool, now);
-    this->change(state_change::kind_type::task_placed, placement.job, placement.worker, attempt.text());
+    this->change(telemetry::event_kind::task_placed, placement.job, placement.worker, attempt.text());
     this->session.add(
         ledger::task_started{.attempt = attempt, .place = placement.worker.value(), .at = this->wall()}, {},
         [this, watch = std::weak_ptr<bool>{this->alive}, attempt](ledger::settlement settled) {
@@ -241,7 +241,7 @@
     state.phase = attempt_phase::sending;
     state.confirmed = now;
     job->second.ever_sent = true;
-    this->change(state_change::kind_type::task_start_sent, attempt.job, state.worker, attempt.text());
+    this->change(telemetry::event_kind::task_start_sent, attempt.job, state.worker, attempt.text());
     this->hooks.start({.shard = this->options.shard,
                        .worker = state.worker,
                        .address = worker->second.info.address,
@@ -263,7 +263,7 @@
     case platform::start_verdict::started:
         state.phase = attempt_phase::running;
         state.confirmed = now;
-        this->change(state_change::kind_type::task_started, attempt.job, state.worker, attempt.text());
+        this->change(telemetry::event_kind::task_started, attempt.job, state.worker, attempt.text());
         if (state.stop_wanted) {
             this->send_stop(attempt, state, now);
         }
@@ -297,7 +297,7 @@
     }
     const bool new_lease = before != reply.lease;
     if (new_lease) {
-        this->change(state_change::kind_type::lease_taken, {}, worker, std::to_string(reply.lease.value()));
+        this->change(telemetry::event_kind::lease_taken, {}, worker, std::to_string(reply.lease.value()));
     }
     state.declared_over = false;
     this->take_inventory(state, reply, sent, new_lease, now);
@@ -424,7 +424,7 @@
 void job_runner::declare_over(worker_state& worker, core::steady_time now) {
     worker.declared_over = true;
     worker.taken = true;
-    this->change(state_change::kind_type::lease_lost, {}, worker.info.name, "its tasks have surely ended");
+    this->change(telemetry::event_kind::lease_lost, {}, worker.info.name, "its tasks have surely ended");
     for (const auto& foreign : std::exchange(worker.foreign, {})) {
         this->decisions.task_over(foreign, core::attempt_end::lost, core::milliseconds{0}, no_usage(), now);
     }
@@ -450,7 +450,7 @@
         this->decisions.task_over(attempt, end, run_time, used, now);
     }
     this->attempts.erase(found);
-    this->change(state_change::kind_type::task_ended, attempt.job, worker_name,
+    this->change(telemetry::event_kind::task_ended, attempt.job, worker_name,
                  attempt.text() + " " + std::string{core::to_string(end)});
     this->session.add(
         ledger::task_ended{.attempt = attempt, .end = end, .reason = reason, .at = this->wall()}, {},
@@ -551,7 +551,7 @@
     job.ending = result;
     this->decisions.remove_job(job.spec.id);
     this->stop_all(job, now);
-    this->change(state_change::kind_type::job_ended, job.spec.id, {}, std::string{core::to_string(result)});
+    this->change(telemetry::event_kind::job_ended, job.spec.id, {}, std::string{core::to_string(result)});
     this->session.add(
         ledger::job_ended{.job = job.spec.id, .result = result, .reason = reason, .at = this->wall()}, {},
         [this, watch = std::weak_ptr<bool>{this->alive}, id = job.spec.id](ledger::settlement settled) {
@@ -602,7 +602,7 @@
         return;
     }
     job.cancelled = true;
-    this->change(state_change::kind_type::job_cancelled, id, {}, "");
+    this->change(telemetry::event_kind::job_cancelled, id, {}, "");
     this->decisions.remove_job(id);
     this->stop_all(job, now);
     const bool certain = this->taken_over || !this->held_back.contains(id);
@@ -635,7 +635,7 @@
             send(platform::attempt_action::stop);
             worker->second.lease.hasten();
         }
-        this->change(state_change::kind_type::preempted, victim.attempt.job, victim.worker,
+        this->change(telemetry::event_kind::preempted, victim.attempt.job, victim.worker,
                      victim.attempt.text() + " for " + victim.for_job.text());
     }
 }
@@ -693,13 +693,12 @@
     return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-void job_runner::change(state_change::kind_type kind, const core::job_id& job, const core::worker_id& worker,
+void job_runner::change(telemetry::event_kind kind, const core::job_id& job, const core::worker_id& worker,
                         const std::string& detail) const {
-    this->hooks.on_change({.kind = kind,
-                           .job = job.key.empty() ? std::string{} : job.text(),
-                           .worker = worker.value(),
-                           .shard = std::to_string(this->options.shard.value()),
-                           .detail = detail});
+    this->hooks.on_change(kind, {.job = job.key.empty() ? std::string{} : job.text(),
+                                 .worker = worker,
+                                 .shard = this->options.shard,
+                                 .detail = detail});
 }
 
 } // namespace rattanmount::control
--- a/src/control/job_runner.h
+++ b/src/control/job_runner.h
@@ -143,7 +143,7 @@
     void end_job(live_job& job, core::outcome result, const std::string& reason, core::steady_time now);
     void stop_all(live_job& job, core::steady_time now);
     void preempt(core::steady_time now);
-    void change(state_change::kind_type kind, const core::job_id& job, const core::worker_id& worker,
+    void change(telemetry::event_kind kind, const core::job_id& job, const core::worker_id& worker,
                 const std::string& detail) const;
     [[nodiscard]] core::system_time wall() const { return this->hooks.wall_time(); }
 
--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -60,7 +60,7 @@
         this->run->tick(now);
         if (this->current == shard_phase::taking_over && this->run->complete()) {
             this->current = shard_phase::serving;
-            this->change(state_change::kind_type::shard_serving,
+            this->change(telemetry::event_kind::shard_serving,
                          "epoch " + std::to_string(this->epoch().value()));
         }
         this->move_waiting(now);
@@ -87,7 +87,7 @@
 
 void shard_keeper::claim(core::steady_time now) {
     this->current = shard_phase::claiming;
-    this->change(state_change::kind_type::shard_claimed,
+    this->change(telemetry::event_kind::shard_claimed,
                  "after epoch " + std::to_string(this->epoch().value()));
     this->session.add(ledger::shard_claimed{.previous = this->fold.epoch(), .host = this->options.host},
                       {.withdrawable = true, .alone = true}, [this, now](ledger::settlement settled) {
@@ -160,7 +160,7 @@
     if (!this->run) {
         return;
     }
-    this->change(state_change::kind_type::shard_lost, "epoch " + std::to_string(this->epoch().value()));
+    this->change(telemetry::event_kind::shard_lost, "epoch " + std::to_string(this->epoch().value()));
     this->run.reset();
     this->moving.clear();
     this->current = shard_phase::reading;
@@ -417,7 +417,7 @@
             continue;
         }
         this->run->drop(id);
-        this->change(state_change::kind_type::job_moved,
+        this->change(telemetry::event_kind::job_moved,
                      id.text() + " to shard " + std::to_string(target->value()));
         this->session.add(ledger::job_moved{.job = id, .to = *target}, {},
                           [this, id](ledger::settlement settled) {
@@ -477,8 +477,7 @@
 void shard_keeper::finish_release(core::steady_time now) {
     if (this->release_recorded) {
         this->run->release_leases(now);
-        this->change(state_change::kind_type::shard_released,
-                     "epoch " + std::to_string(this->epoch().value()));
+        this->change(telemetry::event_kind::shard_released, "epoch " + std::to_string(this->epoch().value()));
         this->run.reset();
         this->current = shard_phase::released;
         return;
@@ -508,9 +507,8 @@
     return view;
 }
 
-void shard_keeper::change(state_change::kind_type kind, const std::string& detail) const {
-    this->hooks.on_change(
-        {.kind = kind, .shard = std::to_string(this->options.shard.value()), .detail = detail});
+void shard_keeper::change(telemetry::event_kind kind, const std::string& detail) const {
+    this->hooks.on_change(kind, {.shard = this->options.shard, .detail = detail});
 }
 
 } // namespace rattanmount::control
--- a/src/control/shard_keeper.h
+++ b/src/control/shard_keeper.h
@@ -127,7 +127,7 @@
                 owner_responder respond);
     [[nodiscard]] cell::owner_answer answer_for(const ledger::job_entry& entry, core::steady_time now) const;
     [[nodiscard]] std::optional<cell::owner_answer> refusal_for(const core::job_spec& spec) const;
-    void change(state_change::kind_type kind, const std::string& detail) const;
+    void change(telemetry::event_kind kind, const std::string& detail) const;
 
     shard_keeper_options options;
     const host_hooks& hooks;
