--- /dev/null
+++ b/src/core/activity.cpp
@@ -0,0 +1,40 @@
+#include "core/activity.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace rattanmount::core {
+
+void activity::begin() {
+    const std::lock_guard lock{this->mutex};
+    this->count++;
+    this->last_change = std::chrono::steady_clock::now();
+}
+
+void activity::end() {
+    const std::lock_guard lock{this->mutex};
+    assert(this->count > 0);
+    this->count--;
+    this->last_change = std::chrono::steady_clock::now();
+    this->changed.notify_all();
+}
+
+std::uint32_t activity::running() {
+    const std::lock_guard lock{this->mutex};
+    return this->count;
+}
+
+bool activity::wait_quiet(milliseconds quiet_time, steady_time until) {
+    std::unique_lock lock{this->mutex};
+    for (;;) {
+        const auto now = std::chrono::steady_clock::now();
+        const bool quiet = this->count == 0 && now >= this->last_change + quiet_time;
+        if (quiet || now >= until) {
+            return quiet;
+        }
+        const auto next_check = this->count == 0 ? this->last_change + quiet_time : until;
+        this->changed.wait_until(lock, std::min(next_check, until));
+    }
+}
+
+} // namespace rattanmount::core
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -7,6 +7,7 @@
 /// Depends on: the standard library only.
 /// Threads: values only; each thread uses its own copies.
 
+#include "core/activity.h"
 #include "core/calls.h"
 #include "core/duration_text.h"
 #include "core/endpoint.h"
--- /dev/null
+++ b/src/front/connection_server.cpp
@@ -0,0 +1,173 @@
+#include "front/connection_server.h"
+
+#include "core/errors.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/SocketImpl.h>
+
+#include <algorithm>
+#include <cassert>
+#include <sys/socket.h>
+#include <utility>
+
+namespace rattanmount::front {
+
+namespace {
+
+constexpr int accept_backlog = 128;
+/// How long to wait after a failure to accept, which means that the process lacks descriptors.
+constexpr core::milliseconds accept_retry_delay{50};
+
+} // namespace
+
+connection_server::connection_server(connection_server_options options) : options(std::move(options)) {
+    assert(this->options.max_threads > 0 && this->options.max_queued > 0);
+    assert(this->options.serve && this->options.refuse && this->options.counters);
+}
+
+connection_server::~connection_server() {
+    this->stop_accepting();
+    this->finish(std::chrono::steady_clock::now());
+}
+
+void connection_server::start() {
+    assert(this->threads.empty());
+    try {
+        const Poco::Net::SocketAddress address{this->options.listen.address, this->options.listen.port};
+        this->socket.bind(address, true);
+        this->socket.listen(accept_backlog);
+        this->port = this->socket.address().port();
+    } catch (const Poco::Exception& error) {
+        throw core::unavailable("cannot listen on " + this->options.listen.text() + ": " +
+                                error.displayText());
+    }
+    this->accepting = true;
+    this->live_threads = this->options.max_threads + 1;
+    for (std::uint32_t i = 0; i < this->options.max_threads; i++) {
+        this->threads.emplace_back([this] { this->work(this->waiting, this->options.serve); });
+    }
+    this->threads.emplace_back([this] { this->work(this->refused, this->options.refuse); });
+    this->accept_thread = std::thread{[this] { this->accept_connections(); }};
+}
+
+void connection_server::stop_accepting() {
+    if (!this->accept_thread.joinable()) {
+        return;
+    }
+    {
+        const std::lock_guard lock{this->mutex};
+        this->accepting = false;
+    }
+    ::shutdown(this->socket.impl()->sockfd(), SHUT_RDWR);
+    this->queued.notify_all();
+    this->accept_thread.join();
+    this->socket.close();
+}
+
+void connection_server::finish(core::steady_time until) {
+    std::unique_lock lock{this->mutex};
+    assert(!this->accepting);
+    this->finishing = true;
+    this->queued.notify_all();
+    for (const auto& connection : this->open) {
+        connection.stop_reading();
+    }
+    const auto all_ended = [this] { return this->live_threads == 0; };
+    if (!this->thread_ended.wait_until(lock, until, all_ended)) {
+        this->waiting.clear();
+        this->refused.clear();
+        for (const auto& connection : this->open) {
+            connection.abort();
+        }
+    }
+    lock.unlock();
+    for (auto& thread : this->threads) {
+        thread.join();
+    }
+    this->threads.clear();
+}
+
+bool connection_server::crowded() const {
+    const std::lock_guard lock{this->mutex};
+    return !this->waiting.empty();
+}
+
+core::endpoint connection_server::endpoint() const {
+    return {.address = this->options.listen.address, .port = this->port, .path = ""};
+}
+
+void connection_server::accept_connections() {
+    for (;;) {
+        try {
+            this->enqueue(this->socket.acceptConnection());
+        } catch (const Poco::Exception&) {
+            std::unique_lock lock{this->mutex};
+            if (this->queued.wait_for(lock, accept_retry_delay, [this] { return !this->accepting; })) {
+                return;
+            }
+        }
+    }
+}
+
+void connection_server::enqueue(const Poco::Net::StreamSocket& socket) {
+    const std::lock_guard lock{this->mutex};
+    if (this->waiting.size() < this->options.max_queued) {
+        this->waiting.push_back(socket);
+        if (this->free_threads < this->waiting.size()) {
+            this->end_idle_connection();
+        }
+    } else if (this->refused.size() < this->options.max_queued) {
+        this->refused.push_back(socket);
+    } else {
+        this->options.counters->dropped_connections++;
+        return;
+    }
+    this->queued.notify_all();
+}
+
+void connection_server::work(socket_queue& queue,
+                             std::function<void(const Poco::Net::StreamSocket&, open_connection&)> serve) {
+    std::unique_lock lock{this->mutex};
+    const bool serves = &queue == &this->waiting;
+    for (;;) {
+        this->free_threads += serves ? 1 : 0;
+        this->queued.wait(lock, [&] { return !queue.empty() || this->finishing; });
+        this->free_threads -= serves ? 1 : 0;
+        if (queue.empty()) {
+            break;
+        }
+        const auto connected = std::move(queue.front());
+        queue.pop_front();
+        this->options.counters->connections++;
+        const auto entry = this->open.emplace(this->open.end(), connected.impl()->sockfd());
+        if (this->finishing) {
+            entry->stop_reading();
+        }
+        lock.unlock();
+        try {
+            serve(connected, *entry);
+        } catch (const std::exception&) {
+            // The connection failed; there is nobody left to tell.
+        }
+        lock.lock();
+        this->open.erase(entry);
+    }
+    this->live_threads--;
+    this->thread_ended.notify_all();
+}
+
+void connection_server::end_idle_connection() {
+    const open_connection* oldest = nullptr;
+    for (const auto& connection : this->open) {
+        if (connection.idle() && (oldest == nullptr || connection.since() < oldest->since())) {
+            oldest = &connection;
+        }
+    }
+    if (oldest != nullptr) {
+        oldest->stop_reading();
+    }
+}
+
+} // namespace rattanmount::front
--- /dev/null
+++ b/src/front/connection_server.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/time.h"
+#include "front/front_counters.h"
+#include "front/open_connection.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace rattanmount::front {
+
+/// What a connection_server is made of.
+struct connection_server_options {
+    core::endpoint listen;
+    std::uint32_t max_threads = 1;
+    std::uint32_t max_queued = 1;
+    /// Serves a connection until its end; called by worker threads, many at once.
+    std::function<void(const Poco::Net::StreamSocket&, open_connection&)> serve;
+    /// Refuses the one request of a connection; called by one thread.
+    std::function<void(const Poco::Net::StreamSocket&, open_connection&)> refuse;
+    std::shared_ptr<front_counters> counters;
+};
+
+/// Accepts connections and gives each to a thread of its own, with bounds for both.
+///
+/// A connection that finds all threads taken waits in a bounded queue, and the connection that has been idle
+/// the longest is closed for it. One that finds the queue full is refused by a thread that does nothing else.
+/// Owned by the front end; start(), stop_accepting() and finish() are called by one thread, in this order.
+class connection_server {
+public:
+    explicit connection_server(connection_server_options options);
+    ~connection_server();
+
+    connection_server(const connection_server&) = delete;
+    connection_server& operator=(const connection_server&) = delete;
+
+    /// Listens and serves from here on.
+    /// @throws core::unavailable where the address cannot be listened on.
+    void start();
+
+    /// Closes the listening socket. Connections that are open or queued are still served.
+    void stop_accepting();
+
+    /// Lets the open connections end after what they have received, and ends the threads.
+    /// @param until when connections that are still served are cut.
+    void finish(core::steady_time until);
+
+    /// @return whether connections wait for a thread, so that served ones had better end.
+    [[nodiscard]] bool crowded() const;
+
+    /// @return where it listens, with the port that was taken.
+    [[nodiscard]] core::endpoint endpoint() const;
+
+private:
+    using socket_queue = std::deque<Poco::Net::StreamSocket>;
+
+    void accept_connections();
+    void enqueue(const Poco::Net::StreamSocket& socket);
+    void work(socket_queue& queue,
+              std::function<void(const Poco::Net::StreamSocket&, open_connection&)> serve);
+    /// Makes the connection that has been idle the longest end. Needs the lock.
+    void end_idle_connection();
+
+    connection_server_options options;
+    Poco::Net::ServerSocket socket;
+    std::uint16_t port = 0;
+
+    mutable std::mutex mutex; ///< Guards all below but the threads.
+    std::condition_variable queued;
+    std::condition_variable thread_ended;
+    socket_queue waiting;
+    socket_queue refused;
+    std::list<open_connection> open;
+    std::uint32_t free_threads = 0;
+    std::uint32_t live_threads = 0;
+    bool accepting = false;
+    bool finishing = false;
+
+    std::thread accept_thread;
+    std::vector<std::thread> threads;
+};
+
+} // namespace rattanmount::front
--- /dev/null
+++ b/src/front/request_handler.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/activity.h"
+#include "core/time.h"
+#include "front/front_counters.h"
+#include "front/http_message.h"
+#include "front/open_connection.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include <cstddef>
+#include <functional>
+
+namespace rattanmount::front {
+
+/// What request_handlers are made of; shared by all of one front end.
+struct request_handler_options {
+    std::function<http_reply(const http_request&)> handle; ///< Finds the answer to a whole request.
+    std::function<bool()> may_keep_alive; ///< Whether the connection may stay open after the answer.
+    std::size_t max_body_bytes = 0;
+    core::milliseconds receive_limit{0};
+    front_counters& counters;
+    core::activity& requests;
+    open_connection& connection;
+};
+
+/// Reads one request from a connection, whole or not at all, and writes its answer.
+///
+/// Made by Poco for each request; runs on the thread of the connection.
+class request_handler : public Poco::Net::HTTPRequestHandler {
+public:
+    explicit request_handler(const request_handler_options& options);
+    ~request_handler() override;
+
+    request_handler(const request_handler&) = delete;
+    request_handler& operator=(const request_handler&) = delete;
+
+    void handleRequest(Poco::Net::HTTPServerRequest& request,
+                       Poco::Net::HTTPServerResponse& response) override;
+
+private:
+    [[nodiscard]] http_reply answer(Poco::Net::HTTPServerRequest& request) const;
+    void send(const http_reply& reply, Poco::Net::HTTPServerResponse& response) const;
+
+    const request_handler_options& options;
+};
+
+} // namespace rattanmount::front
--- /dev/null
+++ b/src/front/strict_json.cpp
@@ -0,0 +1,69 @@
+#include "front/strict_json.h"
+
+#include "core/errors.h"
+
+#include <set>
+#include <vector>
+
+namespace rattanmount::front {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int max_depth = 32;
+
+/// Follows the parser and refuses a field that its object already has.
+class duplicate_check {
+public:
+    bool operator()(int depth, json::parse_event_t event, const json& parsed) {
+        if (depth > max_depth) {
+            throw core::invalid_argument("JSON is nested deeper than " + std::to_string(max_depth) +
+                                         " levels");
+        }
+        if (event == json::parse_event_t::object_start) {
+            this->open_objects.emplace_back();
+        } else if (event == json::parse_event_t::object_end) {
+            this->open_objects.pop_back();
+        } else if (event == json::parse_event_t::key) {
+            this->take_key(parsed.get_ref<const std::string&>());
+        }
+        return true;
+    }
+
+private:
+    void take_key(const std::string& key) {
+        if (!this->open_objects.back().insert(key).second) {
+            throw core::invalid_argument(key + ": the field is there twice");
+        }
+    }
+
+    std::vector<std::set<std::string>> open_objects;
+};
+
+/// @return the message of the JSON library without the number of its error.
+std::string plain_message(const json::exception& error) {
+    const std::string message = error.what();
+    const auto end_of_number = message.find("] ");
+    return end_of_number == std::string::npos ? message : message.substr(end_of_number + 2);
+}
+
+} // namespace
+
+json parse_json(const std::string& text) {
+    duplicate_check check;
+    try {
+        return json::parse(text, [&check](int depth, json::parse_event_t event, const json& parsed) {
+            return check(depth, event, parsed);
+        });
+    } catch (const json::exception& error) {
+        throw core::invalid_argument("not valid JSON: " + plain_message(error));
+    }
+}
+
+std::string write_json(const json& value) {
+    constexpr int on_one_line = -1;
+    return value.dump(on_one_line, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace rattanmount::front
--- a/src/inner/accepted_socket.cpp
+++ b/src/inner/accepted_socket.cpp
@@ -1,7 +1,6 @@
 #include "inner/accepted_socket.h"
 
 #include <sys/socket.h>
-
 #include <utility>
 
 namespace rattanmount::inner {
--- a/src/inner/conversion.cpp
+++ b/src/inner/conversion.cpp
@@ -262,9 +262,8 @@
     if (message.port < 0 || message.port > std::numeric_limits<std::uint16_t>::max()) {
         throw core::invalid_argument("endpoint.port: not a port: " + std::to_string(message.port));
     }
-    return {.address = message.address,
-            .port = static_cast<std::uint16_t>(message.port),
-            .path = message.path};
+    return {
+        .address = message.address, .port = static_cast<std::uint16_t>(message.port), .path = message.path};
 }
 
 gen::peer_view to_wire(const cell::peer_view& value) {
@@ -372,9 +371,8 @@
         return {};
     }
     require(message.__isset.answer, "owner_answer.answer");
-    return {.owner = true,
-            .answer = job_answer_from_wire(message.answer),
-            .explanation = message.explanation};
+    return {
+        .owner = true, .answer = job_answer_from_wire(message.answer), .explanation = message.explanation};
 }
 
 gen::quick_request to_wire(const core::quick_request& value) {
--- a/src/inner/conversion.h
+++ b/src/inner/conversion.h
@@ -9,8 +9,8 @@
 /// @file
 /// Conversion between core types and the messages of the inner protocol.
 ///
-/// Pure functions; any thread may call them. Every from_wire() throws core::invalid_argument, naming the field,
-/// where a field is missing, a number is out of its range, or an enumeration has no such value.
+/// Pure functions; any thread may call them. Every from_wire() throws core::invalid_argument, naming the
+/// field, where a field is missing, a number is out of its range, or an enumeration has no such value.
 
 [[nodiscard]] gen::resources to_wire(const core::resources& value);
 [[nodiscard]] core::resources from_wire(const gen::resources& message);
--- a/src/inner/deadline_socket.cpp
+++ b/src/inner/deadline_socket.cpp
@@ -1,7 +1,6 @@
 #include "inner/deadline_socket.h"
 
 #include <poll.h>
-
 #include <utility>
 
 namespace rattanmount::inner {
@@ -47,7 +46,8 @@
 }
 
 int deadline_socket::remaining() const {
-    const auto left = std::chrono::ceil<core::milliseconds>(this->deadline - std::chrono::steady_clock::now());
+    const auto left =
+        std::chrono::ceil<core::milliseconds>(this->deadline - std::chrono::steady_clock::now());
     if (left.count() <= 0) {
         throw TTransportException(TTransportException::TIMED_OUT, "the call's time limit has passed");
     }
--- a/src/inner/inner_client.cpp
+++ b/src/inner/inner_client.cpp
@@ -15,11 +15,12 @@
 using core::milliseconds;
 
 std::shared_ptr<call_runner> make_runner(const inner_client_options& options, std::uint32_t max_connections) {
-    return std::make_shared<call_runner>(connection_pool_options{.peer = options.peer,
-                                                                 .max_connections = max_connections,
-                                                                 .idle_limit = options.idle_limit,
-                                                                 .limits = make_limits(options.max_message_bytes),
-                                                                 .counters = options.counters});
+    return std::make_shared<call_runner>(
+        connection_pool_options{.peer = options.peer,
+                                .max_connections = max_connections,
+                                .idle_limit = options.idle_limit,
+                                .limits = make_limits(options.max_message_bytes),
+                                .counters = options.counters});
 }
 
 /// Reads an answer; one that cannot be read says nothing of the call's fate.
--- a/src/inner/inner_server.cpp
+++ b/src/inner/inner_server.cpp
@@ -66,9 +66,9 @@
     auto processor = std::make_shared<gen::peer_serviceProcessor>(
         std::make_shared<service_handler>(this->options.calls, this->options.counters));
     processor->setEventHandler(this->tracker);
-    this->server = std::make_unique<TThreadedServer>(
-        processor, this->socket, std::make_shared<framing_factory>(limits),
-        std::make_shared<TCompactProtocolFactory>());
+    this->server =
+        std::make_unique<TThreadedServer>(processor, this->socket, std::make_shared<framing_factory>(limits),
+                                          std::make_shared<TCompactProtocolFactory>());
     this->server->setConcurrentClientLimit(this->options.max_connections);
 
     const auto signal = std::make_shared<start_signal>();
@@ -96,7 +96,7 @@
     }
     const auto until = std::chrono::steady_clock::now() + grace;
     this->socket->interrupt();
-    const bool quiet = this->tracker->wait_quiet(this->options.quiet_time, until);
+    const bool quiet = this->tracker->calls.wait_quiet(this->options.quiet_time, until);
     this->socket->for_each_connection([quiet](accepted_socket& connection) {
         if (quiet) {
             connection.stop_reading();
--- a/src/inner/inner_server.h
+++ b/src/inner/inner_server.h
@@ -51,8 +51,8 @@
 
     /// Takes no new connections, lets the calls that run and those that still arrive on open connections end,
     /// and closes the connections. Returns when no hook runs any more.
-    /// @param grace how long calls may take to end; connections are cut after it, and the hooks that still run
-    /// are awaited, which their own limits bound.
+    /// @param grace how long calls may take to end; connections are cut after it, and the hooks that still
+    /// run are awaited, which their own limits bound.
     void stop(core::milliseconds grace);
 
     /// @return where it listens, with the port that was taken.
--- a/src/inner/service_handler.cpp
+++ b/src/inner/service_handler.cpp
@@ -89,9 +89,8 @@
 
 void service_handler::quick(gen::owner_quick_answer& answer, std::int64_t shard,
                             const gen::quick_request& request) {
-    this->carry_out(this->calls.quick, [&] {
-        answer = to_wire(this->calls.quick(shard_from(shard), from_wire(request)));
-    });
+    this->carry_out(this->calls.quick,
+                    [&] { answer = to_wire(this->calls.quick(shard_from(shard), from_wire(request))); });
 }
 
 void service_handler::take_job(gen::owner_answer& answer, std::int64_t shard, const gen::job_spec& spec,
