--- a/tests/end_to_end/cell_fixture.cpp
+++ b/tests/end_to_end/cell_fixture.cpp
@@ -53,6 +53,13 @@
 
 } // namespace
 
+std::string text_of(const nlohmann::json& object, const std::string& field) {
+    const bool present = object.is_object() && object.contains(field) && object.at(field).is_string();
+    return present ? object.at(field).get<std::string>() : "";
+}
+
+std::string http_result::text(const std::string& field) const { return text_of(this->body, field); }
+
 bool wait_until(const std::function<bool()>& holds, std::chrono::milliseconds limit) {
     const auto deadline = std::chrono::steady_clock::now() + limit;
     while (!holds()) {
@@ -190,6 +197,7 @@
                                        {"timeout", "500ms"}};
     settings["membership"] = {
         {"heartbeat_interval", "300ms"}, {"suspect_after", "1500ms"}, {"startup_wait", "1s"}};
+    settings["log"] = {{"level", "error"}};
     return settings.dump(2);
 }
 
@@ -285,7 +293,7 @@
     wait_until(
         [&] {
             last = http("GET", this->front_port(host), "/v1/jobs/tabua/" + key).body;
-            return last.is_object() && last.value("state", "") == "ended";
+            return text_of(last, "state") == "ended";
         },
         limit);
     return last;
--- a/tests/end_to_end/cell_fixture.h
+++ b/tests/end_to_end/cell_fixture.h
@@ -17,8 +17,17 @@
 struct http_result {
     int status = 0; ///< 0: no answer.
     nlohmann::json body;
+
+    /// @param field the name of a field of the body.
+    /// @return its text; "" where it is none.
+    [[nodiscard]] std::string text(const std::string& field) const;
 };
 
+/// @param object a JSON object.
+/// @param field the name of a field.
+/// @return its text; "" where it is none.
+std::string text_of(const nlohmann::json& object, const std::string& field);
+
 /// Calls a process over HTTP.
 /// @param method "GET", "POST", "PUT" or "DELETE".
 /// @param port where it listens on 127.0.0.1.
--- /dev/null
+++ b/tests/end_to_end/journal_checks.cpp
@@ -0,0 +1,70 @@
+#include "tests/end_to_end/journal_checks.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <map>
+
+namespace rattanmount::tests {
+
+namespace {
+
+struct run_interval {
+    std::int64_t from = 0;
+    std::int64_t to = std::numeric_limits<std::int64_t>::max();
+    std::string attempt;
+};
+
+std::int64_t at_ms(const nlohmann::json& item) { return item.at("ms").get<std::int64_t>(); }
+
+std::map<std::string, std::vector<run_interval>> runs_by_task(const std::vector<nlohmann::json>& journal) {
+    std::map<std::string, run_interval> by_attempt;
+    for (const auto& item : journal) {
+        const auto kind = item.at("kind").get<std::string>();
+        if (kind == "start") {
+            const auto attempt = item.at("id").get<std::string>();
+            by_attempt[attempt].from = at_ms(item);
+            by_attempt[attempt].attempt = attempt;
+        }
+        if (kind == "end") {
+            by_attempt[item.at("id").get<std::string>()].to = at_ms(item);
+        }
+    }
+    std::map<std::string, std::vector<run_interval>> by_task;
+    for (const auto& [attempt, run] : by_attempt) {
+        by_task[attempt.substr(0, attempt.rfind('.'))].push_back(run);
+    }
+    return by_task;
+}
+
+std::size_t violations(const std::vector<nlohmann::json>& journal) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        journal, [](const auto& item) { return item.at("kind").template get<std::string>() == "violation"; }));
+}
+
+} // namespace
+
+std::size_t starts_of(const std::vector<nlohmann::json>& journal, const std::string& job) {
+    return static_cast<std::size_t>(std::ranges::count_if(journal, [&](const auto& item) {
+        return item.at("kind").template get<std::string>() == "start" &&
+               item.at("id").template get<std::string>().starts_with(job + "#");
+    }));
+}
+
+void check_invariants(const std::vector<nlohmann::json>& workers,
+                      const std::vector<nlohmann::json>& executors) {
+    CHECK(violations(workers) == 0);
+    CHECK(violations(executors) == 0);
+    for (auto& [task, runs] : runs_by_task(workers)) {
+        auto sorted = runs;
+        std::ranges::sort(sorted, {}, &run_interval::from);
+        for (std::size_t index = 1; index < sorted.size(); ++index) {
+            INFO(sorted[index - 1].attempt << " and " << sorted[index].attempt << " run at once");
+            CHECK(sorted[index - 1].to <= sorted[index].from);
+        }
+    }
+}
+
+} // namespace rattanmount::tests
