Test the codec and the folds

Cause: the folds are the meaning of the log, so every process must come to the same state. Conclusion: sequences that come from a record's index make the states of two batchings comparable in full.

--- /dev/null
+++ b/tests/ledger/config_fold_test.cpp
@@ -0,0 +1,186 @@
+#include "core/errors.h"
+#include "ledger/codec.h"
+#include "ledger/config_fold.h"
+#include "tests/ledger/test_records.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace rattanmount;
+using namespace rattanmount::test;
+using ledger::config_fold;
+using verdict = ledger::config_fold::verdict;
+
+namespace {
+
+release::release_note note_on(const std::string& id, const std::string& pool, release::item_change change,
+                              std::uint64_t replaces, std::uint32_t priority = 5) {
+    release::pool_policy policy;
+    policy.name = core::pool_id{pool};
+    policy.priority = priority;
+    release::note_item item{.change = change, .replaces = core::revision_id{replaces}, .policy = policy};
+    return {.id = core::note_id{id}, .author = "ana", .items = {item}};
+}
+
+ledger::note_proposed proposed(const release::release_note& note) {
+    return {.note = note, .at = at_second(1)};
+}
+
+ledger::record random_config_record(random_engine& random, std::size_t index) {
+    if (chance(random, 20)) {
+        return ledger::rack_assigned{.rack = core::rack_id{"r" + std::to_string(pick(random, 6))},
+                                     .shard = core::shard_id{pick(random, 4)}};
+    }
+    const std::string id = "n" + std::to_string(chance(random, 80) ? index : pick(random, index + 1));
+    const std::string pool = "p" + std::to_string(pick(random, 4));
+    const auto change = static_cast<release::item_change>(pick(random, 3));
+    return proposed(
+        note_on(id, pool, change, pick(random, 4), static_cast<std::uint32_t>(pick(random, 1100))));
+}
+
+std::vector<ledger::record_batch> random_batches(random_engine& random, std::size_t length) {
+    std::vector<ledger::record_batch> batches;
+    for (std::size_t index = 0; index < length; ++index) {
+        const std::string producer(1, static_cast<char>('a' + pick(random, 5)));
+        batches.push_back(batch_of(producer, index + 1, 0, {random_config_record(random, index)}));
+        while (chance(random, 30)) {
+            batches.back().records.push_back(random_config_record(random, index));
+        }
+        if (chance(random, 20)) {
+            batches.push_back(batches[pick(random, batches.size())]);
+        }
+    }
+    return batches;
+}
+
+} // namespace
+
+TEST_CASE("the first record for a rack counts") {
+    config_fold fold;
+    const auto assign = [](std::uint64_t shard) {
+        return ledger::rack_assigned{.rack = core::rack_id{"r1"}, .shard = core::shard_id{shard}};
+    };
+    fold.apply(core::log_offset{0}, batch_of("a", 1, 0, {assign(3)}));
+    fold.apply(core::log_offset{1}, batch_of("b", 1, 0, {assign(4)}));
+    CHECK(fold.shard_of(core::rack_id{"r1"}) == core::shard_id{3});
+    CHECK_FALSE(fold.shard_of(core::rack_id{"r2"}));
+}
+
+TEST_CASE("a note gets one result for good and another body under its id is refused") {
+    config_fold fold;
+    const auto add = note_on("n1", "p", release::item_change::add, 0);
+    const auto change = note_on("n2", "p", release::item_change::change, 1, 9);
+    fold.apply(core::log_offset{0}, batch_of("a", 1, 0, {proposed(add)}));
+    fold.apply(core::log_offset{1}, batch_of("b", 1, 0, {proposed(change), proposed(add)}));
+    fold.apply(core::log_offset{2}, batch_of("c", 1, 0, {proposed(change)}));
+    REQUIRE(fold.note(core::note_id{"n1"}) != nullptr);
+    CHECK(fold.note(core::note_id{"n1"})->accepted);
+    CHECK(fold.answer_to(change)->accepted);
+    CHECK(fold.offset_of(core::note_id{"n2"}) == core::log_offset{1});
+    CHECK(fold.policies().revision(core::pool_id{"p"}) == core::revision_id{2});
+
+    auto other = change;
+    other.author = "ben";
+    fold.apply(core::log_offset{3}, batch_of("c", 2, 0, {proposed(other)}));
+    CHECK(fold.answer_to(change)->accepted);
+    CHECK_FALSE(fold.answer_to(other)->accepted);
+    CHECK(fold.answer_to(other)->reason.find("another note") != std::string::npos);
+    CHECK_FALSE(fold.answer_to(note_on("n9", "p", release::item_change::add, 0)));
+}
+
+TEST_CASE("of two notes on the same revision the first in the log wins and the other learns by whom") {
+    config_fold fold;
+    fold.apply(core::log_offset{0},
+               batch_of("a", 1, 0, {proposed(note_on("n1", "p", release::item_change::add, 0))}));
+    const auto first = note_on("n2", "p", release::item_change::change, 1, 7);
+    const auto second = note_on("n3", "p", release::item_change::withdraw, 1);
+    fold.apply(core::log_offset{1}, batch_of("a", 2, 0, {proposed(first)}));
+    fold.apply(core::log_offset{2}, batch_of("b", 1, 0, {proposed(second)}));
+    CHECK(fold.answer_to(first)->accepted);
+    CHECK_FALSE(fold.answer_to(second)->accepted);
+    CHECK(fold.answer_to(second)->reason.find("'n2' of ana") != std::string::npos);
+    CHECK(fold.policies().pool(core::pool_id{"p"})->priority == 7);
+}
+
+TEST_CASE("results of notes are kept up to the limit and a late copy of a forgotten one reverts nothing") {
+    config_fold fold;
+    const auto add = batch_of("a", 1, 0, {proposed(note_on("first", "p", release::item_change::add, 0))});
+    fold.apply(core::log_offset{0}, add);
+    fold.apply(core::log_offset{1},
+               batch_of("a", 2, 0, {proposed(note_on("gone", "p", release::item_change::withdraw, 1))}));
+    std::uint64_t offset = 2;
+    for (std::size_t index = 0; index < config_fold::kept_notes; ++index) {
+        const auto note = note_on("n" + std::to_string(index), "q", release::item_change::change, 77);
+        fold.apply(core::log_offset{offset}, batch_of("b", offset, 0, {proposed(note)}));
+        ++offset;
+    }
+    CHECK(fold.note(core::note_id{"first"}) == nullptr);
+    CHECK(fold.note(core::note_id{"n0"}) != nullptr);
+    CHECK(fold.apply(core::log_offset{offset}, add) == verdict::repeat);
+    CHECK(fold.apply(core::log_offset{offset + 1}, batch_of("z", 1, 0, add.records)) == verdict::counted);
+    CHECK(fold.policies().pool(core::pool_id{"p"}) == nullptr);
+    CHECK(fold.state_bytes() < 2'000'000);
+}
+
+TEST_CASE("a snapshot of the configuration at any point and the rest give the same state as the whole") {
+    for (unsigned seed = 1; seed <= 25; ++seed) {
+        random_engine random{seed};
+        config_fold whole;
+        std::map<std::uint64_t, config_fold> parts;
+        std::uint64_t offset = 0;
+        std::uint64_t sequence = 1'000'000;
+        const auto apply_to_all = [&](const ledger::record_batch& batch) {
+            const auto read = ledger::decode(ledger::encode(batch));
+            whole.apply(core::log_offset{offset}, read);
+            for (auto& [from, part] : parts) {
+                part.apply(core::log_offset{offset}, read);
+            }
+            ++offset;
+        };
+        for (const auto& batch : random_batches(random, 120)) {
+            apply_to_all(batch);
+            if (chance(random, 10)) {
+                parts[offset].reset();
+                apply_to_all(batch_of(
+                    "s", ++sequence, 0,
+                    {ledger::snapshot_taken{.state = whole.state(), .at = core::log_offset{offset}}}));
+            }
+        }
+        REQUIRE(parts.size() > 3);
+        for (const auto& [from, part] : parts) {
+            CHECK(part.anchored());
+            CHECK(part.state() == whole.state());
+        }
+        config_fold peer;
+        peer.load(whole.state(), whole.next());
+        CHECK(peer.state() == whole.state());
+        CHECK(peer.policies() == whole.policies());
+        CHECK(peer.next() == whole.next());
+    }
+}
+
+TEST_CASE("a snapshot that another entry came before does not anchor a reader") {
+    config_fold fold;
+    const auto add = proposed(note_on("n1", "p", release::item_change::add, 0));
+    const auto snapshot =
+        batch_of("b", 1, 0, {ledger::snapshot_taken{.state = fold.state(), .at = core::log_offset{1}}});
+    fold.apply(core::log_offset{0}, batch_of("a", 1, 0, {add}));
+    fold.apply(core::log_offset{1}, batch_of("a", 2, 0, {add}));
+    CHECK(fold.apply(core::log_offset{2}, snapshot) == verdict::missed);
+    config_fold late;
+    late.reset();
+    CHECK(late.apply(core::log_offset{2}, snapshot) == verdict::unanchored);
+    CHECK_FALSE(late.anchored());
+}
+
+TEST_CASE("a state that cannot be read leaves the fold as it was") {
+    config_fold fold;
+    fold.apply(core::log_offset{0},
+               batch_of("a", 1, 0, {proposed(note_on("n1", "p", release::item_change::add, 0))}));
+    const std::string before = fold.state();
+    CHECK_THROWS_AS(fold.load(before.substr(0, before.size() / 2), core::log_offset{8}),
+                    core::invalid_argument);
+    CHECK(fold.state() == before);
+    CHECK(fold.next() == core::log_offset{1});
+}
