--- a/src/release/note_text.cpp
+++ b/src/release/note_text.cpp
@@ -195,11 +195,10 @@
 /// Writes one name as the item that would change it, or add it anew, with who changed it last.
 template <typename Policy>
 json to_json(const policy_record<Policy>& record, const char* kind) {
-    return {{"change", to_string(record.in_force ? item_change::change : item_change::add)},
-            {"replaces", record.revision.value()},
-            {kind, to_json(record.last)},
-            {"changed_by", record.changed_by.value()},
-            {"author", record.author}};
+    const item_change change = record.in_force ? item_change::change : item_change::add;
+    json item = {
+        {"change", to_string(change)}, {"replaces", record.revision.value()}, {kind, to_json(record.last)}};
+    return {{"item", std::move(item)}, {"changed_by", record.changed_by.value()}, {"author", record.author}};
 }
 
 } // namespace
--- a/src/release/note_text.h
+++ b/src/release/note_text.h
@@ -24,10 +24,11 @@
 ///         values out of range.
 [[nodiscard]] release_note parse_note(const std::string& json);
 
-/// Writes the policies in force for operators, each with its revision, so that a note can be written
-/// against it, and the names that were withdrawn with theirs.
+/// Writes the policies in force for operators, and the last ones of the names that were withdrawn.
 /// @param book the policies.
-/// @return a JSON object with pools, teams and withdrawn names.
+/// @return a JSON object with the lists "in_force" and "withdrawn". Each element has the note and author
+///         that changed it last and an "item": what a note would hold that changes it, or adds it anew,
+///         against the revision found.
 [[nodiscard]] std::string format_policies(const policy_book& book);
 
 } // namespace rattanmount::release
--- /dev/null
+++ b/tests/ledger/fake_log.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "platform/log_service.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rattanmount::test {
+
+/// One stream of a log service, in memory.
+class fake_log {
+public:
+    core::log_offset append(const std::string& bytes) {
+        this->entries.push_back(bytes);
+        return core::log_offset{this->entries.size() - 1};
+    }
+
+    platform::read_reply read(core::log_offset from, std::size_t most = 1000) const {
+        platform::read_reply reply;
+        reply.available = true;
+        reply.first = core::log_offset{this->oldest};
+        reply.next = core::log_offset{this->entries.size()};
+        std::uint64_t offset = std::max(from.value(), this->oldest);
+        while (offset < this->entries.size() && reply.entries.size() < most) {
+            reply.entries.push_back({.offset = core::log_offset{offset}, .bytes = this->entries[offset]});
+            ++offset;
+        }
+        return reply;
+    }
+
+    void expire(std::uint64_t first_kept) { this->oldest = std::max(this->oldest, first_kept); }
+
+    std::uint64_t first() const { return this->oldest; }
+    std::uint64_t next() const { return this->entries.size(); }
+    const std::string& at(std::uint64_t offset) const { return this->entries.at(offset); }
+
+private:
+    std::vector<std::string> entries;
+    std::uint64_t oldest = 0;
+};
+
+} // namespace rattanmount::test
--- /dev/null
+++ b/tests/ledger/stream_session_test.cpp
@@ -0,0 +1,397 @@
+#include "ledger/codec.h"
+#include "ledger/shard_fold.h"
+#include "ledger/stream_session.h"
+#include "tests/ledger/fake_log.h"
+#include "tests/ledger/test_records.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace rattanmount;
+using namespace rattanmount::test;
+using ledger::settlement;
+using ledger::stream_session;
+using platform::append_fate;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A session of producer "a" on a log, which moves the time by hand.
+class bench {
+public:
+    bench() : session(this->options()) {}
+
+    void add(const std::string& key, bool withdrawable = false) {
+        this->session.add(accepted(key), {.withdrawable = withdrawable},
+                          [this, key](settlement result) { this->settled.emplace_back(key, result); });
+    }
+
+    /// Claims the shard and sets the session's epoch.
+    void claim() {
+        this->session.add(claim_of(this->fold.epoch().value(), "a"), {.alone = true}, {});
+        this->append_and_store();
+        this->session.set_epoch(this->fold.epoch());
+    }
+
+    /// Makes the append that must be due.
+    ledger::append_request due_append() {
+        this->now += milliseconds{1000};
+        auto request = this->session.next_append(this->now);
+        REQUIRE(request);
+        return *request;
+    }
+
+    bool append_due() {
+        this->now += milliseconds{1000};
+        return this->session.next_append(this->now).has_value();
+    }
+
+    void reply(const ledger::append_request& request, append_fate fate, std::uint64_t offset = 0) {
+        this->session.on_append(request.sequence, {.fate = fate, .offset = core::log_offset{offset}},
+                                this->now);
+    }
+
+    void append_and_store() {
+        const auto request = this->due_append();
+        this->reply(request, append_fate::done, this->log.append(request.bytes).value());
+    }
+
+    void read(std::size_t most = 1000) {
+        this->session.request_read();
+        this->now += milliseconds{1000};
+        const auto request = this->session.next_read(this->now);
+        REQUIRE(request);
+        this->session.on_read(request->from, this->log.read(request->from, most), this->now);
+    }
+
+    void rival_writes(std::uint64_t sequence, std::uint64_t epoch, ledger::record item) {
+        this->log.append(ledger::encode(batch_of("b", sequence, epoch, {std::move(item)})));
+    }
+
+    ledger::session_options options() {
+        return {.producer = core::incarnation_id{"a"},
+                .stream = core::stream_id{"shard-1"},
+                .max_records_per_batch = 3,
+                .apply =
+                    [this](core::log_offset offset, const ledger::record_batch& batch) {
+                        return ledger::shard_fold::stands(this->fold.apply(offset, batch));
+                    },
+                .reset = [this] { this->fold.reset(); },
+                .state = [this] { return this->fold.state(); }};
+    }
+
+    fake_log log;
+    ledger::shard_fold fold{core::shard_id{1}};
+    stream_session session;
+    core::steady_time now{std::chrono::hours{1}};
+    std::vector<std::pair<std::string, settlement>> settled;
+};
+
+using results = std::vector<std::pair<std::string, settlement>>;
+
+} // namespace
+
+TEST_CASE("an append at the next offset is applied and settled at once, without a read") {
+    bench host;
+    host.claim();
+    host.add("k1");
+    host.append_and_store();
+    CHECK(host.settled == results{{"k1", settlement::recorded}});
+    CHECK(host.fold.find(job_named("k1")) != nullptr);
+    CHECK(host.session.next() == core::log_offset{2});
+    CHECK(host.session.pending() == 0);
+    CHECK(host.session.log_available());
+}
+
+TEST_CASE("records are committed in groups, at most one append under way and none before its time") {
+    bench host;
+    host.claim();
+    const auto start = host.now;
+    REQUIRE(host.session.next_read(start));
+    host.session.on_read(host.session.next(), host.log.read(host.session.next()), start);
+    for (const char* key : {"k1", "k2", "k3", "k4"}) {
+        host.add(key);
+    }
+    CHECK_FALSE(host.session.next_append(start + milliseconds{99}));
+    CHECK(host.session.next_deadline(start) == start + milliseconds{100});
+    const auto request = host.session.next_append(start + milliseconds{100});
+    REQUIRE(request);
+    CHECK(ledger::decode(request->bytes).records.size() == 3);
+    CHECK_FALSE(host.append_due());
+    host.reply(*request, append_fate::done, host.log.append(request->bytes).value());
+    CHECK(host.settled.size() == 3);
+    host.append_and_store();
+    CHECK(host.settled.size() == 4);
+}
+
+TEST_CASE("a batch holds no more bytes than the limit and records of one epoch only") {
+    bench host;
+    auto options = host.options();
+    options.max_bytes_per_batch = 150;
+    stream_session small{options};
+    small.add(accepted("k1"), {}, {});
+    small.add(accepted("k2"), {}, {});
+    small.add(accepted("k3"), {}, {});
+    const auto first = small.next_append(host.now);
+    REQUIRE(first);
+    CHECK(ledger::decode(first->bytes).records.size() == 2);
+
+    host.session.set_epoch(core::epoch_id{4});
+    host.add("old");
+    host.session.set_epoch(core::epoch_id{6});
+    host.add("new");
+    const auto batch = ledger::decode(host.due_append().bytes);
+    CHECK(batch.records.size() == 1);
+    CHECK(batch.epoch == core::epoch_id{4});
+}
+
+TEST_CASE("a claim goes alone") {
+    bench host;
+    host.add("before");
+    host.session.add(claim_of(0, "a"), {.alone = true}, {});
+    host.add("after");
+    CHECK(ledger::decode(host.due_append().bytes).records.size() == 1);
+}
+
+TEST_CASE("an append that took effect without an answer is settled by reading it") {
+    bench host;
+    host.claim();
+    host.add("k1", true);
+    const auto request = host.due_append();
+    host.log.append(request.bytes);
+    host.reply(request, append_fate::unknown);
+    CHECK_FALSE(host.session.caught_up());
+    CHECK_FALSE(host.session.log_available());
+    host.session.give_up_withdrawable();
+    CHECK(host.settled.empty());
+    host.read();
+    CHECK(host.settled == results{{"k1", settlement::recorded}});
+    CHECK(host.session.caught_up());
+    CHECK_FALSE(host.append_due());
+}
+
+TEST_CASE("an append of unknown fate is made again unchanged until a copy stands, and counts once") {
+    bench host;
+    host.claim();
+    host.add("k1");
+    const auto first = host.due_append();
+    host.reply(first, append_fate::unknown);
+    CHECK_FALSE(host.session.next_append(host.now + milliseconds{199}));
+    const auto second = host.due_append();
+    CHECK(second.bytes == first.bytes);
+    CHECK(second.sequence == first.sequence);
+    host.log.append(first.bytes);
+    host.reply(second, append_fate::done, host.log.append(second.bytes).value());
+    CHECK(host.settled.empty());
+    host.read();
+    CHECK(host.settled == results{{"k1", settlement::recorded}});
+    host.log.append(first.bytes);
+    host.read();
+    CHECK(host.settled.size() == 1);
+    CHECK(host.session.next() == core::log_offset{4});
+}
+
+TEST_CASE("a refused append is no proof of absence when an earlier one of the batch has no known fate") {
+    bench host;
+    host.claim();
+    host.add("k1", true);
+    const auto first = host.due_append();
+    host.reply(first, append_fate::unknown);
+    host.reply(host.due_append(), append_fate::absent);
+    host.session.give_up_withdrawable();
+    CHECK(host.settled.empty());
+    host.log.append(first.bytes);
+    host.read();
+    CHECK(host.settled == results{{"k1", settlement::recorded}});
+}
+
+TEST_CASE("a batch that is certainly absent is taken apart") {
+    bench host;
+    host.claim();
+    host.add("give", true);
+    host.add("keep");
+    const auto first = host.due_append();
+    host.add("later");
+    host.reply(first, append_fate::absent);
+    CHECK(host.settled == results{{"give", settlement::absent}});
+    const auto second = host.due_append();
+    CHECK(second.sequence > first.sequence);
+    const auto batch = ledger::decode(second.bytes);
+    REQUIRE(batch.records.size() == 2);
+    CHECK(std::get<ledger::job_accepted>(batch.records[0]).spec.id == job_named("keep"));
+}
+
+TEST_CASE("what waits and was never sent can be given up") {
+    bench host;
+    host.add("give", true);
+    host.add("keep");
+    host.add("give too", true);
+    host.session.give_up_withdrawable();
+    CHECK(host.settled == results{{"give", settlement::absent}, {"give too", settlement::absent}});
+    CHECK(host.session.pending() == 1);
+}
+
+TEST_CASE("entries of others in between are read before an append is settled") {
+    bench host;
+    host.claim();
+    host.rival_writes(1, 0, claim_of(1, "b"));
+    host.add("k1");
+    host.append_and_store();
+    CHECK(host.settled.empty());
+    CHECK_FALSE(host.session.caught_up());
+    CHECK_FALSE(host.append_due());
+    host.read();
+    CHECK(host.settled == results{{"k1", settlement::superseded}});
+    CHECK(host.fold.find(job_named("k1")) == nullptr);
+    CHECK(host.fold.owner()->incarnation == core::incarnation_id{"b"});
+}
+
+TEST_CASE("a lost claim is superseded") {
+    bench host;
+    host.rival_writes(1, 0, claim_of(0, "b"));
+    std::optional<settlement> result;
+    host.session.add(claim_of(0, "a"), {.alone = true}, [&](settlement one) { result = one; });
+    host.append_and_store();
+    host.read();
+    CHECK(result == settlement::superseded);
+}
+
+TEST_CASE("a long stream is read to its end without waiting for the interval, and then at the interval") {
+    bench host;
+    for (std::uint64_t sequence = 1; sequence <= 10; ++sequence) {
+        host.rival_writes(sequence, 0, accepted("x"));
+    }
+    for (int round = 0; round < 4; ++round) {
+        const auto request = host.session.next_read(host.now);
+        REQUIRE(request);
+        CHECK_FALSE(host.session.next_read(host.now));
+        host.session.on_read(request->from, host.log.read(request->from, 3), host.now);
+    }
+    CHECK(host.session.caught_up());
+    CHECK_FALSE(host.session.next_read(host.now + milliseconds{999}));
+    CHECK(host.session.next_deadline(host.now) == host.now + milliseconds{1000});
+    CHECK(host.session.next_read(host.now + milliseconds{1000}));
+}
+
+TEST_CASE("a read without an answer, or one that brings nothing new, is not repeated at once") {
+    bench host;
+    host.rival_writes(1, 0, accepted("x"));
+    auto request = host.session.next_read(host.now);
+    host.session.on_read(request->from, {}, host.now);
+    CHECK_FALSE(host.session.log_available());
+    host.session.request_read();
+    CHECK_FALSE(host.session.next_read(host.now + milliseconds{199}));
+    request = host.session.next_read(host.now + milliseconds{200});
+    REQUIRE(request);
+    auto lagging = host.log.read(request->from);
+    lagging.entries.clear();
+    host.session.on_read(request->from, lagging, host.now);
+    CHECK_FALSE(host.session.caught_up());
+    CHECK_FALSE(host.session.next_read(host.now + milliseconds{199}));
+    CHECK(host.session.next_deadline(host.now) == host.now + milliseconds{200});
+}
+
+TEST_CASE("a read reply that is older than what is applied is passed over") {
+    bench host;
+    const auto request = host.session.next_read(host.now);
+    REQUIRE(request);
+    const auto old = host.log.read(request->from);
+    host.claim();
+    host.session.on_read(request->from, old, host.now);
+    CHECK(host.session.next() == core::log_offset{1});
+    CHECK(host.fold.epoch() == core::epoch_id{1});
+    CHECK(host.session.resets() == 0);
+}
+
+TEST_CASE("where entries expired unread all is read anew, and nothing is written before a snapshot") {
+    bench host;
+    host.claim();
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+        host.rival_writes(sequence, 0, accepted("x"));
+    }
+    host.log.expire(3);
+    host.add("k1");
+    host.read();
+    CHECK(host.session.resets() == 1);
+    CHECK_FALSE(host.fold.anchored());
+    CHECK_FALSE(host.append_due());
+    CHECK(host.session.next() == core::log_offset{4});
+
+    ledger::shard_fold other{core::shard_id{1}};
+    other.apply(core::log_offset{0}, batch_of("b", 1, 0, {claim_of(0, "b")}));
+    host.rival_writes(9, 1, ledger::snapshot_taken{.state = other.state(), .at = core::log_offset{4}});
+    host.read();
+    CHECK(host.fold.anchored());
+    CHECK(host.append_due());
+}
+
+TEST_CASE("a batch that was stored among expired entries is settled by the snapshot") {
+    bench host;
+    host.claim();
+    host.add("k1");
+    const auto request = host.due_append();
+    host.reply(request, append_fate::unknown);
+    ledger::shard_fold peer{core::shard_id{1}};
+    peer.apply(core::log_offset{0}, ledger::decode(host.log.at(0)));
+    peer.apply(host.log.append(request.bytes), ledger::decode(request.bytes));
+    host.rival_writes(1, 1, claim_of(1, "b"));
+    peer.apply(core::log_offset{2}, ledger::decode(host.log.at(2)));
+    host.rival_writes(2, 2, ledger::snapshot_taken{.state = peer.state(), .at = core::log_offset{3}});
+    host.log.expire(3);
+    host.read();
+    CHECK(host.settled.empty());
+    host.append_and_store();
+    CHECK(host.settled == results{{"k1", settlement::recorded}});
+}
+
+TEST_CASE("a snapshot is made of the state that it stands behind") {
+    bench host;
+    host.claim();
+    host.add("k1");
+    std::optional<settlement> result;
+    host.session.add(ledger::snapshot_taken{}, {}, [&](settlement one) { result = one; });
+    host.append_and_store();
+    host.read();
+    const std::string state = host.fold.state();
+    host.append_and_store();
+    CHECK(result == settlement::recorded);
+    const auto batch = ledger::decode(host.log.at(2));
+    CHECK(batch.records ==
+          std::vector<ledger::record>{ledger::snapshot_taken{.state = state, .at = core::log_offset{2}}});
+}
+
+TEST_CASE("bytes of the log that are no batch are passed over and counted") {
+    bench host;
+    host.claim();
+    host.log.append("no batch");
+    host.add("k1");
+    host.append_and_store();
+    host.read();
+    CHECK(host.session.malformed_entries() == 1);
+    CHECK(host.settled == results{{"k1", settlement::recorded}});
+}
+
+TEST_CASE("replies that belong to no call under way are passed over") {
+    bench host;
+    host.claim();
+    host.session.on_append(core::sequence_number{1}, {.fate = append_fate::done}, host.now);
+    host.session.on_read(core::log_offset{0}, host.log.read(core::log_offset{0}), host.now);
+    CHECK(host.session.next() == core::log_offset{1});
+}
+
+TEST_CASE("a hook may add records and a session goes on after an earlier one of its producer") {
+    bench host;
+    host.claim();
+    host.session.add(accepted("k1"), {}, [&](settlement) { host.add("k2"); });
+    host.append_and_store();
+    host.append_and_store();
+    CHECK(host.settled == results{{"k2", settlement::recorded}});
+
+    stream_session later{host.options()};
+    const auto request = later.next_read(host.now);
+    ledger::shard_fold seen{core::shard_id{1}};
+    later.on_read(request->from, host.log.read(request->from), host.now);
+    CHECK(later.next_sequence() == host.session.next_sequence());
+}
