Test replies that are older than what is applied

Cause: breaking the check that passes over old entries was not noticed by any test. Change: the test now holds a late reply whose entries were applied from an append's answer; a check in take_offset that the next read makes anyway is gone. Conclusion: the order of a late read and a later append is where a session could have stepped back.

--- a/src/ledger/stream_session.cpp
+++ b/src/ledger/stream_session.cpp
@@ -217,7 +217,6 @@
         const std::string bytes = this->in_flight->bytes;
         this->apply_entry(offset, bytes, hooks);
     }
-    this->check_passed_over();
     if (this->in_flight) {
         this->read_requested = true;
     }
--- a/tests/ledger/stream_session_test.cpp
+++ b/tests/ledger/stream_session_test.cpp
@@ -295,13 +295,27 @@
 
 TEST_CASE("a read reply that is older than what is applied is passed over") {
     bench host;
-    const auto request = host.session.next_read(host.now);
-    REQUIRE(request);
-    const auto old = host.log.read(request->from);
+    const auto first = host.session.next_read(host.now);
+    REQUIRE(first);
+    const auto empty = host.log.read(first->from);
     host.claim();
-    host.session.on_read(request->from, old, host.now);
+    host.session.on_read(first->from, empty, host.now);
     CHECK(host.session.next() == core::log_offset{1});
-    CHECK(host.fold.epoch() == core::epoch_id{1});
+
+    host.session.request_read();
+    const auto second = host.session.next_read(host.now);
+    REQUIRE(second);
+    host.add("k1");
+    const auto request = host.due_append();
+    const core::log_offset stored = host.log.append(request.bytes);
+    const auto with_k1 = host.log.read(second->from);
+    host.reply(request, append_fate::done, stored.value());
+    host.add("k2");
+    host.append_and_store();
+    host.session.on_read(second->from, with_k1, host.now);
+    CHECK(host.session.next() == core::log_offset{3});
+    CHECK(host.fold.next() == core::log_offset{3});
+    CHECK(host.settled == results{{"k1", settlement::recorded}, {"k2", settlement::recorded}});
     CHECK(host.session.resets() == 0);
 }
 
