Decide placements by fair share, quota, gangs, reserve, quarantine and estimates

Cause: the first inside took jobs in the order of arrival and the first worker with room. Change: waiting jobs stand in groups of equal needs; pools go by urgency, priority and ageing, teams by dominant share over weight. Best fit on the scarcest amount, whole workers kept for urgent pools, gangs placed whole with room kept by estimated ends and backfill beside it, sizes and run times corrected by what was seen, workers that fail what others finish set aside and probed, room for urgent work by throttle, checkpoint, then stop. explain asks the same rules as place. Conclusion: a group must also part short from long work, else one long job at its head stops backfill.

--- /dev/null
+++ b/src/scheduling/explainer.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "scheduling/admission.h"
+#include "scheduling/shard_state.h"
+
+#include <string>
+#include <vector>
+
+namespace rattanmount::scheduling {
+
+/// Says in words why a job waits or why it runs where it runs.
+///
+/// It asks the same rules as place(), so the rule that it names is the first that stops the job. Made for one
+/// call of scheduler::explain().
+class explainer {
+public:
+    /// @param state the shard, with policies refreshed; outlives the explainer.
+    explainer(const shard_state& state, core::steady_time now) : state(state), now(now), rules(state, now) {}
+
+    /// @return one line for each fact: the rule, the place in the queue, when at best, each running task.
+    [[nodiscard]] std::vector<std::string> lines(const core::job_id& id) const;
+
+private:
+    void say_waiting(const waiting_job& job, std::vector<std::string>& lines) const;
+    void say_running(const waiting_job& job, std::vector<std::string>& lines) const;
+    std::string rule(const waiting_job& job, const admission_result& result) const;
+    std::string quota_rule(const job_group& group, const core::resources& wanted) const;
+    std::string pool_rule(const job_group& group, const core::resources& wanted) const;
+    std::string room_rule(const job_group& group, const waiting_job& job, const core::resources& size) const;
+    std::string reservation_rule() const;
+    std::string queue_place(const waiting_job& job) const;
+    std::string at_best(const waiting_job& job, const admission_result& result) const;
+    std::string running(const holding& what) const;
+
+    const shard_state& state;
+    core::steady_time now;
+    admission rules;
+};
+
+} // namespace rattanmount::scheduling
--- /dev/null
+++ b/src/scheduling/preemption_planner.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/time.h"
+#include "scheduling/admission.h"
+#include "scheduling/preemption.h"
+#include "scheduling/shard_state.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace rattanmount::scheduling {
+
+/// Chooses tasks of preemptible pools that make room for urgent jobs which fit nowhere.
+///
+/// The mildest comes first: a task that uses more than it is counted with is throttled; then tasks are
+/// checkpointed and stopped, those that lose least first; a task that has not ended by then is stopped. Tasks
+/// that are not idempotent are only ever throttled. Made for one call of scheduler::preempt().
+class preemption_planner {
+public:
+    preemption_planner(shard_state& state, core::steady_time now);
+
+    [[nodiscard]] std::vector<preemption> run();
+
+private:
+    /// One urgent task that fits nowhere.
+    struct need {
+        core::job_id job;
+        core::resources size;
+    };
+    /// One thing that may be done to a task.
+    struct step {
+        holding* what = nullptr;
+        preemption_kind kind = preemption_kind::throttle;
+        core::resources gain;
+        double lost = 0.0; ///< Seconds of work on the share of a worker that it takes.
+    };
+    struct plan {
+        row_index row = no_row;
+        double lost = 0.0;
+        std::vector<step> steps;
+    };
+
+    void escalate(std::vector<preemption>& decided);
+    std::vector<need> needs();
+    bool covered(const need& wanted);
+    std::optional<plan> cheapest(const need& wanted) const;
+    std::optional<plan> plan_for(row_index row, const need& wanted) const;
+    void carry_out(const need& wanted, const plan& chosen, std::vector<preemption>& decided);
+    bool preemptible(const holding& what) const;
+    std::vector<step> possible_steps(const worker_row& worker) const;
+    static void drop_needless(plan& made, core::resources room, const core::resources& size);
+    double lost_work(const holding& what) const;
+    bool still_needed(const holding& what) const;
+
+    shard_state& state;
+    core::steady_time now;
+    admission rules;
+    std::vector<core::resources> rooms; ///< By row: free, and soon free by what was asked for.
+};
+
+} // namespace rattanmount::scheduling
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -1,256 +1,340 @@
 #include "scheduling/scheduler.h"
 
+#include "scheduling/dimension.h"
+#include "scheduling/explainer.h"
+#include "scheduling/placer.h"
+#include "scheduling/preemption_planner.h"
+#include "scheduling/shard_state.h"
+
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace rattanmount::scheduling {
 
-scheduler::scheduler(scheduler_options options) : options(std::move(options)) {}
+namespace {
+
+/// Workers remembered as having failed one job.
+constexpr std::size_t most_failed_on = 8;
+
+worker_standing standing_of(quarantine_phase phase) {
+    switch (phase) {
+    case quarantine_phase::clear:
+        return worker_standing::good;
+    case quarantine_phase::set_aside:
+        return worker_standing::set_aside;
+    case quarantine_phase::probing:
+        break;
+    }
+    return worker_standing::probing;
+}
+
+void remember_failure(waiting_job& job, const core::worker_id& worker) {
+    const bool known = std::find(job.failed_on.begin(), job.failed_on.end(), worker) != job.failed_on.end();
+    if (!known && job.failed_on.size() < most_failed_on) {
+        job.failed_on.push_back(worker);
+    }
+}
+
+} // namespace
+
+scheduler::scheduler(scheduler_options options) : state(std::make_unique<shard_state>(std::move(options))) {}
+
+scheduler::~scheduler() = default;
+scheduler::scheduler(scheduler&&) noexcept = default;
+scheduler& scheduler::operator=(scheduler&&) noexcept = default;
 
 void scheduler::set_worker(const worker_info& worker) {
-    const bool known = this->workers.contains(worker.name);
-    auto& state = this->workers[worker.name];
-    state.info = worker;
-    if (known) {
+    const auto known = this->state->workers.find(worker.name);
+    if (known != no_row && this->state->workers.rows()[known].info == worker) {
         return;
     }
-    for (const auto& [key, what] : this->holdings) {
-        if (what.worker == worker.name) {
-            state.used += what.size;
-        }
+    const auto row = this->state->workers.set(worker);
+    if (known == no_row) {
+        this->state->holdings.attach(worker.name, row);
+        this->state->health.set_worker_count(this->state->workers.count());
     }
 }
 
 void scheduler::remove_worker(const core::worker_id& worker) {
-    this->workers.erase(worker);
+    const auto row = this->state->workers.find(worker);
+    if (row == no_row) {
+        return;
+    }
+    this->state->holdings.detach(row);
+    this->state->workers.remove(row);
+    this->state->health.forget(worker);
+    this->state->health.set_worker_count(this->state->workers.count());
+    this->state->reserved.reset();
 }
 
 void scheduler::set_accepting(const core::worker_id& worker, bool accepting) {
-    const auto found = this->workers.find(worker);
-    if (found != this->workers.end()) {
-        found->second.accepting = accepting;
+    const auto row = this->state->workers.find(worker);
+    if (row != no_row) {
+        this->state->workers.set_accepting(row, accepting);
     }
 }
 
 std::optional<std::string> scheduler::never_fits(const core::job_spec& spec) const {
-    std::string excess = "no worker is known";
-    for (const auto& [name, state] : this->workers) {
-        if (spec.each.fits_in(state.info.capacity)) {
-            return std::nullopt;
-        }
-        excess = spec.each.first_excess(state.info.capacity) + " " + spec.each.text() + " is more than " +
-                 name.value() + " has, " + state.info.capacity.text();
+    auto& workers = this->state->workers;
+    if (workers.count() == 0) {
+        return std::nullopt;
+    }
+    workers.refresh_reserve();
+    this->state->accounts.start_round();
+    const bool urgent = this->state->accounts.pool(spec.pool).urgent();
+    const auto tasks = spec.kind == core::work_kind::gang ? spec.tasks : 1;
+    const auto fitting = workers.ever_fitting(spec.each, urgent, tasks);
+    if (fitting >= tasks) {
+        return std::nullopt;
     }
-    return this->workers.empty() ? std::nullopt : std::optional(excess);
+    if (fitting > 0) {
+        return "a gang of " + std::to_string(tasks) + " tasks of " + spec.each.text() +
+               " is more than the shard can hold: all its workers have room for " + std::to_string(fitting);
+    }
+    return workers.why_never(spec.each, urgent);
 }
 
 void scheduler::add_job(const core::job_spec& spec, core::steady_time waiting_since,
                         const std::vector<std::uint32_t>& waiting_tasks) {
-    auto& job = this->jobs[spec.id];
-    job.spec = spec;
-    job.since = waiting_since;
-    job.waiting.insert(waiting_tasks.begin(), waiting_tasks.end());
+    auto& job = this->state->queue.add(spec, waiting_since);
+    for (const auto task : waiting_tasks) {
+        this->state->queue.wait(job, task);
+    }
 }
 
 void scheduler::remove_job(const core::job_id& job) {
-    this->jobs.erase(job);
+    if (this->state->reserved.has_value() && this->state->reserved->job == job) {
+        this->state->reserved.reset();
+    }
+    this->state->queue.remove(job);
 }
 
-void scheduler::requeue(const core::job_id& job, std::uint32_t task, core::steady_time) {
-    const auto found = this->jobs.find(job);
-    if (found != this->jobs.end()) {
-        found->second.waiting.insert(task);
+void scheduler::requeue(const core::job_id& job, std::uint32_t task, core::steady_time now) {
+    auto* known = this->state->queue.find(job);
+    if (known == nullptr) {
+        return;
     }
+    if (known->spec.kind == core::work_kind::service && known->waiting.empty()) {
+        this->state->queue.set_since(*known, now);
+    }
+    waiting_queue::end(*known, task);
+    this->state->queue.wait(*known, task);
 }
 
 std::vector<placement> scheduler::place(core::steady_time now, std::size_t most) {
-    std::vector<job_state*> order;
-    for (auto& [id, job] : this->jobs) {
-        if (!job.waiting.empty()) {
-            order.push_back(&job);
-        }
-    }
-    std::stable_sort(order.begin(), order.end(), [](const job_state* left, const job_state* right) {
-        return left->since < right->since;
-    });
-    std::vector<placement> placed;
-    for (auto* job : order) {
-        while (placed.size() < most && !job->waiting.empty() && this->place_job(*job, now, placed)) {
-        }
-    }
-    return placed;
+    ++this->state->pass;
+    this->state->accounts.start_round();
+    this->state->health.advance(now);
+    this->apply_standings();
+    this->state->workers.refresh_reserve();
+    this->state->queue.sweep();
+    return placer(*this->state, now).run(most);
 }
 
-bool scheduler::place_job(job_state& job, core::steady_time now, std::vector<placement>& placed) {
-    const std::size_t wanted = job.spec.kind == core::work_kind::gang ? job.waiting.size() : 1;
-    std::vector<task_key> taken;
-    for (const auto task : job.waiting) {
-        auto* worker = taken.size() < wanted ? this->find_room(job.spec.each) : nullptr;
-        if (worker == nullptr) {
-            break;
-        }
-        taken.emplace_back(job.spec.id, task);
-        this->hold(taken.back(), {.attempt = {.job = job.spec.id, .task = task},
-                                  .worker = worker->info.name,
-                                  .size = job.spec.each,
-                                  .pool = job.spec.pool,
-                                  .since = now});
-    }
-    if (taken.size() < wanted) {
-        for (const auto& key : taken) {
-            this->release(this->holdings.find(key));
+void scheduler::apply_standings() {
+    for (const auto& worker : this->state->health.take_changes()) {
+        const auto row = this->state->workers.find(worker);
+        if (row != no_row) {
+            this->state->workers.set_standing(row, standing_of(this->state->health.phase(worker)));
         }
-        return false;
     }
-    for (const auto& [id, task] : taken) {
-        job.waiting.erase(task);
-        placed.push_back({.job = id, .task = task, .worker = this->holdings.at({id, task}).worker});
-    }
-    job.started = true;
-    return true;
 }
 
-scheduler::worker_state* scheduler::find_room(const core::resources& size) {
-    for (auto& [name, state] : this->workers) {
-        if (state.accepting && size.fits_in(state.info.capacity - state.used)) {
-            return &state;
-        }
+void scheduler::task_running(const core::attempt_id& attempt, const core::worker_id& worker,
+                             const core::resources& each, const core::pool_id& pool,
+                             core::steady_time since) {
+    if (this->state->holdings.find(attempt) != nullptr) {
+        return;
+    }
+    const core::attempt_id unbound{.job = attempt.job, .task = attempt.task};
+    const auto* placed = this->state->holdings.find(unbound);
+    if (placed != nullptr && placed->worker == worker) {
+        this->state->holdings.bind(unbound, attempt).since = since;
+        return;
     }
-    return nullptr;
+    this->adopt(attempt, worker, each, pool, since);
 }
 
-void scheduler::hold(const task_key& key, const holding& what) {
-    this->holdings[key] = what;
-    this->team_held[key.first.team] += what.size;
-    const auto found = this->workers.find(what.worker);
-    if (found != this->workers.end()) {
-        found->second.used += what.size;
+void scheduler::adopt(const core::attempt_id& attempt, const core::worker_id& worker,
+                      const core::resources& each, const core::pool_id& pool, core::steady_time since) {
+    auto& accounts = this->state->accounts;
+    accounts.start_round();
+    auto* job = this->state->queue.find(attempt.job);
+    holding what{.attempt = attempt,
+                 .worker = worker,
+                 .row = this->state->workers.find(worker),
+                 .declared = each,
+                 .size = each,
+                 .occupied = each,
+                 .since = since,
+                 .team = &accounts.team(attempt.job.team),
+                 .pool = &accounts.pool(pool),
+                 .history = this->state->estimates.find(attempt.job.team, pool),
+                 .reason = {.adopted = true}};
+    what.urgent = what.pool->urgent();
+    if (job != nullptr) {
+        what.kind = job->spec.kind;
+        what.idempotent = job->spec.idempotent;
+        what.declared_time = job->spec.expected_run_time;
+        this->state->queue.take(*job, attempt.task, worker);
+    } else {
+        what.idempotent = false; // Not known: it is never stopped for others.
     }
+    what.expected_time =
+        what.kind == core::work_kind::service
+            ? core::milliseconds::max()
+            : what.history->run_time(what.declared_time, this->state->options.default_run_time);
+    this->state->holdings.hold(what);
 }
 
-void scheduler::release(std::map<task_key, holding>::iterator position) {
-    if (position == this->holdings.end()) {
+void scheduler::placement_dropped(const core::job_id& job, std::uint32_t task) {
+    const core::attempt_id unbound{.job = job, .task = task};
+    if (this->state->holdings.find(unbound) == nullptr) {
         return;
     }
-    const auto& what = position->second;
-    this->team_held[position->first.first.team] -= what.size;
-    const auto found = this->workers.find(what.worker);
-    if (found != this->workers.end()) {
-        found->second.used -= what.size;
+    this->state->holdings.release(unbound);
+    auto* known = this->state->queue.find(job);
+    if (known != nullptr) {
+        waiting_queue::end(*known, task);
+        this->state->queue.wait(*known, task);
     }
-    this->holdings.erase(position);
 }
 
-void scheduler::task_running(const core::attempt_id& attempt, const core::worker_id& worker,
-                             const core::resources& each, const core::pool_id& pool,
-                             core::steady_time since) {
-    const task_key key{attempt.job, attempt.task};
-    const auto found = this->holdings.find(key);
-    if (found != this->holdings.end()) {
-        found->second.attempt = attempt;
-        found->second.since = since;
+void scheduler::task_over(const core::attempt_id& attempt, core::attempt_end end, core::milliseconds run_time,
+                          const core::resources& used, core::steady_time now) {
+    auto known = attempt;
+    if (this->state->holdings.find(known) == nullptr) {
+        known.attempt = 0; // Its placement may not have been bound yet.
+    }
+    const auto* what = this->state->holdings.find(known);
+    if (what == nullptr) {
         return;
     }
-    this->hold(key, {.attempt = attempt, .worker = worker, .size = each, .pool = pool, .since = since});
-    const auto job = this->jobs.find(attempt.job);
-    if (job != this->jobs.end()) {
-        job->second.waiting.erase(attempt.task);
-        job->second.started = true;
+    this->learn(*what, end, run_time, used, now);
+    auto* job = this->state->queue.find(attempt.job);
+    if (job != nullptr) {
+        waiting_queue::end(*job, attempt.task);
+        if (end == core::attempt_end::failed || end == core::attempt_end::refused) {
+            remember_failure(*job, what->worker);
+        }
     }
+    this->state->holdings.release(known);
+    this->apply_standings();
 }
 
-void scheduler::placement_dropped(const core::job_id& job, std::uint32_t task) {
-    const auto found = this->holdings.find({job, task});
-    if (found == this->holdings.end()) {
-        return;
-    }
-    this->release(found);
-    const auto known = this->jobs.find(job);
-    if (known != this->jobs.end()) {
-        known->second.waiting.insert(task);
+void scheduler::learn(const holding& what, core::attempt_end end, core::milliseconds run_time,
+                      const core::resources& used, core::steady_time now) {
+    what.history->learn_size(what.declared, used);
+    const auto& job = what.attempt.job;
+    switch (end) {
+    case core::attempt_end::finished:
+        if (what.kind != core::work_kind::service) {
+            what.history->learn_time(what.declared_time, run_time);
+        }
+        this->state->health.finished(what.worker, job, what.pool->name, what.since, now);
+        break;
+    case core::attempt_end::failed:
+        this->state->health.failed(what.worker, job, what.pool->name, now);
+        break;
+    case core::attempt_end::refused:
+        this->state->health.refused(what.worker, now);
+        break;
+    case core::attempt_end::lost:
+    case core::attempt_end::stopped:
+        break;
     }
 }
 
-void scheduler::task_over(const core::attempt_id& attempt, core::attempt_end, core::milliseconds,
-                          const core::resources&, core::steady_time) {
-    this->release(this->holdings.find({attempt.job, attempt.task}));
+void scheduler::task_usage(const core::attempt_id& attempt, const core::resources& used,
+                           core::milliseconds run_time) {
+    auto* what = this->state->holdings.find(attempt);
+    if (what == nullptr) {
+        return;
+    }
+    static_cast<void>(run_time);
+    const bool throttled = what->asked.has_value() && *what->asked == preemption_kind::throttle;
+    const auto occupied = throttled ? what->size : larger(what->size, used);
+    if (occupied != what->occupied) {
+        this->state->workers.resize(*what, occupied);
+    }
 }
 
-void scheduler::task_usage(const core::attempt_id&, const core::resources&, core::milliseconds) {}
-
-std::vector<preemption> scheduler::preempt(core::steady_time) {
-    return {};
+std::vector<preemption> scheduler::preempt(core::steady_time now) {
+    this->state->accounts.start_round();
+    this->state->workers.refresh_reserve();
+    return preemption_planner(*this->state, now).run();
 }
 
-std::vector<std::string> scheduler::explain(const core::job_id& job, core::steady_time) const {
-    const auto found = this->jobs.find(job);
-    if (found == this->jobs.end()) {
-        return {"this shard does not hold the job"};
-    }
-    std::vector<std::string> lines;
-    if (!found->second.waiting.empty()) {
-        lines.push_back(std::to_string(found->second.waiting.size()) + " tasks wait for room");
+std::vector<std::string> scheduler::explain(const core::job_id& job, core::steady_time now) const {
+    this->state->accounts.start_round();
+    this->state->workers.refresh_reserve();
+    const auto* known = this->state->queue.find(job);
+    if (known != nullptr && known->group != nullptr) {
+        this->state->accounts.refresh(known->group->team);
+        this->state->accounts.refresh(known->group->pool);
     }
-    for (const auto& [key, what] : this->holdings) {
-        if (key.first == job) {
-            lines.push_back("task " + std::to_string(key.second) + " is on worker " + what.worker.value());
-        }
-    }
-    return lines;
+    return explainer(*this->state, now).lines(job);
 }
 
 core::resources scheduler::free() const {
-    core::resources sum;
-    for (const auto& [name, state] : this->workers) {
-        if (state.accepting) {
-            sum += state.info.capacity - state.used;
-        }
-    }
-    return sum;
+    return this->state->workers.free();
 }
 
 core::resources scheduler::largest_free() const {
-    core::resources largest;
-    for (const auto& [name, state] : this->workers) {
-        const auto room = state.info.capacity - state.used;
-        if (state.accepting && room.millicores > largest.millicores) {
-            largest = room;
-        }
-    }
-    return largest;
+    return this->state->workers.largest_free();
 }
 
 std::uint32_t scheduler::waiting_tasks() const {
-    std::size_t count = 0;
-    for (const auto& [id, job] : this->jobs) {
-        count += job.waiting.size();
-    }
-    return static_cast<std::uint32_t>(count);
+    return static_cast<std::uint32_t>(
+        std::min<std::size_t>(this->state->queue.tasks(), std::numeric_limits<std::uint32_t>::max()));
 }
 
 std::vector<core::job_id> scheduler::movable(core::steady_time now, core::milliseconds waited,
                                              std::size_t most) const {
     std::vector<core::job_id> found;
-    for (const auto& [id, job] : this->jobs) {
-        if (found.size() < most && !job.started && !job.waiting.empty() && now - job.since >= waited) {
-            found.push_back(id);
+    this->state->accounts.start_round();
+    this->state->workers.refresh_reserve();
+    const admission rules(*this->state, now);
+    for (const auto& [key, group] : this->state->queue.groups()) {
+        if (found.size() >= most) {
+            break;
+        }
+        if (group->jobs.empty() || now - group->head().since < waited) {
+            continue;
+        }
+        this->state->accounts.refresh(group->team);
+        this->state->accounts.refresh(group->pool);
+        const auto stopped_by = rules.check(*group, group->head(), group->behind_reservation).stopped_by;
+        if (stopped_by == gate::open || stopped_by == gate::pool_unknown || stopped_by == gate::team_quota) {
+            continue;
+        }
+        for (const auto* job : group->jobs) {
+            if (now - job->since < waited || found.size() >= most) {
+                break;
+            }
+            if (!job->started) {
+                found.push_back(job->spec.id);
+            }
         }
     }
     return found;
 }
 
 core::resources scheduler::held(const core::team_id& team) const {
-    const auto found = this->team_held.find(team);
-    return found == this->team_held.end() ? core::resources{} : found->second;
+    const auto& teams = this->state->accounts.teams();
+    const auto known = teams.find(team);
+    return known == teams.end() ? core::resources{} : known->second.held;
 }
 
 std::vector<core::team_id> scheduler::teams() const {
     std::vector<core::team_id> names;
-    for (const auto& [name, amount] : this->team_held) {
-        if (amount != core::resources{}) {
+    for (const auto& [name, account] : this->state->accounts.teams()) {
+        if (account.held != core::resources{}) {
             names.push_back(name);
         }
     }
+    std::sort(names.begin(), names.end());
     return names;
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -11,16 +11,16 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace rattanmount::scheduling {
 
+struct holding;
+struct shard_state;
+
 /// Decides for one shard which waiting task starts on which worker.
 ///
 /// Tell it of workers and jobs, call place() after every change or batch of changes, bind each placement with
@@ -30,6 +30,11 @@
 public:
     /// @param options hooks and limits; pool, team and remote_usage may be empty.
     explicit scheduler(scheduler_options options);
+    ~scheduler();
+    scheduler(scheduler&&) noexcept;
+    scheduler& operator=(scheduler&&) noexcept;
+    scheduler(const scheduler&) = delete;
+    scheduler& operator=(const scheduler&) = delete;
 
     /// Adds a worker or changes what is known of it. A new worker is not accepting.
     /// @param worker the worker.
@@ -119,36 +124,13 @@
     [[nodiscard]] std::vector<core::team_id> teams() const;
 
 private:
-    struct worker_state {
-        worker_info info;
-        bool accepting = false;
-        core::resources used;
-    };
-    struct job_state {
-        core::job_spec spec;
-        core::steady_time since;
-        std::set<std::uint32_t> waiting;
-        bool started = false;
-    };
-    struct holding {
-        core::attempt_id attempt; // attempt 0 while not bound
-        core::worker_id worker;
-        core::resources size;
-        core::pool_id pool;
-        core::steady_time since;
-    };
-    using task_key = std::pair<core::job_id, std::uint32_t>;
-
-    worker_state* find_room(const core::resources& size);
-    void hold(const task_key& key, const holding& what);
-    void release(std::map<task_key, holding>::iterator position);
-    bool place_job(job_state& job, core::steady_time now, std::vector<placement>& placed);
-
-    scheduler_options options;
-    std::map<core::worker_id, worker_state> workers;
-    std::map<core::job_id, job_state> jobs;
-    std::map<task_key, holding> holdings;
-    std::map<core::team_id, core::resources> team_held;
+    void apply_standings();
+    void adopt(const core::attempt_id& attempt, const core::worker_id& worker, const core::resources& each,
+               const core::pool_id& pool, core::steady_time since);
+    void learn(const holding& what, core::attempt_end end, core::milliseconds run_time,
+               const core::resources& used, core::steady_time now);
+
+    std::unique_ptr<shard_state> state;
 };
 
 } // namespace rattanmount::scheduling
--- /dev/null
+++ b/src/scheduling/waiting_job.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/job.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace rattanmount::scheduling {
+
+class job_group;
+
+/// A job that the scheduler knows, with its tasks that wait.
+struct waiting_job {
+    core::job_spec spec; ///< Without its payload.
+    core::steady_time since;
+    std::uint64_t serial = 0; ///< Orders jobs that wait since the same time.
+    std::set<std::uint32_t> waiting;
+    std::map<std::uint32_t, core::worker_id> placed_on; ///< Tasks placed or running, and where.
+    bool started = false;                               ///< Some task was placed at some time.
+    std::vector<core::worker_id> failed_on; ///< Workers that failed a task of it; avoided where others fit.
+    job_group* group = nullptr;             ///< Set while a task waits.
+};
+
+/// Orders the jobs of a group: who waits longest comes first.
+struct waits_longer {
+    bool operator()(const waiting_job* left, const waiting_job* right) const {
+        return left->since != right->since ? left->since < right->since : left->serial < right->serial;
+    }
+};
+
+} // namespace rattanmount::scheduling
--- /dev/null
+++ b/src/scheduling/waiting_queue.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/job.h"
+#include "core/resources.h"
+#include "core/time.h"
+#include "scheduling/account_book.h"
+#include "scheduling/estimator.h"
+#include "scheduling/job_group.h"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace rattanmount::scheduling {
+
+/// The jobs of a shard and their tasks that wait, in groups of equal needs.
+///
+/// Owned by the scheduler; the control thread only. Adding or removing a job costs time that grows with its
+/// own tasks and the logarithm of the jobs in its group, so a wave of cancellations is cheap.
+class waiting_queue {
+public:
+    /// @param accounts where the accounts of teams and pools are kept; outlives the queue.
+    /// @param estimates what was seen of them; outlives the queue.
+    waiting_queue(account_book& accounts, estimator& estimates) : accounts(accounts), estimates(estimates) {}
+
+    /// @return the job, new or known.
+    waiting_job& add(const core::job_spec& spec, core::steady_time since);
+
+    void remove(const core::job_id& id);
+
+    /// @return the job, or nullptr where it is not known.
+    [[nodiscard]] waiting_job* find(const core::job_id& id) const;
+
+    /// Lets a task wait; no effect where it waits or is placed.
+    void wait(waiting_job& job, std::uint32_t task);
+
+    /// Takes a waiting task out, as placed; where it did not wait it only counts as placed.
+    void take(waiting_job& job, std::uint32_t task, const core::worker_id& worker);
+
+    /// A placed task is over or dropped.
+    static void end(waiting_job& job, std::uint32_t task) { job.placed_on.erase(task); }
+
+    /// Changes since when a job waits.
+    void set_since(waiting_job& job, core::steady_time since);
+
+    /// Drops groups without jobs. Until then references to groups stay valid.
+    void sweep();
+
+    /// @return all groups; some may have no jobs.
+    [[nodiscard]] const std::map<group_key, std::unique_ptr<job_group>>& groups() const {
+        return this->by_key;
+    }
+
+    [[nodiscard]] std::size_t tasks() const { return this->task_count; }
+
+    /// @return the sum of the declared sizes of all tasks that wait.
+    [[nodiscard]] const core::resources& demand() const { return this->waiting_demand; }
+
+private:
+    static group_key key_of(const core::job_spec& spec);
+    void enter(waiting_job& job);
+    void leave(waiting_job& job);
+
+    account_book& accounts;
+    estimator& estimates;
+    std::unordered_map<core::job_id, std::unique_ptr<waiting_job>> jobs;
+    std::map<group_key, std::unique_ptr<job_group>> by_key;
+    std::vector<group_key> emptied;
+    std::uint64_t next_serial = 1;
+    std::size_t task_count = 0;
+    core::resources waiting_demand;
+};
+
+} // namespace rattanmount::scheduling
--- /dev/null
+++ b/tests/scheduling/failure_test.cpp
@@ -0,0 +1,211 @@
+#include "tests/scheduling/virtual_shard.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rattanmount;
+using namespace rattanmount::scheduling;
+using namespace rattanmount::scheduling::testing;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr core::resources worker_size{.millicores = 16000, .memory_mb = 65536};
+constexpr core::resources one_core{.millicores = 1000, .memory_mb = 2048};
+const core::worker_id broken{"w1"};
+
+void submit_stream(virtual_shard& shard, int jobs, milliseconds apart) {
+    const auto begin = shard.now;
+    for (int job = 0; job < jobs; ++job) {
+        shard.submit(make_job("t" + std::to_string(job % 3), std::to_string(job), "batch", one_core),
+                     seconds{1}, begin + apart * job);
+    }
+}
+
+std::size_t starts_on(const virtual_shard& shard, const core::worker_id& worker, core::steady_time after) {
+    return static_cast<std::size_t>(
+        std::count_if(shard.starts.begin(), shard.starts.end(),
+                      [&](const auto& record) { return record.worker == worker && record.at > after; }));
+}
+
+/// A worker full of preemptible tasks, and what is asked for when urgent work waits.
+struct full_worker {
+    explicit full_worker(const std::function<void(core::job_spec&)>& change, bool preemptible = true)
+        : shard({.urgent_reserve = 0.0}) {
+        auto urgent = make_pool("urgent", 9);
+        urgent.urgent = true;
+        this->shard.add_pool(urgent);
+        auto batch = make_pool("batch");
+        batch.preemptible = preemptible;
+        this->shard.add_pool(batch);
+        this->shard.add_workers(1, 1, {.millicores = 4000, .memory_mb = 65536});
+        for (int job = 0; job < 4; ++job) {
+            auto spec = make_job("t", std::to_string(job), "batch", one_core);
+            change(spec);
+            this->shard.submit(spec, minutes{5});
+            this->shard.step();
+            this->shard.run_for(seconds{1});
+        }
+        REQUIRE(this->shard.running.size() == 4);
+        this->shard.decisions.add_job(make_job("vendor", "now", "urgent", one_core), this->shard.now, {0});
+        this->shard.now += milliseconds{300};
+        CHECK(this->shard.decisions.place(this->shard.now, 10).empty());
+    }
+
+    std::vector<preemption> ask() { return this->shard.decisions.preempt(this->shard.now); }
+
+    virtual_shard shard;
+};
+
+} // namespace
+
+TEST_CASE("a worker that fails what others finish is set aside, probed and comes back") {
+    virtual_shard shard;
+    shard.add_pool(make_pool("batch"));
+    shard.add_workers(4, 2, {.millicores = 4000, .memory_mb = 65536});
+    bool repaired = false;
+    shard.fate = [&](const core::attempt_id&, const core::worker_id& worker) {
+        return worker == broken && !repaired ? core::attempt_end::failed : core::attempt_end::finished;
+    };
+    submit_stream(shard, 3000, milliseconds{100});
+    const auto begin = shard.now;
+    shard.run_until(begin + seconds{30});
+    const auto probed = starts_on(shard, broken, begin + seconds{30});
+    shard.run_until(begin + seconds{58});
+    CHECK(starts_on(shard, broken, begin + seconds{30}) == probed);
+    shard.run_until(begin + seconds{130});
+    CHECK(starts_on(shard, broken, begin + seconds{30}) == 1);
+    repaired = true;
+    shard.run_until(begin + seconds{320});
+    CHECK(starts_on(shard, broken, begin + seconds{130}) >= 1);
+    CHECK(shard.finished.size() == 3000);
+}
+
+TEST_CASE("a job that fails everywhere sets no worker aside") {
+    virtual_shard shard({.urgent_reserve = 0.0});
+    shard.add_pool(make_pool("batch"));
+    shard.add_workers(4, 2, worker_size);
+    shard.fate = [](const core::attempt_id& attempt, const core::worker_id&) {
+        return attempt.job.team.value() == "bad" ? core::attempt_end::failed : core::attempt_end::finished;
+    };
+    for (int job = 0; job < 40; ++job) {
+        shard.submit(make_job("bad", std::to_string(job), "batch", one_core), seconds{1});
+    }
+    submit_stream(shard, 300, milliseconds{100});
+    shard.run_for(minutes{2});
+    CHECK(shard.finished.size() == 300);
+    for (int job = 0; job < 40; ++job) {
+        shard.decisions.remove_job(make_job("bad", std::to_string(job), "batch", one_core).id);
+    }
+    shard.run_for(seconds{2});
+    REQUIRE(shard.running.empty());
+    const auto before = shard.now - milliseconds{1};
+    for (int job = 0; job < 4; ++job) {
+        shard.submit(make_job("t", "wide" + std::to_string(job), "batch", worker_size), seconds{1});
+    }
+    shard.run_for(seconds{3});
+    for (int worker = 0; worker < 4; ++worker) {
+        CHECK(starts_on(shard, core::worker_id{"w" + std::to_string(worker)}, before) == 1);
+    }
+}
+
+TEST_CASE("a task is not tried again on the worker that failed it while others can take it") {
+    virtual_shard shard;
+    shard.add_pool(make_pool("batch"));
+    shard.add_workers(3, 3, worker_size);
+    shard.fate = [](const core::attempt_id&, const core::worker_id&) { return core::attempt_end::failed; };
+    shard.submit(make_job("t", "a", "batch", one_core), seconds{1});
+    shard.run_for(milliseconds{2500});
+    std::set<core::worker_id> tried;
+    for (const auto& record : shard.starts) {
+        tried.insert(record.worker);
+    }
+    CHECK(tried.size() == 3);
+}
+
+TEST_CASE("a worker that refuses every start is set aside") {
+    virtual_shard shard;
+    shard.add_pool(make_pool("batch"));
+    shard.add_workers(2, 2, worker_size);
+    auto& decisions = shard.decisions;
+    std::size_t refused = 0;
+    for (int job = 0; job < 200; ++job) {
+        const auto spec = make_job("t", std::to_string(job), "batch", one_core);
+        decisions.add_job(spec, shard.now, {0});
+        for (const auto& placed : decisions.place(shard.now, 10)) {
+            const core::attempt_id attempt{.job = placed.job, .task = placed.task, .attempt = 1};
+            const bool refuses = placed.worker == broken;
+            refused += refuses ? 1 : 0;
+            decisions.task_over(attempt, refuses ? core::attempt_end::refused : core::attempt_end::finished,
+                                milliseconds{0}, {}, shard.now);
+            if (refuses) {
+                decisions.requeue(placed.job, placed.task, shard.now);
+            }
+        }
+    }
+    CHECK(refused <= 3);
+    CHECK(decisions.waiting_tasks() == 0);
+}
+
+TEST_CASE("what over-uses is throttled before anything is stopped") {
+    full_worker worker([](core::job_spec&) {});
+    const auto first = worker.shard.running.begin()->first;
+    worker.shard.decisions.task_usage(first, {.millicores = 2000, .memory_mb = 2048}, seconds{1});
+    worker.shard.finish(worker.shard.running.rbegin()->first, core::attempt_end::finished);
+    CHECK(worker.shard.decisions.place(worker.shard.now, 10).empty());
+    const auto asked = worker.ask();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].kind == preemption_kind::throttle);
+    CHECK(asked[0].attempt == first);
+    CHECK(worker.ask().empty());
+    worker.shard.decisions.task_usage(first, {.millicores = 2000, .memory_mb = 2048}, seconds{2});
+    CHECK(worker.shard.decisions.place(worker.shard.now, 10).size() == 1);
+}
+
+TEST_CASE("a checkpoint comes before a stop, of the task that loses least") {
+    full_worker worker([](core::job_spec&) {});
+    auto asked = worker.ask();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].kind == preemption_kind::checkpoint_and_stop);
+    CHECK(asked[0].attempt.job.key.value() == "3");
+    CHECK(asked[0].for_job.key.value() == "now");
+    CHECK(worker.ask().empty());
+    worker.shard.now += milliseconds{800};
+    asked = worker.ask();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].kind == preemption_kind::stop);
+    CHECK(asked[0].attempt.job.key.value() == "3");
+    worker.shard.finish(asked[0].attempt, core::attempt_end::stopped);
+    const auto placed = worker.shard.decisions.place(worker.shard.now, 10);
+    REQUIRE(placed.size() == 1);
+    CHECK(placed[0].job.key.value() == "now");
+}
+
+TEST_CASE("tasks that are not idempotent, and pools that are not preemptible, are left alone") {
+    full_worker payments([](core::job_spec& spec) {
+        spec.idempotent = false;
+        spec.max_attempts = 1;
+    });
+    CHECK(payments.ask().empty());
+    payments.shard.now += seconds{5};
+    CHECK(payments.ask().empty());
+    full_worker firm([](core::job_spec&) {}, false);
+    CHECK(firm.ask().empty());
+}
+
+TEST_CASE("run times and sizes are learnt from what was seen, within bounds") {
+    estimator estimates(2);
+    const auto seen = estimates.find(core::team_id{"t"}, core::pool_id{"p"});
+    for (int run = 0; run < 50; ++run) {
+        seen->learn_time(seconds{10}, seconds{100});
+        seen->learn_size({.millicores = 1000, .memory_mb = 100}, {.millicores = 100, .memory_mb = 90000});
+    }
+    CHECK(seen->run_time(seconds{20}, seconds{1}) > seconds{90});
+    CHECK(seen->size({.millicores = 1000, .memory_mb = 100}).millicores == 1000);
+    CHECK(seen->size({.millicores = 1000, .memory_mb = 100}).memory_mb == 1000);
+    estimates.find(core::team_id{"u"}, core::pool_id{"p"});
+    estimates.find(core::team_id{"v"}, core::pool_id{"p"});
+    CHECK(estimates.count() == 2);
+    CHECK(estimates.find(core::team_id{"t"}, core::pool_id{"p"})->finished == 0);
+}
