Test the platform's clients against the stand-ins' faults

Cause: the fates that the clients tell had been tried by hand only. Change: tests of lost, crossed, short, late and refused answers, of silent and broken connections, of the connection budget and of total timeouts; the stand-ins run in the test's own process.

--- a/dev/stand_ins/faults.cpp
+++ b/dev/stand_ins/faults.cpp
@@ -11,10 +11,18 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> kind_names{
-    "down",   "slow",   "effect_without_answer", "crossed_answer", "short_answer",
-    "expire", "freeze", "fail_starts",           "fail_tasks",     "silent_connections",
-    "lag"};
+constexpr std::array<std::string_view, 12> kind_names{"down",
+                                                      "refuse",
+                                                      "slow",
+                                                      "effect_without_answer",
+                                                      "crossed_answer",
+                                                      "short_answer",
+                                                      "expire",
+                                                      "freeze",
+                                                      "fail_starts",
+                                                      "fail_tasks",
+                                                      "silent_connections",
+                                                      "lag"};
 
 fault_kind parse_kind(const std::string& name) {
     const auto* const found = std::find(kind_names.begin(), kind_names.end(), name);
--- a/dev/stand_ins/faults.h
+++ b/dev/stand_ins/faults.h
@@ -13,6 +13,7 @@
 
 enum class fault_kind : std::uint8_t {
     down,                  ///< Connections are accepted and closed without an answer; calls have no effect.
+    refuse,                ///< Each call is refused with status 503 and has no effect.
     slow,                  ///< A call takes effect and is answered after a time.
     effect_without_answer, ///< A call takes effect, and the connection is closed without an answer.
     crossed_answer,        ///< The answer carries the correlation id of another call.
--- a/dev/stand_ins/stand_in_server.cpp
+++ b/dev/stand_ins/stand_in_server.cpp
@@ -140,12 +140,11 @@
                                  fault_board& faults)
     : role(std::move(role)), log(log), faults(faults),
       threads(min_threads, options.max_threads, idle_thread_seconds),
-      handlers(Poco::makeShared<stand_in_handler_factory>(*this)) {
+      handlers(Poco::makeShared<stand_in_handler_factory>(*this)), socket(listen_at(options.port)) {
     const auto params = server_params(options.max_threads);
     const Poco::Net::TCPServerConnectionFactory::Ptr connections{
         Poco::makeShared<stand_in_connection_factory>(params, this->handlers, *this)};
-    this->server =
-        std::make_unique<Poco::Net::TCPServer>(connections, this->threads, listen_at(options.port), params);
+    this->server = std::make_unique<Poco::Net::TCPServer>(connections, this->threads, this->socket, params);
     this->server->start();
 }
 
@@ -173,9 +172,14 @@
 void stand_in_server::stop() {
     {
         const std::lock_guard lock{this->mutex};
+        if (this->stop_requested) {
+            return;
+        }
         this->stop_requested = true;
     }
     this->stopped.notify_all();
+    // Wakes Poco's accepting thread, which otherwise sees the end only at its next timeout.
+    this->socket.impl()->shutdownReceive();
     this->server->stop();
     this->handlers->close_connections();
     this->threads.joinAll();
@@ -253,6 +257,10 @@
         close_without_answer(request);
         return;
     }
+    if (hit(fault_kind::refuse)) {
+        send(response, refusal(503, "refused on order"), call.correlation);
+        return;
+    }
     if (const auto slow = hit(fault_kind::slow)) {
         this->pause(now() + slow->length);
     }
--- a/dev/stand_ins/stand_in_server.h
+++ b/dev/stand_ins/stand_in_server.h
@@ -4,6 +4,7 @@
 #include "stand_ins/journal.h"
 #include "stand_ins/stand_in_call.h"
 
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
@@ -80,6 +81,7 @@
     std::set<std::string> silent_connections;
     Poco::ThreadPool threads;
     Poco::SharedPtr<stand_in_handler_factory> handlers;
+    Poco::Net::ServerSocket socket;
     std::unique_ptr<Poco::Net::TCPServer> server;
 };
 
--- /dev/null
+++ b/tests/platform/executor_client_test.cpp
@@ -0,0 +1,155 @@
+#include "tests/platform/stand_in_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+using namespace platform_test;
+using platform::call_verdict;
+using stand_ins::fault_kind;
+using stand_ins::journal_kind;
+
+namespace {
+
+struct executors_with_client : executors_fixture {
+    explicit executors_with_client(platform::http_executor_client_options options = {})
+        : client(options), service(this->client.hooks()) {}
+
+    [[nodiscard]] platform::executor_reply call(const std::string& key, const std::string& body,
+                                                core::milliseconds limit = 1s) const {
+        return this->service.call({.executor = core::executor_id{"e1"},
+                                   .address = this->at("/executors/e1"),
+                                   .correlation = key + "#1",
+                                   .id = {.team = core::team_id{"tabua"}, .key = core::request_key{key}},
+                                   .body = body,
+                                   .limit = limit});
+    }
+
+    platform::http_executor_client client;
+    platform::executor_service service;
+};
+
+/// @return the most connections that were open at once, as the server saw it.
+std::size_t peak_connections(const stand_ins::journal& log) {
+    std::size_t open = 0;
+    std::size_t peak = 0;
+    for (const auto& entry : log.entries()) {
+        if (entry.kind == journal_kind::connection_opened) {
+            peak = std::max(peak, ++open);
+        } else if (entry.kind == journal_kind::connection_closed) {
+            --open;
+        }
+    }
+    return peak;
+}
+
+} // namespace
+
+TEST_CASE("an answer is whole and belongs to its request") {
+    const executors_with_client executors;
+    const auto reply = executors.call("a b/c", R"({"run_ms":1,"size":100000})");
+    CHECK(reply.verdict == call_verdict::answered);
+    CHECK(reply.body == "tabua/a b/c\n" + std::string(100000, 'x'));
+}
+
+TEST_CASE("crossed and short answers are never handed out") {
+    executors_with_client executors;
+    REQUIRE(executors.call("first", R"({"run_ms":0})").verdict == call_verdict::answered);
+    for (const auto kind : {fault_kind::crossed_answer, fault_kind::short_answer}) {
+        executors.server.order({.kind = kind, .count = 1});
+        const auto reply = executors.call("a", R"({"run_ms":0,"size":10})");
+        CHECK(reply.verdict == call_verdict::broken);
+        CHECK(reply.body.empty());
+        CHECK(executors.call("b", R"({"run_ms":0})").body == "tabua/b\n");
+    }
+}
+
+TEST_CASE("a call on a kept connection that breaks is not sent again") {
+    executors_with_client executors;
+    REQUIRE(executors.call("first", R"({"run_ms":0})").verdict == call_verdict::answered);
+    executors.server.order({.kind = fault_kind::effect_without_answer, .count = 1});
+    CHECK(executors.call("bill", R"({"run_ms":0})").verdict == call_verdict::broken);
+    const auto entries = executors.log.entries();
+    CHECK(std::count_if(entries.begin(), entries.end(), [](const auto& entry) {
+              return entry.kind == journal_kind::start && entry.id == "tabua/bill";
+          }) == 1);
+}
+
+TEST_CASE("verdicts tell what is certain") {
+    executors_with_client executors;
+    SECTION("nobody listens") {
+        const auto reply =
+            executors.service.call({.address = nobody(), .correlation = "c", .body = "x", .limit = 1s});
+        CHECK(reply.verdict == call_verdict::not_sent);
+    }
+    SECTION("refused") {
+        executors.server.order({.kind = fault_kind::refuse});
+        CHECK(executors.call("a", "x").verdict == call_verdict::refused);
+        CHECK(executors.log.count(journal_kind::start) == 0);
+    }
+    SECTION("failed") {
+        CHECK(executors.call("a", R"({"run_ms":0,"fail":true})").verdict == call_verdict::failed);
+    }
+    SECTION("a refusal of another call") {
+        executors.server.order({.kind = fault_kind::refuse, .count = 1});
+        executors.server.order({.kind = fault_kind::crossed_answer});
+        CHECK(executors.call("a", "x").verdict == call_verdict::refused);
+        CHECK(executors.call("a", R"({"run_ms":0,"fail":true})").verdict == call_verdict::broken);
+    }
+    SECTION("too slow") {
+        executors.server.order({.kind = fault_kind::freeze, .length = 200ms});
+        call_verdict verdict = call_verdict::answered;
+        CHECK(time_of([&] { verdict = executors.call("a", "x", 50ms).verdict; }) < 150ms);
+        CHECK(verdict == call_verdict::timed_out);
+    }
+}
+
+TEST_CASE("an executor never sees more connections than its budget") {
+    executors_with_client executors{{.max_connections_per_executor = 3, .max_wait = 10ms}};
+    std::atomic<int> answered{0};
+    std::atomic<int> not_sent{0};
+    {
+        std::vector<std::jthread> callers;
+        for (int i = 0; i < 12; ++i) {
+            callers.emplace_back([&, i] {
+                const auto verdict = executors.call(std::to_string(i), R"({"run_ms":100})").verdict;
+                answered += verdict == call_verdict::answered ? 1 : 0;
+                not_sent += verdict == call_verdict::not_sent ? 1 : 0;
+            });
+        }
+    }
+    CHECK(answered == 3);
+    CHECK(not_sent == 9);
+    CHECK(peak_connections(executors.log) == 3);
+    CHECK(executors.log.count(journal_kind::violation) == 0);
+}
+
+TEST_CASE("a connection closed after a timeout counts until the executor has surely let go") {
+    executors_with_client executors{{.max_connections_per_executor = 2, .linger = 200ms, .max_wait = 10ms}};
+    executors.server.order({.kind = fault_kind::freeze, .length = 150ms});
+    CHECK(executors.call("a", "x", 30ms).verdict == call_verdict::timed_out);
+    CHECK(executors.call("b", "x", 30ms).verdict == call_verdict::timed_out);
+    CHECK(executors.client.connections_to(executors.at("/executors/e1")) == 2);
+    CHECK(executors.call("c", "x", 30ms).verdict == call_verdict::not_sent);
+    std::this_thread::sleep_for(250ms);
+    CHECK(executors.call("d", R"({"run_ms":0})").verdict == call_verdict::answered);
+    CHECK(peak_connections(executors.log) <= 2);
+}
+
+TEST_CASE("the executor learns how much time is left") {
+    const executors_with_client executors;
+    CHECK(executors.call("a", R"({"run_ms":5000})", 40ms).verdict != call_verdict::answered);
+    std::this_thread::sleep_for(60ms);
+    CHECK(executors.log.count(journal_kind::abandoned) == 1);
+}
+
+TEST_CASE("idle connections are closed after a time") {
+    executors_with_client executors{{.idle_limit = 20ms, .close_time = 0ms}};
+    REQUIRE(executors.call("a", R"({"run_ms":0})").verdict == call_verdict::answered);
+    CHECK(executors.client.connections_to(executors.at("/executors/e1")) == 1);
+    std::this_thread::sleep_for(100ms);
+    CHECK(executors.client.connections_to(executors.at("/executors/e1")) == 0);
+    CHECK(executors.log.count(journal_kind::connection_closed) == 1);
+}
--- /dev/null
+++ b/tests/platform/log_client_test.cpp
@@ -0,0 +1,120 @@
+#include "tests/platform/stand_in_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace platform_test;
+using platform::append_fate;
+using stand_ins::fault_kind;
+using stand_ins::journal_kind;
+
+namespace {
+
+const core::stream_id orders{"orders/1 of 2"};
+constexpr std::size_t max_bytes = 1U << 20U;
+
+struct log_with_client : log_fixture {
+    platform::http_log_client client{{.address = this->at()}};
+    platform::log_service service = this->client.hooks();
+};
+
+} // namespace
+
+TEST_CASE("entries are read back in order with all their bytes") {
+    log_with_client log;
+    const std::string bytes{"\0\xff\r\n{", 5};
+    CHECK(log.service.append(orders, bytes, 1s).offset == core::log_offset{0});
+    CHECK(log.service.append(orders, "", 1s).offset == core::log_offset{1});
+    const auto all = log.service.read(orders, core::log_offset{0}, max_bytes, 1s);
+    REQUIRE(all.available);
+    REQUIRE(all.entries.size() == 2);
+    CHECK(all.entries[0].bytes == bytes);
+    CHECK(all.entries[1].bytes.empty());
+    CHECK(all.next == core::log_offset{2});
+    CHECK(log.service.read(orders, core::log_offset{0}, 1, 1s).entries.size() == 1);
+    CHECK(log.service.read(orders, core::log_offset{9}, max_bytes, 1s).entries.empty());
+}
+
+TEST_CASE("an append whose answer is lost is unknown and stored once") {
+    log_with_client log;
+    log.service.append(orders, "a", 1s);
+    log.server.order({.kind = fault_kind::effect_without_answer, .match = "append", .count = 1});
+    CHECK(log.service.append(orders, "b", 1s).fate == append_fate::unknown);
+    CHECK(log.service.read(orders, core::log_offset{0}, max_bytes, 1s).entries.size() == 2);
+    CHECK(log.log.count(journal_kind::append) == 2);
+}
+
+TEST_CASE("an append is absent only where that is certain") {
+    log_with_client log;
+    SECTION("nobody listens") {
+        platform::http_log_client client{{.address = nobody()}};
+        CHECK(client.hooks().append(orders, "a", 1s).fate == append_fate::absent);
+    }
+    SECTION("the service refuses") {
+        log.server.order({.kind = fault_kind::refuse});
+        CHECK(log.service.append(orders, "a", 1s).fate == append_fate::absent);
+    }
+    SECTION("the connection is closed without an answer") {
+        log.server.order({.kind = fault_kind::down});
+        CHECK(log.service.append(orders, "a", 1s).fate == append_fate::unknown);
+    }
+    SECTION("the answer belongs to another call") {
+        log.server.order({.kind = fault_kind::crossed_answer});
+        CHECK(log.service.append(orders, "a", 1s).fate == append_fate::unknown);
+    }
+    SECTION("the answer is cut short") {
+        log.server.order({.kind = fault_kind::short_answer});
+        CHECK(log.service.append(orders, "a", 1s).fate == append_fate::unknown);
+    }
+}
+
+TEST_CASE("an append that takes effect after its timeout is unknown") {
+    log_with_client log;
+    log.server.order({.kind = fault_kind::slow, .count = 1, .length = 150ms});
+    platform::append_reply reply;
+    CHECK(time_of([&] { reply = log.service.append(orders, "a", 50ms); }) < 140ms);
+    CHECK(reply.fate == append_fate::unknown);
+    log.server.stop();
+    CHECK(log.log.count(journal_kind::append) == 1);
+}
+
+TEST_CASE("a read that is cut short, crossed or refused is not available") {
+    log_with_client log;
+    log.service.append(orders, "a", 1s);
+    for (const auto kind : {fault_kind::short_answer, fault_kind::crossed_answer, fault_kind::refuse,
+                            fault_kind::down, fault_kind::effect_without_answer}) {
+        log.server.order({.kind = kind, .match = "read", .count = 1});
+        const auto reply = log.service.read(orders, core::log_offset{0}, max_bytes, 1s);
+        CHECK_FALSE(reply.available);
+        CHECK(reply.entries.empty());
+        CHECK_FALSE(reply.reason.empty());
+    }
+    CHECK(log.service.read(orders, core::log_offset{0}, max_bytes, 1s).available);
+}
+
+TEST_CASE("a reader is told what the log no longer keeps") {
+    log_with_client log;
+    for (const auto* const bytes : {"a", "b", "c"}) {
+        log.service.append(orders, bytes, 1s);
+    }
+    log.server.order({.kind = fault_kind::expire, .offset = 2});
+    const auto reply = log.service.read(orders, core::log_offset{0}, max_bytes, 1s);
+    CHECK(reply.first == core::log_offset{2});
+    REQUIRE(reply.entries.size() == 1);
+    CHECK(reply.entries[0].bytes == "c");
+}
+
+TEST_CASE("connections that went silent are left behind after one call") {
+    log_with_client log;
+    std::vector<std::jthread> readers;
+    log.server.order({.kind = fault_kind::slow, .length = 30ms});
+    for (int i = 0; i < 4; ++i) {
+        readers.emplace_back([&log] { log.service.read(orders, core::log_offset{0}, max_bytes, 1s); });
+    }
+    readers.clear();
+    REQUIRE(log.log.count(journal_kind::connection_opened) == 4);
+    log.faults.clear();
+    log.server.order({.kind = fault_kind::silent_connections});
+    CHECK(log.service.append(orders, "a", 50ms).fate == append_fate::unknown);
+    CHECK(log.service.append(orders, "b", 50ms).fate == append_fate::done);
+    CHECK(log.log.count(journal_kind::append) == 1);
+}
--- /dev/null
+++ b/tests/platform/stand_in_fixture.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/core.h"
+#include "platform/platform.h"
+#include "stand_ins/stand_ins.h"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <cstdint>
+#include <string>
+
+namespace platform_test {
+
+using namespace rattanmount;
+using namespace std::chrono_literals;
+
+/// A stand-in of one role that serves from the test's own process.
+template <typename Role>
+class stand_in_fixture {
+public:
+    /// @param make_role makes the role from the journal and the faults.
+    template <typename Make>
+    explicit stand_in_fixture(Make make_role)
+        : role(make_role(this->log, this->faults)), server({}, this->role.hooks(), this->log, this->faults) {}
+
+    /// @param path "" or "/workers/w1".
+    [[nodiscard]] core::endpoint at(const std::string& path = "") const {
+        return {.address = "127.0.0.1", .port = this->server.port(), .path = path};
+    }
+
+    stand_ins::journal log;
+    stand_ins::fault_board faults;
+    Role role;
+    stand_ins::stand_in_server server;
+};
+
+struct log_fixture : stand_in_fixture<stand_ins::log_role> {
+    log_fixture() : stand_in_fixture([](auto& log, auto&) { return stand_ins::log_role{{}, log}; }) {}
+};
+
+struct executors_fixture : stand_in_fixture<stand_ins::executors_role> {
+    explicit executors_fixture(const stand_ins::executors_role_options& options = {.names = {"e1"}})
+        : stand_in_fixture([&options](auto& log, auto& faults) {
+              return stand_ins::executors_role{options, log, faults};
+          }) {}
+};
+
+struct workers_fixture : stand_in_fixture<stand_ins::workers_role> {
+    workers_fixture()
+        : stand_in_fixture([](auto& log, auto& faults) {
+              return stand_ins::workers_role{
+                  {.names = {"w1"}, .capacity = {.millicores = 4000, .memory_mb = 4096}}, log, faults};
+          }) {}
+};
+
+struct fleet_fixture : stand_in_fixture<stand_ins::fleet_role> {
+    fleet_fixture()
+        : stand_in_fixture([](auto& log, auto& faults) {
+              return stand_ins::fleet_role{log, faults};
+          }) {}
+};
+
+/// @return an address at which nobody listens.
+inline core::endpoint nobody() {
+    const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+    return {.address = "127.0.0.1", .port = socket.address().port()};
+}
+
+/// @param call what to do.
+/// @return how long it took.
+template <typename Call>
+core::milliseconds time_of(Call call) {
+    const auto begin = std::chrono::steady_clock::now();
+    call();
+    return std::chrono::duration_cast<core::milliseconds>(std::chrono::steady_clock::now() - begin);
+}
+
+} // namespace platform_test
