--- a/src/platform/deadline_socket.cpp
+++ b/src/platform/deadline_socket.cpp
@@ -29,7 +29,7 @@
     int done = 0;
     while (done < length) {
         this->wait_for(Poco::Net::Socket::SELECT_WRITE);
-        const int taken = SocketImpl::sendBytes(bytes + done, length - done, flags);
+        const int taken = StreamSocketImpl::sendBytes(bytes + done, length - done, flags);
         if (taken > 0) {
             done += taken;
             this->sent_bytes += static_cast<std::uint64_t>(taken);
@@ -51,7 +51,8 @@
 }
 
 void deadline_socket::wait_for(int mode) {
-    const auto left = time_left(this->deadline);
+    // Poco waits in whole milliseconds; rounded up, so that no call gives up before its deadline.
+    const std::chrono::microseconds left = std::chrono::ceil<core::milliseconds>(time_left(this->deadline));
     if (left.count() == 0 || !this->poll(Poco::Timespan{left.count()}, mode)) {
         throw Poco::TimeoutException("no answer within the time limit");
     }
