Clean the front and inner packages for the linter

Cause: clang-tidy found copies that need not be made and raw new. Change: references in place of copies, Poco's makeAuto and makeShared. Conclusion: no behaviour changed; test_inner and test_front pass.

--- a/src/front/connection_server.cpp
+++ b/src/front/connection_server.cpp
@@ -127,8 +127,7 @@
     this->queued.notify_all();
 }
 
-void connection_server::work(socket_queue& queue,
-                             std::function<void(const Poco::Net::StreamSocket&, open_connection&)> serve) {
+void connection_server::work(socket_queue& queue, const serve_hook& serve) {
     std::unique_lock lock{this->mutex};
     const bool serves = &queue == &this->waiting;
     for (;;) {
@@ -138,7 +137,7 @@
         if (queue.empty()) {
             break;
         }
-        const auto connected = std::move(queue.front());
+        const auto connected = queue.front();
         queue.pop_front();
         this->options.counters->connections++;
         const auto entry = this->open.emplace(this->open.end(), connected.impl()->sockfd());
--- a/src/front/connection_server.h
+++ b/src/front/connection_server.h
@@ -20,15 +20,18 @@
 
 namespace rattanmount::front {
 
+/// Takes a connection until its end.
+using serve_hook = std::function<void(const Poco::Net::StreamSocket&, open_connection&)>;
+
 /// What a connection_server is made of.
 struct connection_server_options {
     core::endpoint listen;
     std::uint32_t max_threads = 1;
     std::uint32_t max_queued = 1;
     /// Serves a connection until its end; called by worker threads, many at once.
-    std::function<void(const Poco::Net::StreamSocket&, open_connection&)> serve;
+    serve_hook serve;
     /// Refuses the one request of a connection; called by one thread.
-    std::function<void(const Poco::Net::StreamSocket&, open_connection&)> refuse;
+    serve_hook refuse;
     std::shared_ptr<front_counters> counters;
 };
 
@@ -67,8 +70,7 @@
 
     void accept_connections();
     void enqueue(const Poco::Net::StreamSocket& socket);
-    void work(socket_queue& queue,
-              std::function<void(const Poco::Net::StreamSocket&, open_connection&)> serve);
+    void work(socket_queue& queue, const serve_hook& serve);
     /// Makes the connection that has been idle the longest end. Needs the lock.
     void end_idle_connection();
 
--- a/src/front/http_caller.cpp
+++ b/src/front/http_caller.cpp
@@ -3,6 +3,7 @@
 #include "core/errors.h"
 #include "front/deadline_socket_impl.h"
 
+#include <Poco/AutoPtr.h>
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -66,9 +67,8 @@
 incoming_answer call_http(const core::endpoint& host, const outgoing_request& request,
                           const call_limits& limits) {
     const auto id = Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
-    // The StreamSocket takes over the reference that the new object starts with.
-    auto* connection = new deadline_socket_impl{std::chrono::steady_clock::now() + limits.whole};
-    const Poco::Net::StreamSocket socket{connection};
+    auto connection = Poco::makeAuto<deadline_socket_impl>(std::chrono::steady_clock::now() + limits.whole);
+    const Poco::Net::StreamSocket socket{connection.duplicate()};
     try {
         connection->connect_in_time(Poco::Net::SocketAddress{host.address, host.port}, limits.connect);
         Poco::Net::HTTPClientSession session{socket};
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -2,8 +2,10 @@
 
 #include "front/request_handler.h"
 
+#include <Poco/AutoPtr.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerConnection.h>
+#include <Poco/SharedPtr.h>
 #include <Poco/Timespan.h>
 
 #include <cassert>
@@ -36,7 +38,7 @@
 
 Poco::Net::HTTPServerParams::Ptr make_params(const http_front_options& options, bool overloaded) {
     constexpr int unlimited_requests = 0;
-    Poco::Net::HTTPServerParams::Ptr params{new Poco::Net::HTTPServerParams};
+    auto params = Poco::makeAuto<Poco::Net::HTTPServerParams>();
     params->setTimeout(to_timespan(overloaded ? refusal_limit : options.receive_limit));
     params->setKeepAlive(!overloaded);
     params->setKeepAliveTimeout(to_timespan(options.keep_alive_limit));
@@ -108,14 +110,14 @@
     const auto may_keep_alive = [this, overloaded] {
         return !overloaded && !this->stopping && !this->server.crowded();
     };
-    const Poco::Net::HTTPRequestHandlerFactory::Ptr factory{
-        new handler_factory{{.handle = handle,
-                             .may_keep_alive = may_keep_alive,
-                             .max_body_bytes = this->options.max_body_bytes,
-                             .receive_limit = overloaded ? refusal_limit : this->options.receive_limit,
-                             .counters = *this->options.counters,
-                             .requests = this->requests,
-                             .connection = connection}}};
+    const Poco::Net::HTTPRequestHandlerFactory::Ptr factory = Poco::makeShared<handler_factory>(
+        request_handler_options{.handle = handle,
+                                .may_keep_alive = may_keep_alive,
+                                .max_body_bytes = this->options.max_body_bytes,
+                                .receive_limit = overloaded ? refusal_limit : this->options.receive_limit,
+                                .counters = *this->options.counters,
+                                .requests = this->requests,
+                                .connection = connection});
     Poco::Net::HTTPServerConnection{socket, make_params(this->options, overloaded), factory}.run();
 }
 
--- a/src/front/object_reader.cpp
+++ b/src/front/object_reader.cpp
@@ -78,7 +78,7 @@
 
 std::string object_reader::bytes_or(const std::string& field, const std::string& absent) {
     const auto encoded_field = field + "_base64";
-    const auto plain = this->text_or(field, absent);
+    auto plain = this->text_or(field, absent);
     const auto encoded = this->text_or(encoded_field, "");
     if (!this->has(encoded_field)) {
         return plain;
--- a/src/front/routes.h
+++ b/src/front/routes.h
@@ -24,6 +24,7 @@
 class routes {
 public:
     explicit routes(routes_options options);
+    ~routes() = default;
 
     routes(const routes&) = delete;
     routes& operator=(const routes&) = delete;
--- a/src/inner/accepted_socket.cpp
+++ b/src/inner/accepted_socket.cpp
@@ -5,8 +5,6 @@
 
 namespace rattanmount::inner {
 
-using apache::thrift::transport::TSocket;
-
 accepted_socket::accepted_socket(int socket, std::shared_ptr<apache::thrift::TConfiguration> limits,
                                  std::shared_ptr<traffic_counters> counters)
     : TSocket(socket, std::move(limits)), counters(std::move(counters)) {}
--- a/src/inner/call_runner.cpp
+++ b/src/inner/call_runner.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-call_runner::call_runner(connection_pool_options options)
+call_runner::call_runner(const connection_pool_options& options)
     : pool(options), peer(options.peer), counters(options.counters) {}
 
 void call_runner::run(const call_halves& call, repeat_rule rule, core::milliseconds limit) {
--- a/src/inner/call_runner.h
+++ b/src/inner/call_runner.h
@@ -20,7 +20,7 @@
 /// Shared by the hooks of an inner_client; any thread may call and blocks up to the limit.
 class call_runner {
 public:
-    explicit call_runner(connection_pool_options options);
+    explicit call_runner(const connection_pool_options& options);
 
     /// @param call what to send and how to receive.
     /// @param rule whether it may be sent twice.
--- a/src/inner/deadline_socket.cpp
+++ b/src/inner/deadline_socket.cpp
@@ -5,7 +5,6 @@
 
 namespace rattanmount::inner {
 
-using apache::thrift::transport::TSocket;
 using apache::thrift::transport::TTransportException;
 
 deadline_socket::deadline_socket(const core::endpoint& peer,
--- a/src/inner/inner_client.cpp
+++ b/src/inner/inner_client.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-inner_client::inner_client(inner_client_options options)
+inner_client::inner_client(const inner_client_options& options)
     : quick_limit(options.quick_limit), heartbeats(make_runner(options, 1)),
       calls(make_runner(options, options.max_connections)) {
     assert(options.counters);
--- a/src/inner/inner_client.h
+++ b/src/inner/inner_client.h
@@ -31,7 +31,7 @@
 /// and they stay usable after the client is gone.
 class inner_client {
 public:
-    explicit inner_client(inner_client_options options);
+    explicit inner_client(const inner_client_options& options);
 
     /// @return the calls to the peer; each throws as cell::peer_calls says, and core::invalid_argument where
     /// the peer says so.
--- a/src/inner/peer_connection.cpp
+++ b/src/inner/peer_connection.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 peer_connection::peer_connection(const core::endpoint& peer,
-                                 std::shared_ptr<apache::thrift::TConfiguration> limits,
+                                 const std::shared_ptr<apache::thrift::TConfiguration>& limits,
                                  std::shared_ptr<traffic_counters> counters)
     : socket(std::make_shared<deadline_socket>(peer, limits, std::move(counters))),
       client(std::make_shared<TCompactProtocol>(make_framed(this->socket, limits))) {}
--- a/src/inner/peer_connection.h
+++ b/src/inner/peer_connection.h
@@ -40,7 +40,7 @@
 /// connection is closed for good, so that a late answer can never be taken for another call's.
 class peer_connection {
 public:
-    peer_connection(const core::endpoint& peer, std::shared_ptr<apache::thrift::TConfiguration> limits,
+    peer_connection(const core::endpoint& peer, const std::shared_ptr<apache::thrift::TConfiguration>& limits,
                     std::shared_ptr<traffic_counters> counters);
 
     /// @return whether it was connected before, so that the peer may have closed it since.
