--- a/src/front/connection_server.cpp
+++ b/src/front/connection_server.cpp
@@ -113,7 +113,7 @@
 
 void connection_server::enqueue(const Poco::Net::StreamSocket& socket) {
     const std::lock_guard lock{this->mutex};
-    if (this->waiting.size() < this->options.max_queued) {
+    if (this->waiting.size() < this->free_threads + this->options.max_queued) {
         this->waiting.push_back(socket);
         if (this->free_threads < this->waiting.size()) {
             this->end_idle_connection();
