--- a/src/settings/cross_checks.cpp
+++ b/src/settings/cross_checks.cpp
@@ -86,13 +86,13 @@
                  "twice this time must be less than platform.workers.lease_term (" +
                      core::format_duration(workers.lease_term) +
                      "), so that one lost renewal loses no lease");
-    result.check({"platform.workers.clock_drift", "platform.workers.lease_term"},
-                 workers.clock_drift * 2 < workers.lease_term,
-                 "twice this time must be less than platform.workers.lease_term (" +
-                     core::format_duration(workers.lease_term) + ")");
-    result.check(
-        {"platform.workers.timeout", "platform.workers.lease_term"}, workers.timeout < workers.lease_term,
-        "must be less than platform.workers.lease_term (" + core::format_duration(workers.lease_term) + ")");
+    result.check({"platform.workers.timeout", "platform.workers.renew_interval",
+                  "platform.workers.clock_drift", "platform.workers.lease_term"},
+                 workers.timeout + workers.renew_interval + workers.clock_drift < workers.lease_term,
+                 "with platform.workers.renew_interval and clock_drift it must be less than "
+                 "platform.workers.lease_term (" +
+                     core::format_duration(workers.lease_term) +
+                     "), so that a lease outlives a renewal that times out");
 }
 
 void check_executors(const host_settings& settings, checker& result) {
@@ -117,10 +117,6 @@
                  "must be at least membership.heartbeat_interval (" +
                      core::format_duration(membership.heartbeat_interval) +
                      "), so that a starting host hears of the others");
-    const auto& log = settings.platform.log;
-    result.check({"jobs.keep_outcomes", "platform.log.retention"},
-                 settings.jobs.keep_outcomes <= log.retention,
-                 "must be at most platform.log.retention (" + core::format_duration(log.retention) + ")");
     result.check({"quick.silent_after", "quick.attempt_timeout"},
                  settings.quick.silent_after >= settings.quick.attempt_timeout,
                  "must be at least quick.attempt_timeout (" +
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -58,7 +58,7 @@
 struct worker_service_options {
     milliseconds lease_term = 6s;
     milliseconds renew_interval = 2s;
-    milliseconds task_hold = 10s; ///< How long a worker keeps its tasks after its lease has lapsed.
+    milliseconds task_hold = 10s; ///< How long workers run tasks on after their lease has lapsed.
     milliseconds timeout = 1s;
     milliseconds clock_drift = 100ms; ///< Most that two steady clocks differ over one lease term.
 };
@@ -68,7 +68,7 @@
     std::uint32_t connections_per_host = 4;
     milliseconds connect_timeout = 200ms;
     milliseconds idle_timeout = 30s;
-    milliseconds linger = 2s; ///< How long a connection with an overdue answer still counts as open.
+    milliseconds linger = 2s; ///< How long a connection that was given up still counts.
 };
 
 /// What the platform gives, and how it is called.
--- a/src/settings/section_reader.cpp
+++ b/src/settings/section_reader.cpp
@@ -32,10 +32,22 @@
     return text.str();
 }
 
-std::string between(const std::string& least, const std::string& greatest) {
-    return "must be from " + least + " to " + greatest;
+std::string text_of(std::uint32_t number) {
+    return std::to_string(number);
 }
 
+std::string text_of(core::milliseconds time) {
+    return core::format_duration(time);
+}
+
+template <typename T>
+std::string text_of(range<T> allowed) {
+    return text_of(allowed.least) + " to " + text_of(allowed.greatest);
+}
+
+const std::string allowed_name =
+    text_of(range<std::uint32_t>{1, core::job_limits::max_name_bytes}) + " bytes";
+
 } // namespace
 
 section_reader::section_reader(const nlohmann::json& value, std::string path, reading& shared)
@@ -46,7 +58,7 @@
 }
 
 void section_reader::required_endpoint(const std::string& key, core::endpoint& target) {
-    const auto* found = this->find(key, need::required, "");
+    const auto* found = this->find(key, need::required, "", "IP number:port");
     if (found == nullptr) {
         return;
     }
@@ -63,25 +75,25 @@
 
 void section_reader::required_count(const std::string& key, std::uint32_t& target,
                                     range<std::uint32_t> allowed) {
-    if (const auto* found = this->find(key, need::required, "")) {
+    if (const auto* found = this->find(key, need::required, "", text_of(allowed))) {
         this->read_count(key, *found, target, allowed);
     }
 }
 
 void section_reader::name(const std::string& key, std::string& target) {
-    if (const auto* found = this->find(key, need::optional, target)) {
+    if (const auto* found = this->find(key, need::optional, target, allowed_name)) {
         this->read_name(key, *found, target);
     }
 }
 
 void section_reader::count(const std::string& key, std::uint32_t& target, range<std::uint32_t> allowed) {
-    if (const auto* found = this->find(key, need::optional, std::to_string(target))) {
+    if (const auto* found = this->find(key, need::optional, text_of(target), text_of(allowed))) {
         this->read_count(key, *found, target, allowed);
     }
 }
 
 void section_reader::ratio(const std::string& key, double& target, range<double> allowed) {
-    const auto* found = this->find(key, need::optional, text_of(target));
+    const auto* found = this->find(key, need::optional, text_of(target), text_of(allowed));
     if (found == nullptr) {
         return;
     }
@@ -91,7 +103,7 @@
     }
     const auto number = found->get<double>();
     if (number < allowed.least || number > allowed.greatest) {
-        this->wrong(this->path_of(key), between(text_of(allowed.least), text_of(allowed.greatest)));
+        this->wrong(this->path_of(key), "must be from " + text_of(allowed));
         return;
     }
     target = number;
@@ -99,7 +111,7 @@
 
 void section_reader::duration(const std::string& key, core::milliseconds& target,
                               range<core::milliseconds> allowed) {
-    const auto* found = this->find(key, need::optional, core::format_duration(target));
+    const auto* found = this->find(key, need::optional, text_of(target), text_of(allowed));
     if (found == nullptr) {
         return;
     }
@@ -110,8 +122,7 @@
     try {
         const auto read = core::parse_duration(found->get<std::string>());
         if (read < allowed.least || read > allowed.greatest) {
-            this->wrong(this->path_of(key), between(core::format_duration(allowed.least),
-                                                    core::format_duration(allowed.greatest)));
+            this->wrong(this->path_of(key), "must be from " + text_of(allowed));
             return;
         }
         target = read;
@@ -120,9 +131,10 @@
     }
 }
 
-void section_reader::choice(const std::string& key, std::string default_value,
+void section_reader::choice(const std::string& key, const std::string& default_value,
+                            const std::string& allowed,
                             const std::function<void(const std::string&)>& parse) {
-    const auto* found = this->find(key, need::optional, default_value);
+    const auto* found = this->find(key, need::optional, default_value, allowed);
     if (found == nullptr) {
         return;
     }
@@ -184,14 +196,14 @@
 }
 
 const nlohmann::json* section_reader::find(const std::string& key, need needed,
-                                           const std::string& default_value) {
+                                           const std::string& default_value, const std::string& allowed) {
     this->asked.push_back(key);
     const auto place = this->path_of(key);
     const auto known = without_indexes(place);
     const bool seen = std::any_of(this->shared.keys.begin(), this->shared.keys.end(),
                                   [&](const setting_key& each) { return each.path == known; });
     if (!seen) {
-        this->shared.keys.push_back({.path = known, .default_value = default_value});
+        this->shared.keys.push_back({.path = known, .default_value = default_value, .allowed = allowed});
     }
     if (!this->value.is_object()) {
         return nullptr;
@@ -207,7 +219,7 @@
 }
 
 const nlohmann::json* section_reader::find_list(const std::string& key) {
-    const auto* found = this->find(key, need::required, "");
+    const auto* found = this->find(key, need::required, "", "at least one");
     if (found == nullptr) {
         return nullptr;
     }
@@ -223,7 +235,7 @@
 }
 
 void section_reader::required_name(const std::string& key, std::string& target) {
-    if (const auto* found = this->find(key, need::required, "")) {
+    if (const auto* found = this->find(key, need::required, "", allowed_name)) {
         this->read_name(key, *found, target);
     }
 }
@@ -235,8 +247,7 @@
     }
     const auto& text = value.get_ref<const std::string&>();
     if (text.empty() || text.size() > core::job_limits::max_name_bytes) {
-        this->wrong(this->path_of(key),
-                    "must be a text of 1 to " + std::to_string(core::job_limits::max_name_bytes) + " bytes");
+        this->wrong(this->path_of(key), "must be a text of " + allowed_name);
         return;
     }
     target = text;
@@ -250,8 +261,7 @@
     }
     const bool too_great = value.is_number_unsigned() && value.get<std::uint64_t>() > allowed.greatest;
     if (too_great || value.get<std::int64_t>() < static_cast<std::int64_t>(allowed.least)) {
-        this->wrong(this->path_of(key),
-                    between(std::to_string(allowed.least), std::to_string(allowed.greatest)));
+        this->wrong(this->path_of(key), "must be from " + text_of(allowed));
         return;
     }
     target = value.get<std::uint32_t>();
--- a/src/settings/section_reader.h
+++ b/src/settings/section_reader.h
@@ -68,8 +68,9 @@
     /// Reads the name of a choice.
     /// @param key the key.
     /// @param default_value the name that holds where none is given.
+    /// @param allowed the names, with commas between them.
     /// @param parse takes the name; throws core::invalid_argument where there is no such choice.
-    void choice(const std::string& key, std::string default_value,
+    void choice(const std::string& key, const std::string& default_value, const std::string& allowed,
                 const std::function<void(const std::string&)>& parse);
 
     /// Reads an object; where it is not given, its fields keep their defaults.
@@ -88,7 +89,8 @@
     enum class need : std::uint8_t { required, optional };
 
     /// @return the value of a key, or nullptr where it is not given.
-    const nlohmann::json* find(const std::string& key, need needed, const std::string& default_value);
+    const nlohmann::json* find(const std::string& key, need needed, const std::string& default_value,
+                               const std::string& allowed);
     const nlohmann::json* find_list(const std::string& key);
     void required_name(const std::string& key, std::string& target);
     void read_name(const std::string& key, const nlohmann::json& value, std::string& target);
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -17,6 +17,8 @@
 
 constexpr time_range call_time{10ms, 60s};
 constexpr time_range interval_time{50ms, 60s};
+/// Release notes and leaving targets have to be seen within seconds.
+constexpr time_range prompt_interval_time{50ms, 2s};
 constexpr time_range keep_time{1min, 365 * 24h};
 
 void read_host(section_reader& reader, entry_host_options& host) {
@@ -45,13 +47,13 @@
     reader.duration("timeout", log.timeout, call_time);
     reader.count("appends_per_second", log.appends_per_second, count_range{1, 10000});
     reader.duration("retention", log.retention, keep_time);
-    reader.duration("config_read_interval", log.config_read_interval, interval_time);
+    reader.duration("config_read_interval", log.config_read_interval, prompt_interval_time);
     reader.duration("shard_read_interval", log.shard_read_interval, interval_time);
 }
 
 void read_fleet_service(section_reader& reader, fleet_service_options& fleet) {
     reader.required_endpoint("address", fleet.address);
-    reader.duration("interval", fleet.interval, interval_time);
+    reader.duration("interval", fleet.interval, prompt_interval_time);
     reader.duration("timeout", fleet.timeout, call_time);
 }
 
@@ -119,9 +121,9 @@
 }
 
 void read_log(section_reader& reader, telemetry::logging_options& log) {
-    reader.choice("level", std::string{telemetry::to_string(log.level)},
+    reader.choice("level", std::string{telemetry::to_string(log.level)}, "debug, info, warning, error",
                   [&](const std::string& name) { log.level = telemetry::parse_log_level(name); });
-    reader.choice("format", std::string{telemetry::to_string(log.format)},
+    reader.choice("format", std::string{telemetry::to_string(log.format)}, "text, json",
                   [&](const std::string& name) { log.format = telemetry::parse_log_format(name); });
 }
 
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -24,6 +24,7 @@
 struct setting_key {
     std::string path;          ///< For example "platform.log.timeout"; "[]" stands for each entry of a list.
     std::string default_value; ///< As text; empty where the key must be given.
+    std::string allowed;       ///< For example "1 to 256".
 };
 
 /// @return every key that the reader knows, in its order.
