Add the command line

Cause: operators and callers need one binary for running an entry host, checking settings, and all calls of the HTTP interface.

--- /dev/null
+++ b/src/app/app.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// @file
+/// The package `app`: the command line, and the wiring of an entry host.
+///
+/// Depends on: all other packages, cxxopts.
+/// Threads: the command line runs on the main thread; `timeline` reads each host on a thread of its own.
+
+#include "app/command_arguments.h"
+#include "app/command_hooks.h"
+#include "app/command_line.h"
+#include "app/event_gathering.h"
+#include "app/exit_code.h"
+#include "app/job_text.h"
+#include "app/job_wait.h"
--- /dev/null
+++ b/src/app/command_cancel.cpp
@@ -0,0 +1,38 @@
+#include "app/command_cancel.h"
+
+#include "app/job_text.h"
+#include "front/api_client.h"
+#include "front/json_codec.h"
+
+#include <algorithm>
+
+namespace rattanmount::app {
+
+namespace {
+
+/// A job that is over, however it ended, needs no cancelling any more.
+exit_code cancel_code_of(const core::job_answer& answer) {
+    const bool over = answer.state == core::answer_state::ended && answer.result != core::outcome::unknown;
+    return over ? exit_code::ok : exit_code_of(answer);
+}
+
+} // namespace
+
+exit_code run_cancel(const command_call& call) {
+    cxxopts::Options options{"rattanmount cancel",
+                             "Cancels a job. The answer tells whether it ran; a job that is over is left."};
+    add_cell_options(options);
+    add_job_argument(options);
+    const auto parsed = parse_arguments(options, call);
+    if (!parsed) {
+        return exit_code::ok;
+    }
+    const auto cell = read_cell_options(*parsed, call);
+    const auto id = read_job_argument(*parsed);
+    const front::api_client client{{.hosts = cell.hosts}};
+    const auto answer = client.cancel(id, std::min(cell.limit, longest_call));
+    call.hooks.print(cell.json ? front::encode(answer) + "\n" : describe(id, answer));
+    return cancel_code_of(answer);
+}
+
+} // namespace rattanmount::app
--- /dev/null
+++ b/src/app/command_check_settings.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "app/command_arguments.h"
+#include "app/exit_code.h"
+
+namespace rattanmount::app {
+
+/// The command `check-settings`: tells every fault of a file of settings.
+/// @param call the arguments and hooks.
+/// @return the exit code.
+/// @throws core::error where the arguments are not valid or a call gives no answer.
+[[nodiscard]] exit_code run_check_settings(const command_call& call);
+
+} // namespace rattanmount::app
--- /dev/null
+++ b/src/app/command_entry.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "app/command_arguments.h"
+#include "app/exit_code.h"
+
+namespace rattanmount::app {
+
+/// The command `entry`: reads settings and runs an entry host until it is stopped.
+/// @param call the arguments and hooks.
+/// @return the exit code.
+/// @throws core::error where the arguments are not valid or a call gives no answer.
+[[nodiscard]] exit_code run_entry(const command_call& call);
+
+} // namespace rattanmount::app
--- /dev/null
+++ b/src/app/command_hosts.cpp
@@ -0,0 +1,53 @@
+#include "app/command_hosts.h"
+
+#include "front/api_client.h"
+#include "front/json_codec.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+
+namespace rattanmount::app {
+
+namespace {
+
+std::string state_of(const core::host_status& host) {
+    if (!host.live) {
+        return "dead";
+    }
+    return host.leaving ? "leaving" : "live";
+}
+
+std::string describe(const std::vector<core::host_status>& hosts) {
+    constexpr auto row = "{:<16} {:<16} {:<22} {:<8} {:>8}  {}\n";
+    auto text = fmt::format(row, "HOST", "DATA CENTRE", "ADDRESS", "STATE", "CONFIG", "SHARDS");
+    for (const auto& host : hosts) {
+        std::string shards;
+        for (const auto shard : host.shards) {
+            shards += (shards.empty() ? "" : ",") + std::to_string(shard.value());
+        }
+        text += fmt::format(row, host.host.value(), host.data_centre.value(), host.address, state_of(host),
+                            host.config_offset.value(), shards.empty() ? "-" : shards);
+    }
+    return text;
+}
+
+} // namespace
+
+exit_code run_hosts(const command_call& call) {
+    cxxopts::Options options{"rattanmount hosts",
+                             "Lists the entry hosts as one of them sees them. CONFIG is how much of the "
+                             "configuration stream a host has applied."};
+    add_cell_options(options);
+    const auto parsed = parse_arguments(options, call);
+    if (!parsed) {
+        return exit_code::ok;
+    }
+    const auto cell = read_cell_options(*parsed, call);
+    const front::api_client client{{.hosts = cell.hosts}};
+    const auto hosts = client.hosts(std::min(cell.limit, longest_call));
+    call.hooks.print(cell.json ? front::encode(hosts) + "\n" : describe(hosts));
+    return exit_code::ok;
+}
+
+} // namespace rattanmount::app
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,5 @@
+#include "app/command_line.h"
+
+int main(int argc, char** argv) {
+    return rattanmount::app::run_command(argc, argv, rattanmount::app::make_process_hooks({}));
+}
