--- a/src/app/entry_host.cpp
+++ b/src/app/entry_host.cpp
@@ -238,7 +238,8 @@
     // The control thread answers `pending` by itself a little before the caller gives up.
     constexpr core::milliseconds margin{200};
     const auto answer = ask<core::note_answer>(
-        *this->control, limit, [note, limit, margin](host_control& host, core::steady_time now, const auto& respond) {
+        *this->control, limit,
+        [note, limit, margin](host_control& host, core::steady_time now, const auto& respond) {
             host.apply_note(note, std::max(limit - margin, core::milliseconds{0}), now, respond);
         });
     if (!answer.taken) {
--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -701,6 +701,13 @@
         return !this->members.live(owner.incarnation, this->current_time);
     };
     made.never_fits = [this](const core::job_spec& spec) { return this->never_fits(spec); };
+    made.owner_of = [this](core::shard_id other) -> std::optional<core::endpoint> {
+        const auto route = this->route_to(other, this->current_time);
+        if (route.target == job_route::target_type::local) {
+            return this->options.inner;
+        }
+        return route.target == job_route::target_type::peer ? std::optional{route.peer} : std::nullopt;
+    };
     made.shard_with_room = [this](const core::job_spec& spec) { return this->shard_with_room(spec); };
     return made;
 }
--- a/src/control/job_runner.cpp
+++ b/src/control/job_runner.cpp
@@ -157,6 +157,9 @@
 
 void job_runner::admit(live_job& job) {
     this->decisions.add_job(job.spec, job.waiting_since, job.waiting_tasks());
+    if (this->fleet_known && (this->workers.empty() || this->decisions.never_fits(job.spec))) {
+        this->unfit.insert(job.spec.id);
+    }
 }
 
 void job_runner::on_accepted(const core::job_spec& spec, core::steady_time now) {
@@ -549,6 +552,7 @@
 void job_runner::end_job(live_job& job, core::outcome result, const std::string& reason,
                          core::steady_time now) {
     job.ending = result;
+    this->unfit.erase(job.spec.id);
     this->decisions.remove_job(job.spec.id);
     this->stop_all(job, now);
     this->change(telemetry::event_kind::job_ended, job.spec.id, {}, std::string{core::to_string(result)});
@@ -675,6 +679,8 @@
 std::vector<core::job_id> job_runner::movable(core::steady_time now, core::milliseconds waited) const {
     constexpr std::size_t most = 50;
     auto found = this->decisions.movable(now, waited, most);
+    std::erase_if(found, [this](const auto& id) { return this->unfit.contains(id); });
+    found.insert(found.end(), this->unfit.begin(), this->unfit.end());
     std::erase_if(found, [this](const auto& id) {
         const auto job = this->jobs.find(id);
         return job == this->jobs.end() || job->second.ever_sent || job->second.cancelled ||
@@ -685,6 +691,7 @@
 
 void job_runner::drop(const core::job_id& job) {
     this->decisions.remove_job(job);
+    this->unfit.erase(job);
     this->jobs.erase(job);
 }
 
--- a/src/control/job_runner.h
+++ b/src/control/job_runner.h
@@ -156,6 +156,7 @@
     std::map<core::attempt_id, attempt_state> attempts;
     std::map<core::worker_id, worker_state> workers;
     std::set<core::job_id> held_back; ///< Might run somewhere, started by the former owner without a record.
+    std::set<core::job_id> unfit;     ///< No worker of the shard is large enough for their tasks.
     std::map<core::job_id, std::set<std::uint32_t>> backing_off;
     bool fleet_known = false;
     bool taken_over = false;
--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -221,7 +221,9 @@
     answer.answer.state = entry.ended ? core::answer_state::ended : core::answer_state::accepted;
     answer.answer.result = entry.ended.value_or(core::outcome::unknown);
     answer.answer.reason = entry.reason;
-    if (!entry.ended && this->run && status.tasks_waiting > 0) {
+    if (entry.moved_to) {
+        answer.answer.reason = "handed to shard " + std::to_string(entry.moved_to->value());
+    } else if (!entry.ended && this->run && status.tasks_waiting > 0) {
         const auto why = this->run->explain(entry.spec.id, now);
         answer.answer.reason = why.empty() ? "" : why.front();
     }
@@ -402,9 +404,14 @@
         if (ordered || entry == nullptr || !entry->moved_to) {
             continue;
         }
+        const auto peer = this->options.owner_of(*entry->moved_to);
+        if (!peer) {
+            continue;
+        }
         ordered = true;
         this->hooks.move({.from = this->options.shard,
                           .to = *entry->moved_to,
+                          .peer = *peer,
                           .spec = entry->spec,
                           .accepted_at = entry->accepted_at});
     }
--- a/src/control/shard_keeper.h
+++ b/src/control/shard_keeper.h
@@ -52,6 +52,8 @@
     std::function<std::optional<std::string>(const core::job_spec&)> never_fits;
     /// The shard, other than this one, whose owner reports room for a task of that size.
     std::function<std::optional<core::shard_id>(const core::job_spec&)> shard_with_room;
+    /// Where the owner of a shard takes calls of the inner protocol, where it is known.
+    std::function<std::optional<core::endpoint>(core::shard_id)> owner_of;
 };
 
 /// Keeps one shard on behalf of an entry host that owns it or wants to: reads its stream, claims it, runs its
--- a/tests/end_to_end/cell_fixture.cpp
+++ b/tests/end_to_end/cell_fixture.cpp
@@ -58,7 +58,9 @@
     return present ? object.at(field).get<std::string>() : "";
 }
 
-std::string http_result::text(const std::string& field) const { return text_of(this->body, field); }
+std::string http_result::text(const std::string& field) const {
+    return text_of(this->body, field);
+}
 
 bool wait_until(const std::function<bool()>& holds, std::chrono::milliseconds limit) {
     const auto deadline = std::chrono::steady_clock::now() + limit;
--- a/tests/end_to_end/journal_checks.cpp
+++ b/tests/end_to_end/journal_checks.cpp
@@ -17,7 +17,9 @@
     std::string attempt;
 };
 
-std::int64_t at_ms(const nlohmann::json& item) { return item.at("ms").get<std::int64_t>(); }
+std::int64_t at_ms(const nlohmann::json& item) {
+    return item.at("ms").get<std::int64_t>();
+}
 
 std::map<std::string, std::vector<run_interval>> runs_by_task(const std::vector<nlohmann::json>& journal) {
     std::map<std::string, run_interval> by_attempt;
@@ -40,8 +42,9 @@
 }
 
 std::size_t violations(const std::vector<nlohmann::json>& journal) {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        journal, [](const auto& item) { return item.at("kind").template get<std::string>() == "violation"; }));
+    return static_cast<std::size_t>(std::ranges::count_if(journal, [](const auto& item) {
+        return item.at("kind").template get<std::string>() == "violation";
+    }));
 }
 
 } // namespace
--- a/tests/end_to_end/path_test.cpp
+++ b/tests/end_to_end/path_test.cpp
@@ -46,13 +46,19 @@
         REQUIRE(cell.submit(0, "before-" + std::to_string(number), 1500ms).text("state") == "accepted");
     }
 
-    SECTION("an entry host") { cell.host(1).kill(); }
-    SECTION("a worker") { cell.worker("w11").kill(); }
-    SECTION("an executor") { cell.executor("e21").kill(); }
+    SECTION("an entry host") {
+        cell.host(1).kill();
+    }
+    SECTION("a worker") {
+        cell.worker("w11").kill();
+    }
+    SECTION("an executor") {
+        cell.executor("e21").kill();
+    }
 
     CHECK(wait_until([&] { return cell.preview(0, "after").text("result") == "completed"; }, 10s));
-    const bool batch_accepted = wait_until(
-        [&] { return cell.submit(2, "after-batch", 100ms).text("state") != "refused"; }, 10s);
+    const bool batch_accepted =
+        wait_until([&] { return cell.submit(2, "after-batch", 100ms).text("state") != "refused"; }, 10s);
     CHECK(batch_accepted);
     CHECK(text_of(cell.wait_for_end(0, "after-batch", 10s), "result") == "completed");
     for (int number = 0; number < 6; ++number) {
@@ -88,8 +94,7 @@
     }
 
     REQUIRE(http("DELETE", cell.log_port(), "/faults").status / 100 == 2);
-    CHECK(wait_until([&] { return cell.submit(0, "after-outage", 100ms).text("state") == "accepted"; },
-                     10s));
+    CHECK(wait_until([&] { return cell.submit(0, "after-outage", 100ms).text("state") == "accepted"; }, 10s));
     CHECK(text_of(cell.wait_for_end(1, "after-outage", 10s), "result") == "completed");
     for (const auto& key : not_run) {
         CHECK(starts_of(cell.worker_journal(), "tabua/" + key) == 0);
