--- a/src/app/entry_host.cpp
+++ b/src/app/entry_host.cpp
@@ -66,6 +66,7 @@
     return {.host = settings.host.name,
             .incarnation = incarnation,
             .inner = settings.host.inner,
+            .front = settings.host.front,
             .data_centre = settings.host.data_centre,
             .regions = regions_of(settings),
             .shards = settings.cell.shards,
@@ -357,7 +358,8 @@
 }
 
 int run_entry_host(const settings::host_settings& settings) {
-    sigset_t ends;
+    telemetry::configure_logging(settings.log);
+    sigset_t ends{};
     sigemptyset(&ends);
     sigaddset(&ends, SIGTERM);
     sigaddset(&ends, SIGINT);
--- a/src/cell/peer_view.h
+++ b/src/cell/peer_view.h
@@ -43,6 +43,7 @@
     core::host_id host;
     core::incarnation_id incarnation;
     core::endpoint inner; ///< Where it takes calls of the inner protocol.
+    core::endpoint front; ///< Where it takes calls of callers and operators.
     core::data_centre_id data_centre;
     bool leaving = false;
     bool log_available = false;   ///< Its last call to the platform's log was answered.
--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -298,17 +298,15 @@
 std::vector<core::host_status> host_control::hosts(core::steady_time now) const {
     std::map<core::host_id, core::host_status> found;
     for (const auto& listed : this->fleet.hosts) {
-        found[listed.name] = {.host = listed.name,
-                              .address = listed.inner.text(),
-                              .data_centre = listed.data_centre,
-                              .leaving = listed.leaving};
+        found[listed.name] = {
+            .host = listed.name, .data_centre = listed.data_centre, .leaving = listed.leaving};
     }
     auto views = this->members.live_views(now);
     const auto own = this->view(now);
     views.push_back(&own);
     for (const auto* view : views) {
         core::host_status status{.host = view->host,
-                                 .address = view->inner.text(),
+                                 .address = view->front.text(),
                                  .data_centre = view->data_centre,
                                  .live = true,
                                  .leaving = view->leaving,
@@ -563,6 +561,7 @@
     cell::peer_view view{.host = this->options.host,
                          .incarnation = this->options.incarnation,
                          .inner = this->options.inner,
+                         .front = this->options.front,
                          .data_centre = this->options.data_centre,
                          .leaving = this->leaving,
                          .log_available = this->config_session.log_available(),
--- a/src/control/host_control.h
+++ b/src/control/host_control.h
@@ -27,6 +27,7 @@
     core::host_id host;
     core::incarnation_id incarnation;
     core::endpoint inner;
+    core::endpoint front;
     core::data_centre_id data_centre;
     std::vector<cell::region_layout> regions;
     std::uint32_t shards = 1;
@@ -181,7 +182,7 @@
     bool fleet_known = false;
     bool config_read = false;
     bool leaving = false;
-    bool log_was_available = true;
+    bool log_was_available = false;
     std::optional<core::steady_time> started;
     core::steady_time last_contact{}; ///< With the log or a peer.
     core::steady_time next_heartbeat{};
--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -63,7 +63,7 @@
 /// One entry host as another one sees it.
 struct host_status {
     host_id host;
-    std::string address;
+    std::string address; ///< Where it takes calls of callers; empty where it has not been heard.
     data_centre_id data_centre;
     bool live = false;
     bool leaving = false;
--- a/src/front/json_codec.cpp
+++ b/src/front/json_codec.cpp
@@ -331,7 +331,7 @@
 }
 
 void check_note_text(const std::string& text) {
-    const auto value = parse_json(text);
+    const auto value = parse_json(text, json_comments::allowed);
     object_reader reader{value};
 }
 
--- a/src/front/strict_json.cpp
+++ b/src/front/strict_json.cpp
@@ -50,12 +50,15 @@
 
 } // namespace
 
-json parse_json(const std::string& text) {
+json parse_json(const std::string& text, json_comments comments) {
     duplicate_check check;
     try {
-        return json::parse(text, [&check](int depth, json::parse_event_t event, const json& parsed) {
-            return check(depth, event, parsed);
-        });
+        return json::parse(
+            text,
+            [&check](int depth, json::parse_event_t event, const json& parsed) {
+                return check(depth, event, parsed);
+            },
+            true, comments == json_comments::allowed);
     } catch (const json::exception& error) {
         throw core::invalid_argument("not valid JSON: " + plain_message(error));
     }
--- a/src/inner/conversion.cpp
+++ b/src/inner/conversion.cpp
@@ -274,6 +274,7 @@
     message.__set_data_centre(value.data_centre.value());
     message.__set_leaving(value.leaving);
     message.__set_log_available(value.log_available);
+    message.__set_front(to_wire(value.front));
     message.__set_clock(static_cast<std::int64_t>(value.clock));
     message.__set_config_next(to_wire(value.config_next));
     message.__set_shards(convert_list(value.shards, shard_view_to_wire));
@@ -289,12 +290,14 @@
     require(message.__isset.leaving, "peer_view.leaving");
     require(message.__isset.log_available, "peer_view.log_available");
     require(message.__isset.clock, "peer_view.clock");
+    require(message.__isset.front, "peer_view.front");
     require(message.__isset.config_next, "peer_view.config_next");
     require(message.__isset.shards, "peer_view.shards");
     require(message.__isset.teams, "peer_view.teams");
     return {.host = core::host_id{message.host},
             .incarnation = core::incarnation_id{message.incarnation},
             .inner = from_wire(message.inner),
+            .front = from_wire(message.front),
             .data_centre = core::data_centre_id{message.data_centre},
             .leaving = message.leaving,
             .log_available = message.log_available,
--- a/src/inner/gen/inner_types.cpp
+++ b/src/inner/gen/inner_types.cpp
@@ -960,6 +960,10 @@
 void peer_view::__set_clock(const int64_t val) {
   this->clock = val;
 }
+
+void peer_view::__set_front(const endpoint& val) {
+  this->front = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_view& obj)
 {
   obj.printTo(out);
@@ -1092,6 +1096,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->front.read(iprot);
+          this->__isset.front = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1165,6 +1177,10 @@
   xfer += oprot->writeI64(this->clock);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("front", ::apache::thrift::protocol::T_STRUCT, 11);
+  xfer += this->front.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1182,6 +1198,7 @@
   swap(a.teams, b.teams);
   swap(a.log_available, b.log_available);
   swap(a.clock, b.clock);
+  swap(a.front, b.front);
   swap(a.__isset, b.__isset);
 }
 
@@ -1196,6 +1213,7 @@
   teams = other28.teams;
   log_available = other28.log_available;
   clock = other28.clock;
+  front = other28.front;
   __isset = other28.__isset;
 }
 peer_view& peer_view::operator=(const peer_view& other29) {
@@ -1209,6 +1227,7 @@
   teams = other29.teams;
   log_available = other29.log_available;
   clock = other29.clock;
+  front = other29.front;
   __isset = other29.__isset;
   return *this;
 }
@@ -1225,6 +1244,7 @@
   out << ", " << "teams=" << to_string(teams);
   out << ", " << "log_available=" << to_string(log_available);
   out << ", " << "clock=" << to_string(clock);
+  out << ", " << "front=" << to_string(front);
   out << ")";
 }
 
--- a/src/inner/gen/inner_types.h
+++ b/src/inner/gen/inner_types.h
@@ -436,7 +436,7 @@
 std::ostream& operator<<(std::ostream& out, const team_usage& obj);
 
 typedef struct _peer_view__isset {
-  _peer_view__isset() : host(false), incarnation(false), inner(false), data_centre(false), leaving(false), config_next(false), shards(false), teams(false), log_available(false), clock(false) {}
+  _peer_view__isset() : host(false), incarnation(false), inner(false), data_centre(false), leaving(false), config_next(false), shards(false), teams(false), log_available(false), clock(false), front(false) {}
   bool host :1;
   bool incarnation :1;
   bool inner :1;
@@ -447,6 +447,7 @@
   bool teams :1;
   bool log_available :1;
   bool clock :1;
+  bool front :1;
 } _peer_view__isset;
 
 class peer_view : public virtual ::apache::thrift::TBase {
@@ -475,6 +476,7 @@
   std::vector<team_usage>  teams;
   bool log_available;
   int64_t clock;
+  endpoint front;
 
   _peer_view__isset __isset;
 
@@ -498,6 +500,8 @@
 
   void __set_clock(const int64_t val);
 
+  void __set_front(const endpoint& val);
+
   bool operator == (const peer_view & rhs) const
   {
     if (!(host == rhs.host))
@@ -520,6 +524,8 @@
       return false;
     if (!(clock == rhs.clock))
       return false;
+    if (!(front == rhs.front))
+      return false;
     return true;
   }
   bool operator != (const peer_view &rhs) const {
--- a/src/inner/inner.thrift
+++ b/src/inner/inner.thrift
@@ -53,6 +53,7 @@
   8: list<team_usage> teams
   9: bool log_available
   10: i64 clock
+  11: endpoint front
 }
 
 enum work_kind {
