Test the control decisions under random faults in virtual time

Cause: the promises have to hold under kills, pauses, cuts, outages and lost answers, together and twice. Change: a log and workers in memory, several host_controls in one thread, a seeded schedule of faults, and a judge that reads only what the workers saw.

--- /dev/null
+++ b/tests/control/simulated_cell.cpp
@@ -0,0 +1,521 @@
+#include "tests/control/simulated_cell.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace rattanmount::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::milliseconds call_timeout = 500ms;
+constexpr core::milliseconds tick_interval = 20ms;
+constexpr core::milliseconds task_hold = 4s;
+constexpr std::uint16_t first_port = 1000;
+
+core::endpoint inner_of(int host) {
+    return {.address = "127.0.0.1", .port = static_cast<std::uint16_t>(first_port + host)};
+}
+
+} // namespace
+
+core::job_spec batch_job(const std::string& key, core::milliseconds run_time, std::uint32_t tasks) {
+    return {.id = {.team = core::team_id{"tabua"}, .key = core::request_key{key}},
+            .pool = core::pool_id{"sheets"},
+            .kind = core::work_kind::batch,
+            .tasks = tasks,
+            .each = {.millicores = 2000, .memory_mb = 1024},
+            .payload = std::to_string(run_time.count())};
+}
+
+simulated_cell::simulated_cell(simulated_cell_options options) : options(options), generator(options.seed) {
+    this->fleet.version = 1;
+    for (int host = 0; host < options.hosts; ++host) {
+        this->fleet.hosts.push_back({.name = core::host_id{"entry-" + std::to_string(host)},
+                                     .inner = inner_of(host),
+                                     .data_centre = core::data_centre_id{"suva-1"}});
+    }
+    for (int rack = 0; rack < options.racks; ++rack) {
+        for (int number = 0; number < options.workers_per_rack; ++number) {
+            const auto name = "w" + std::to_string(rack) + std::to_string(number);
+            const platform::listed_worker info{.name = core::worker_id{name},
+                                               .address = {.address = "127.0.0.1", .path = "/" + name},
+                                               .data_centre = core::data_centre_id{"suva-1"},
+                                               .rack = core::rack_id{"r" + std::to_string(rack)},
+                                               .capacity = {.millicores = 8000, .memory_mb = 8192}};
+            this->fleet.workers.push_back(info);
+            this->workers.push_back(std::make_unique<simulated_worker>(info, task_hold));
+        }
+    }
+    this->shown_fleet = this->fleet;
+    this->hosts.resize(static_cast<std::size_t>(options.hosts));
+    for (int host = 0; host < options.hosts; ++host) {
+        this->start(host);
+    }
+}
+
+void simulated_cell::at(core::steady_time when, std::function<void()> work) {
+    this->events.emplace(when, std::move(work));
+}
+
+void simulated_cell::run_for(core::milliseconds span) {
+    const auto end = this->time + span;
+    while (!this->events.empty() && this->events.begin()->first <= end) {
+        auto next = this->events.extract(this->events.begin());
+        this->time = std::max(this->time, next.key());
+        next.mapped()();
+    }
+    this->time = end;
+}
+
+core::milliseconds simulated_cell::delay() {
+    return core::milliseconds{std::uniform_int_distribution<int>{1, 15}(this->generator)};
+}
+
+bool simulated_cell::chance(double share) {
+    return std::uniform_real_distribution<double>{0, 1}(this->generator) < share;
+}
+
+control::host_control_options simulated_cell::options_of(int host) const {
+    control::host_control_options made;
+    made.host = core::host_id{"entry-" + std::to_string(host)};
+    made.incarnation = core::incarnation_id{
+        made.host.value() + "-" + std::to_string(this->hosts[static_cast<std::size_t>(host)].incarnation)};
+    made.inner = inner_of(host);
+    made.data_centre = core::data_centre_id{"suva-1"};
+    made.regions = {{.name = core::region_id{"fiji"}, .data_centres = {core::data_centre_id{"suva-1"}}}};
+    made.shards = this->options.shards;
+    made.suspect_after = 1500ms;
+    made.heartbeat_interval = 300ms;
+    made.fleet_interval = 500ms;
+    made.startup_wait = 1s;
+    made.rebalance_after = 3s;
+    made.isolation_limit = 4s;
+    made.config_session.append_spacing = 20ms;
+    made.config_session.read_interval = 300ms;
+    made.keeper.session.append_spacing = 20ms;
+    made.keeper.session.read_interval = 500ms;
+    made.keeper.runner.lease = {
+        .term = 2s, .renew_interval = 500ms, .task_hold = task_hold, .timeout = call_timeout};
+    made.keeper.move_after = 2s;
+    made.keeper.snapshot_interval = 20s;
+    return made;
+}
+
+void simulated_cell::start(int host) {
+    auto& state = this->hosts[static_cast<std::size_t>(host)];
+    ++state.incarnation;
+    state.paused_until = {};
+    state.control = std::make_unique<control::host_control>(this->options_of(host),
+                                                            this->hooks_of(host, state.incarnation));
+    this->tick(host, state.incarnation);
+}
+
+void simulated_cell::kill(int host) {
+    this->hosts[static_cast<std::size_t>(host)].control.reset();
+}
+
+void simulated_cell::restart(int host) {
+    if (!this->alive(host)) {
+        this->start(host);
+    }
+}
+
+void simulated_cell::pause(int host, core::milliseconds span) {
+    this->hosts[static_cast<std::size_t>(host)].paused_until = this->time + span;
+}
+
+void simulated_cell::cut(int host, bool from_log, bool from_peers, bool from_workers) {
+    auto& state = this->hosts[static_cast<std::size_t>(host)];
+    state.no_log = from_log;
+    state.no_peers = from_peers;
+    state.no_workers = from_workers;
+}
+
+void simulated_cell::drop_from_fleet(const core::worker_id& name) {
+    ++this->fleet.version;
+    std::erase_if(this->fleet.workers, [&](const auto& worker) { return worker.name == name; });
+}
+
+void simulated_cell::cut_worker(const core::worker_id& name, bool cut) {
+    if (cut) {
+        this->cut_workers.insert(name);
+    } else {
+        this->cut_workers.erase(name);
+    }
+}
+
+control::host_control* simulated_cell::host(int index) {
+    return this->hosts[static_cast<std::size_t>(index)].control.get();
+}
+
+bool simulated_cell::alive(int index) const {
+    return this->hosts[static_cast<std::size_t>(index)].control != nullptr;
+}
+
+void simulated_cell::on_host(int host, std::uint32_t incarnation, core::milliseconds after,
+                             std::function<void(control::host_control&)> work) {
+    this->at(this->time + after, [this, host, incarnation, work = std::move(work)]() mutable {
+        auto& state = this->hosts[static_cast<std::size_t>(host)];
+        if (!state.control || state.incarnation != incarnation) {
+            return;
+        }
+        if (this->time < state.paused_until) {
+            const auto left =
+                std::chrono::duration_cast<core::milliseconds>(state.paused_until - this->time) + 1ms;
+            this->on_host(host, incarnation, left, std::move(work));
+            return;
+        }
+        work(*state.control);
+    });
+}
+
+void simulated_cell::tick(int host, std::uint32_t incarnation) {
+    this->on_host(host, incarnation, tick_interval,
+                  [this, host, incarnation](control::host_control& control) {
+                      control.tick(this->time);
+                      this->tick(host, incarnation);
+                  });
+}
+
+int simulated_cell::host_at(const core::endpoint& inner) const {
+    return inner.port - first_port;
+}
+
+simulated_worker* simulated_cell::worker_at(const core::endpoint& address) {
+    for (const auto& worker : this->workers) {
+        if (worker->info().address == address) {
+            return worker.get();
+        }
+    }
+    return nullptr;
+}
+
+control::host_hooks simulated_cell::hooks_of(int host, std::uint32_t incarnation) {
+    control::host_hooks hooks;
+    hooks.append = [=, this](const auto& request) { this->send_append(host, incarnation, request); };
+    hooks.read = [=, this](const auto& request) { this->send_read(host, incarnation, request); };
+    hooks.lease = [=, this](const auto& order) { this->send_lease(host, incarnation, order); };
+    hooks.start = [=, this](const auto& order) { this->send_start(host, incarnation, order); };
+    hooks.act = [=, this](const control::act_order& order) {
+        this->on_host(host, incarnation, 0ms, [=, this](control::host_control&) {
+            this->at(this->time + this->delay(), [=, this] {
+                if (order.action == platform::attempt_action::stop &&
+                    !this->chance(this->options.lost_calls)) {
+                    this->worker_at(order.address)->stop(order.lease, order.attempt, this->time);
+                }
+            });
+        });
+    };
+    hooks.move = [=, this](const control::move_order& order) {
+        const int peer = this->host_at(order.peer);
+        const auto done = [=, this](const cell::owner_answer& answer) {
+            const bool taken = answer.owner && answer.answer.state == core::answer_state::accepted;
+            const bool lost = this->chance(this->options.lost_answers);
+            this->on_host(host, incarnation, this->delay(), [=, this](control::host_control& control) {
+                control.on_moved(order, taken && !lost, this->time);
+            });
+        };
+        const auto& state = this->hosts[static_cast<std::size_t>(peer)];
+        if (!state.control || this->chance(this->options.lost_calls)) {
+            done({});
+            return;
+        }
+        this->on_host(peer, state.incarnation, this->delay(), [=, this](control::host_control& control) {
+            control.submit(order.to, order.spec, order.accepted_at, true, this->time, done);
+        });
+    };
+    hooks.heartbeat = [=, this](const core::endpoint& to, const cell::peer_view& view) {
+        const int peer = this->host_at(to);
+        const auto& state = this->hosts[static_cast<std::size_t>(peer)];
+        const bool cut = state.no_peers || this->hosts[static_cast<std::size_t>(host)].no_peers;
+        if (!state.control || cut || this->chance(this->options.lost_calls)) {
+            return;
+        }
+        this->on_host(peer, state.incarnation, this->delay(), [=, this](control::host_control& control) {
+            control.on_view(view, this->time);
+            const auto answer = control.view(this->time);
+            this->on_host(host, incarnation, this->delay(),
+                          [=, this](control::host_control& caller) { caller.on_view(answer, this->time); });
+        });
+    };
+    hooks.fetch_fleet = [=, this] {
+        if (!this->fleet_lags) {
+            this->shown_fleet = this->fleet;
+        }
+        this->on_host(host, incarnation, this->delay(), [=, this](control::host_control& control) {
+            control.on_fleet(this->shown_fleet, this->time);
+        });
+    };
+    hooks.copy_config = [](const core::endpoint&) {};
+    hooks.on_change = [](telemetry::event_kind, const telemetry::event_fields&) {};
+    hooks.wall_time = [this] {
+        return core::system_time{} +
+               std::chrono::duration_cast<core::milliseconds>(this->time.time_since_epoch());
+    };
+    return hooks;
+}
+
+void simulated_cell::send_append(int host, std::uint32_t incarnation, const ledger::append_request& request) {
+    const auto answer = [=, this](platform::append_reply reply, core::milliseconds after) {
+        this->on_host(host, incarnation, after, [=, this](control::host_control& control) {
+            control.on_append(request.stream, request.sequence, reply, this->time);
+        });
+    };
+    if (this->log_down || this->hosts[static_cast<std::size_t>(host)].no_log) {
+        answer({.fate = platform::append_fate::absent, .reason = "down"}, this->delay());
+        return;
+    }
+    if (this->chance(this->options.lost_calls)) {
+        answer({.fate = platform::append_fate::unknown}, call_timeout);
+        return;
+    }
+    // A lost answer may belong to an append that takes effect much later.
+    const bool lost = this->chance(this->options.lost_answers);
+    const auto arrival = lost && this->chance(0.3) ? 2 * call_timeout : this->delay();
+    this->at(this->time + arrival, [=, this] {
+        const auto offset = this->entries.append(request.stream, request.bytes);
+        if (!lost) {
+            answer({.fate = platform::append_fate::done, .offset = offset}, this->delay());
+        }
+    });
+    if (lost) {
+        answer({.fate = platform::append_fate::unknown}, call_timeout);
+    }
+}
+
+void simulated_cell::send_read(int host, std::uint32_t incarnation, const ledger::read_request& request) {
+    this->at(this->time + this->delay(), [=, this] {
+        const bool down = this->log_down || this->hosts[static_cast<std::size_t>(host)].no_log ||
+                          this->chance(this->options.lost_calls);
+        const auto reply = down ? platform::read_reply{} : this->entries.read(request.stream, request.from);
+        this->on_host(host, incarnation, down ? call_timeout : this->delay(),
+                      [=, this](control::host_control& control) {
+                          control.on_read(request.stream, request.from, reply, this->time);
+                      });
+    });
+}
+
+void simulated_cell::send_lease(int host, std::uint32_t incarnation, const control::lease_order& order) {
+    // The send itself is work of the host, so a pause delays it.
+    this->on_host(host, incarnation, 0ms, [=, this](control::host_control&) {
+        const auto answer = [=, this](const platform::lease_reply& reply, core::milliseconds after) {
+            this->on_host(host, incarnation, after, [=, this](control::host_control& control) {
+                control.on_lease(order, reply, this->time);
+            });
+        };
+        auto* worker = this->worker_at(order.address);
+        const bool cut = this->hosts[static_cast<std::size_t>(host)].no_workers ||
+                         this->cut_workers.contains(order.worker);
+        if (cut || this->chance(this->options.lost_calls)) {
+            answer({}, call_timeout);
+            return;
+        }
+        this->at(this->time + this->delay(), [=, this] {
+            const auto reply = worker->lease(order.request, this->time);
+            const bool lost = this->chance(this->options.lost_answers);
+            answer(lost ? platform::lease_reply{} : reply, lost ? call_timeout : this->delay());
+        });
+    });
+}
+
+void simulated_cell::send_start(int host, std::uint32_t incarnation, const control::start_order& order) {
+    this->on_host(host, incarnation, 0ms, [=, this](control::host_control&) {
+        const auto answer = [=, this](const platform::start_reply& reply, core::milliseconds after) {
+            this->on_host(host, incarnation, after, [=, this](control::host_control& control) {
+                control.on_start(order, reply, this->time);
+            });
+        };
+        if (this->time >= order.not_after) {
+            answer({.verdict = platform::start_verdict::refused, .reason = "lapsed before the send"}, 0ms);
+            return;
+        }
+        const bool cut = this->hosts[static_cast<std::size_t>(host)].no_workers ||
+                         this->cut_workers.contains(order.worker);
+        if (cut || this->chance(this->options.lost_calls)) {
+            answer({.verdict = platform::start_verdict::unknown}, call_timeout);
+            return;
+        }
+        const bool lost = this->chance(this->options.lost_answers);
+        // A start whose answer is lost may also arrive late.
+        const auto arrival = lost && this->chance(0.3) ? 3 * call_timeout : this->delay();
+        const core::milliseconds run_time{std::stol(order.payload)};
+        const bool fails = this->chance(this->options.failing_tasks);
+        this->at(this->time + arrival, [=, this] {
+            const auto reply =
+                this->worker_at(order.address)
+                    ->start(order.lease, order.attempt, order.each, run_time, fails, this->time);
+            if (!lost) {
+                answer(reply, this->delay());
+            }
+        });
+        if (lost) {
+            answer({.verdict = platform::start_verdict::unknown}, call_timeout);
+        }
+    });
+}
+
+void simulated_cell::apply_first_note() {
+    release::release_note note{.id = core::note_id{"first"}, .author = "tests"};
+    note.items.push_back({.policy = release::pool_policy{.name = core::pool_id{"sheets"}, .priority = 100}});
+    note.items.push_back({.policy = release::pool_policy{.name = core::pool_id{"proofs"},
+                                                         .kind = core::work_kind::gang,
+                                                         .priority = 200}});
+    note.items.push_back(
+        {.policy = release::team_policy{.name = core::team_id{"tabua"}, .region = core::region_id{"fiji"}}});
+    std::optional<core::note_answer> answer;
+    for (int tries = 0; tries < 10 && (!answer || answer->verdict != core::note_verdict::accepted); ++tries) {
+        this->propose(0, note, [&answer](const core::note_answer& given) { answer = given; });
+        this->run_for(6s);
+    }
+    REQUIRE(answer);
+    INFO(answer->reason);
+    REQUIRE(answer->verdict == core::note_verdict::accepted);
+}
+
+void simulated_cell::propose(int host, const release::release_note& note,
+                             std::function<void(core::note_answer)> respond) {
+    this->on_host(host, this->hosts[static_cast<std::size_t>(host)].incarnation, 1ms,
+                  [this, note, respond = std::move(respond)](control::host_control& control) {
+                      control.apply_note(note, 5s, this->time, respond);
+                  });
+}
+
+void simulated_cell::note_answer_of(const core::job_id& job, const cell::owner_answer& answer) {
+    if (answer.owner) {
+        this->submitted[job].answers.push_back(answer.answer);
+        this->submitted[job].accepted = this->submitted[job].accepted ||
+                                        answer.answer.state == core::answer_state::accepted ||
+                                        answer.answer.state == core::answer_state::ended;
+    }
+}
+
+void simulated_cell::submit(int host, const core::job_spec& spec) {
+    this->submitted[spec.id].spec = spec;
+    if (!this->alive(host)) {
+        return;
+    }
+    const auto route = this->host(host)->route(spec.id, this->time);
+    using target = control::job_route::target_type;
+    if (route.target != target::local && route.target != target::peer) {
+        return;
+    }
+    const int owner = route.target == target::local ? host : this->host_at(route.peer);
+    this->on_host(owner, this->hosts[static_cast<std::size_t>(owner)].incarnation, this->delay(),
+                  [this, spec, route](control::host_control& control) {
+                      control.submit(route.shard, spec, core::system_time{}, false, this->time,
+                                     [this, id = spec.id](const cell::owner_answer& answer) {
+                                         this->note_answer_of(id, answer);
+                                     });
+                  });
+}
+
+void simulated_cell::cancel(int host, const core::job_id& job) {
+    if (!this->alive(host)) {
+        return;
+    }
+    const auto route = this->host(host)->route(job, this->time);
+    if (route.target == control::job_route::target_type::local) {
+        this->submitted[job].cancelled = true;
+        this->on_host(host, this->hosts[static_cast<std::size_t>(host)].incarnation, this->delay(),
+                      [this, job, route](control::host_control& control) {
+                          control.cancel(route.shard, job, this->time, [](const cell::owner_answer&) {});
+                      });
+    }
+}
+
+std::optional<core::job_answer> simulated_cell::status(const core::job_id& job) {
+    for (const auto& state : this->hosts) {
+        if (!state.control) {
+            continue;
+        }
+        auto route = state.control->route(job, this->time);
+        for (int hops = 0; hops < 2 && route.target == control::job_route::target_type::local; ++hops) {
+            std::optional<cell::owner_answer> answer;
+            state.control->status(route.shard, job, this->time,
+                                  [&answer](const cell::owner_answer& given) { answer = given; });
+            if (!answer || !answer->owner) {
+                break;
+            }
+            if (!answer->moved_to) {
+                return answer->answer;
+            }
+            for (const auto& other : this->hosts) {
+                if (other.control) {
+                    other.control->status(*answer->moved_to, job, this->time,
+                                          [&answer](const cell::owner_answer& given) {
+                                              answer = given.owner ? given : answer;
+                                          });
+                }
+            }
+            return answer->answer;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<observed_run> simulated_cell::runs() const {
+    std::vector<observed_run> all;
+    for (const auto& worker : this->workers) {
+        worker->advance(this->time);
+        all.insert(all.end(), worker->runs().begin(), worker->runs().end());
+    }
+    return all;
+}
+
+void simulated_cell::check_single_runs(std::vector<std::string>& found) {
+    std::map<std::pair<core::job_id, std::uint32_t>, std::vector<observed_run>> by_task;
+    for (const auto& run : this->runs()) {
+        by_task[{run.attempt.job, run.attempt.task}].push_back(run);
+    }
+    for (auto& [task, runs] : by_task) {
+        std::ranges::sort(runs, {}, &observed_run::from);
+        for (std::size_t index = 1; index < runs.size(); ++index) {
+            const auto& before = runs[index - 1];
+            if (!before.to || *before.to > runs[index].from) {
+                found.push_back(before.attempt.text() + " on " + before.worker.value() + " and " +
+                                runs[index].attempt.text() + " on " + runs[index].worker.value() +
+                                " ran at once");
+            }
+        }
+        const auto& told_of = this->submitted[task.first];
+        if (!told_of.spec.idempotent && runs.size() > 1) {
+            found.push_back(task.first.text() + " is not idempotent and ran " + std::to_string(runs.size()) +
+                            " times");
+        }
+    }
+}
+
+void simulated_cell::check_answers(std::vector<std::string>& found) {
+    std::set<core::job_id> ran;
+    for (const auto& run : this->runs()) {
+        ran.insert(run.attempt.job);
+    }
+    for (const auto& [id, told_of] : this->submitted) {
+        const auto last = this->status(id);
+        const bool not_run =
+            last && last->state == core::answer_state::ended && last->result == core::outcome::not_run;
+        if (not_run && ran.contains(id)) {
+            found.push_back(id.text() + " was told not_run and ran");
+        }
+        if (told_of.accepted && last && last->state == core::answer_state::refused) {
+            found.push_back(id.text() + " was accepted and is lost");
+        }
+    }
+}
+
+std::vector<std::string> simulated_cell::breaches() {
+    std::vector<std::string> found;
+    for (const auto& worker : this->workers) {
+        if (worker->violations() > 0) {
+            found.push_back(worker->info().name.value() + " was given more than it holds");
+        }
+    }
+    this->check_single_runs(found);
+    this->check_answers(found);
+    return found;
+}
+
+} // namespace rattanmount::tests
--- /dev/null
+++ b/tests/control/simulated_cell.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "control/host_control.h"
+#include "core/core.h"
+#include "tests/control/simulated_log.h"
+#include "tests/control/simulated_worker.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rattanmount::tests {
+
+struct simulated_cell_options {
+    std::uint32_t seed = 1;
+    int hosts = 3;
+    std::uint32_t shards = 4;
+    int racks = 4;
+    int workers_per_rack = 2;
+    double lost_calls = 0.0;   ///< Share of calls whose request never arrives.
+    double lost_answers = 0.0; ///< Share of calls that take effect and whose answer is lost.
+    double failing_tasks = 0.0;
+};
+
+/// What became of one submitted job, as its caller was told.
+struct told {
+    core::job_spec spec;
+    std::vector<core::job_answer> answers;
+    bool accepted = false;
+    bool cancelled = false;
+    bool not_run = false; ///< Told so by the end of the job, or by every call.
+};
+
+/// Several host_controls in one thread and virtual time, with the platform in memory and a schedule of
+/// faults.
+///
+/// The judge is what the workers saw, never a host's account. Equal options give the same run.
+class simulated_cell {
+public:
+    explicit simulated_cell(simulated_cell_options options);
+
+    /// Lets virtual time pass.
+    void run_for(core::milliseconds time);
+    /// Hands in the pools and the team through host 0 and waits until they are in force.
+    void apply_first_note();
+
+    void kill(int host);
+    void restart(int host); ///< Starts a killed host as a new incarnation.
+    void pause(int host, core::milliseconds time);
+    void cut(int host, bool from_log, bool from_peers, bool from_workers);
+    void heal(int host) { this->cut(host, false, false, false); }
+    void set_log_down(bool down) { this->log_down = down; }
+    void set_fleet_lag(bool lag) { this->fleet_lags = lag; }
+    void drop_from_fleet(const core::worker_id& worker);
+    void cut_worker(const core::worker_id& worker, bool cut);
+    [[nodiscard]] simulated_worker& worker(std::size_t index) { return *this->workers.at(index); }
+    [[nodiscard]] std::size_t worker_count() const { return this->workers.size(); }
+    [[nodiscard]] control::host_control* host(int index);
+    [[nodiscard]] bool alive(int index) const;
+
+    void submit(int host, const core::job_spec& spec);
+    void cancel(int host, const core::job_id& job);
+    void propose(int host, const release::release_note& note, std::function<void(core::note_answer)> respond);
+
+    /// @return the newest answer to a status call through any live host.
+    std::optional<core::job_answer> status(const core::job_id& job);
+    [[nodiscard]] const std::map<core::job_id, told>& jobs() const { return this->submitted; }
+    [[nodiscard]] core::steady_time now() const { return this->time; }
+    [[nodiscard]] std::vector<observed_run> runs() const;
+    [[nodiscard]] std::mt19937& random() { return this->generator; }
+    simulated_log& log() { return this->entries; }
+
+    /// @return every breach of what must always hold, in plain text.
+    [[nodiscard]] std::vector<std::string> breaches();
+
+private:
+    struct host_state {
+        std::unique_ptr<control::host_control> control;
+        std::uint32_t incarnation = 0;
+        core::steady_time paused_until{};
+        bool no_log = false;
+        bool no_peers = false;
+        bool no_workers = false;
+    };
+
+    void at(core::steady_time when, std::function<void()> work);
+    void start(int host);
+    /// Runs work on a host once it is not paused, unless it died meanwhile.
+    void on_host(int host, std::uint32_t incarnation, core::milliseconds delay,
+                 std::function<void(control::host_control&)> work);
+    [[nodiscard]] control::host_control_options options_of(int host) const;
+    [[nodiscard]] control::host_hooks hooks_of(int host, std::uint32_t incarnation);
+    [[nodiscard]] core::milliseconds delay();
+    [[nodiscard]] bool chance(double share);
+    [[nodiscard]] int host_at(const core::endpoint& inner) const;
+    [[nodiscard]] simulated_worker* worker_at(const core::endpoint& address);
+    void send_append(int host, std::uint32_t incarnation, const ledger::append_request& request);
+    void send_read(int host, std::uint32_t incarnation, const ledger::read_request& request);
+    void send_lease(int host, std::uint32_t incarnation, const control::lease_order& order);
+    void send_start(int host, std::uint32_t incarnation, const control::start_order& order);
+    void tick(int host, std::uint32_t incarnation);
+    void note_answer_of(const core::job_id& job, const cell::owner_answer& answer);
+    void check_single_runs(std::vector<std::string>& found);
+    void check_answers(std::vector<std::string>& found);
+
+    simulated_cell_options options;
+    std::mt19937 generator;
+    core::steady_time time{std::chrono::hours{1}};
+    std::multimap<core::steady_time, std::function<void()>> events;
+    simulated_log entries;
+    bool log_down = false;
+    bool fleet_lags = false;
+    platform::fleet_list fleet;
+    platform::fleet_list shown_fleet;
+    std::vector<std::unique_ptr<simulated_worker>> workers;
+    std::set<core::worker_id> cut_workers;
+    std::vector<host_state> hosts;
+    std::map<core::job_id, told> submitted;
+};
+
+/// @return a batch job of the tests' team.
+core::job_spec batch_job(const std::string& key, core::milliseconds run_time, std::uint32_t tasks = 1);
+
+} // namespace rattanmount::tests
--- /dev/null
+++ b/tests/control/simulated_log.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/ids.h"
+#include "platform/log_service.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rattanmount::tests {
+
+/// The log service in memory, with the oldest entries dropped on demand. One thread.
+class simulated_log {
+public:
+    /// Stores an entry.
+    /// @return its offset.
+    core::log_offset append(const core::stream_id& stream, const std::string& bytes);
+    /// @return the entries from an offset on that are still kept.
+    [[nodiscard]] platform::read_reply read(const core::stream_id& stream, core::log_offset from) const;
+    /// Drops all entries of a stream but the newest.
+    void keep_newest(const core::stream_id& stream, std::size_t entries);
+    [[nodiscard]] const std::map<core::stream_id, std::vector<std::string>>& streams() const {
+        return this->entries;
+    }
+
+private:
+    std::map<core::stream_id, std::vector<std::string>> entries;
+    std::map<core::stream_id, std::uint64_t> first;
+};
+
+} // namespace rattanmount::tests
--- /dev/null
+++ b/tests/control/simulated_worker.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/resources.h"
+#include "core/time.h"
+#include "platform/fleet_service.h"
+#include "platform/worker_service.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace rattanmount::tests {
+
+/// One run of an attempt, for the judge.
+struct observed_run {
+    core::worker_id worker;
+    core::attempt_id attempt;
+    core::steady_time from;
+    std::optional<core::steady_time> to;
+};
+
+/// A worker in memory that keeps the promises of platform::worker_service. One thread.
+class simulated_worker {
+public:
+    /// @param info its name and capacity.
+    /// @param hold how long tasks run on after the lease lapsed.
+    simulated_worker(platform::listed_worker info, core::milliseconds hold);
+
+    platform::lease_reply lease(const platform::lease_request& request, core::steady_time now);
+    platform::start_reply start(core::lease_id lease, const core::attempt_id& attempt,
+                                const core::resources& each, core::milliseconds run_time, bool fails,
+                                core::steady_time now);
+    void stop(core::lease_id lease, const core::attempt_id& attempt, core::steady_time now);
+    /// Loses all tasks and the lease, as a machine that is restarted.
+    void restart(core::steady_time now);
+    /// Ends what is due.
+    void advance(core::steady_time now);
+
+    [[nodiscard]] const platform::listed_worker& info() const { return this->listed; }
+    [[nodiscard]] const std::vector<observed_run>& runs() const { return this->history; }
+    /// @return how often a start came that its capacity could not hold.
+    [[nodiscard]] std::uint32_t violations() const { return this->excess; }
+
+private:
+    struct task {
+        core::resources each;
+        core::steady_time due;
+        bool fails = false;
+        std::size_t run = 0;
+        std::optional<core::attempt_end> end;
+    };
+
+    void end(task& task, core::attempt_end how, core::steady_time now);
+    [[nodiscard]] bool in_force(core::lease_id lease, core::steady_time now) const;
+
+    platform::listed_worker listed;
+    core::milliseconds hold;
+    core::incarnation_id holder;
+    core::lease_id current;
+    std::uint64_t next_lease = 1;
+    core::steady_time lapses{};
+    std::map<core::attempt_id, task> tasks;
+    std::vector<observed_run> history;
+    std::uint32_t excess = 0;
+};
+
+} // namespace rattanmount::tests
