--- a/src/ledger/stream_session.cpp
+++ b/src/ledger/stream_session.cpp
@@ -148,12 +148,14 @@
     return std::max(deadline, now);
 }
 
-void stream_session::resume_at(core::log_offset next) {
-    if (next < this->next_offset) {
+void stream_session::skip_to(core::log_offset offset) {
+    if (this->anchored && offset <= this->next_offset) {
         return;
     }
-    this->next_offset = next;
+    this->next_offset = offset;
+    this->known_end = std::max(this->known_end, offset);
     this->anchored = true;
+    this->read_requested = true;
     this->check_passed_over();
 }
 
--- a/src/ledger/stream_session.h
+++ b/src/ledger/stream_session.h
@@ -127,9 +127,10 @@
     /// @return when to call next_append() and next_read() again at the latest.
     [[nodiscard]] core::steady_time next_deadline(core::steady_time now) const;
 
-    /// Goes on at an offset whose state the folds took over from a peer; an earlier offset changes nothing.
-    /// @param next the first offset that is not in that state.
-    void resume_at(core::log_offset next);
+    /// Goes on at an offset whose state the fold took over from a peer. An offset before next() changes
+    /// nothing, unless the state up to there is not known. A batch in flight is settled as ever.
+    /// @param offset the first offset that is not in that state.
+    void skip_to(core::log_offset offset);
 
     /// Makes a read due at once.
     void request_read();
