--- a/src/ledger/codec.cpp
+++ b/src/ledger/codec.cpp
@@ -1,6 +1,7 @@
 #include "ledger/codec.h"
 
-#include "ledger/conversion.h"
+#include "ledger/policy_conversion.h"
+#include "ledger/record_conversion.h"
 #include "ledger/stable_hash.h"
 #include "ledger/thrift_bytes.h"
 
--- a/src/ledger/config_fold.cpp
+++ b/src/ledger/config_fold.cpp
@@ -2,7 +2,8 @@
 
 #include "core/errors.h"
 #include "ledger/codec.h"
-#include "ledger/conversion.h"
+#include "ledger/generated_values.h"
+#include "ledger/policy_conversion.h"
 #include "ledger/thrift_bytes.h"
 
 #include <utility>
--- a/src/ledger/shard_fold.cpp
+++ b/src/ledger/shard_fold.cpp
@@ -1,7 +1,8 @@
 #include "ledger/shard_fold.h"
 
 #include "core/errors.h"
-#include "ledger/conversion.h"
+#include "ledger/generated_values.h"
+#include "ledger/job_conversion.h"
 #include "ledger/thrift_bytes.h"
 
 #include <algorithm>
