--- a/src/app/entry_host.cpp
+++ b/src/app/entry_host.cpp
@@ -75,6 +75,7 @@
             .heartbeat_interval = settings.membership.heartbeat_interval,
             .fleet_interval = settings.platform.fleet.interval,
             .startup_wait = settings.membership.startup_wait,
+            .snapshot_interval = settings.platform.log.retention / 4,
             .config_session = {.append_spacing = append_spacing(settings),
                                .read_interval = settings.platform.log.config_read_interval},
             .keeper = keeper_options(settings)};
--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -40,6 +40,7 @@
     if (!this->started) {
         this->started = now;
         this->last_contact = now;
+        this->next_snapshot = now + this->options.snapshot_interval / 2;
     }
     if (now >= this->next_fleet) {
         this->next_fleet = now + this->options.fleet_interval;
@@ -55,6 +56,7 @@
         this->check_isolation(now);
         this->decide_ownership(now);
         this->assign_racks();
+        this->take_snapshot(now);
     }
     for (const auto& [shard, keeper] : this->keepers) {
         keeper->tick(now);
@@ -231,6 +233,26 @@
     this->keepers.clear();
 }
 
+void host_control::take_snapshot(core::steady_time now) {
+    if (now < this->next_snapshot || !this->ready() || !this->config_session.log_available()) {
+        return;
+    }
+    // The first live host by name writes it; two at once do no harm.
+    const auto claimants = this->members.claimants(now);
+    const auto first = std::ranges::min_element(claimants, {}, &cell::claimant::host);
+    if (first == claimants.end() || first->host != this->options.host) {
+        return;
+    }
+    constexpr core::milliseconds retry{10000};
+    this->next_snapshot = now + this->options.snapshot_interval;
+    this->config_session.add(ledger::snapshot_taken{}, {.withdrawable = true, .alone = true},
+                             [this, again = now + retry](ledger::settlement settled) {
+                                 if (settled != ledger::settlement::recorded) {
+                                     this->next_snapshot = again;
+                                 }
+                             });
+}
+
 void host_control::assign_racks() {
     if (!this->fleet_known || !this->ready() || !this->config_session.log_available() ||
         this->config_session.pending() > 0) {
@@ -696,8 +718,8 @@
         const auto all = this->remote_usage(team);
         return own == nullptr ? all : all - own->runner()->placement().held(team);
     };
-    made.displaceable = [this](const ledger::shard_owner& owner) {
-        return !this->members.live(owner.incarnation, this->current_time);
+    made.displaceable = [this, shard](const ledger::shard_owner& owner) {
+        return this->displaceable(shard, owner);
     };
     made.never_fits = [this](const core::job_spec& spec) { return this->never_fits(spec); };
     made.owner_of = [this](core::shard_id other) -> std::optional<core::endpoint> {
@@ -711,6 +733,28 @@
     return made;
 }
 
+bool host_control::displaceable(core::shard_id shard, const ledger::shard_owner& owner) {
+    const auto* view = this->members.live_view(owner.host, this->current_time);
+    const bool lists_it =
+        view != nullptr && view->incarnation == owner.incarnation &&
+        std::ranges::any_of(view->shards, [&](const auto& owned) { return owned.shard == shard; });
+    if (lists_it) {
+        this->unlisted_since.erase(shard);
+        return false;
+    }
+    if (view == nullptr || view->incarnation != owner.incarnation) {
+        return true;
+    }
+    // A live owner that does not list the shard has given it up without a record, or has not yet told that it
+    // won it.
+    const auto since = this->unlisted_since.try_emplace(shard, this->current_time).first->second;
+    if (this->current_time - since < this->options.suspect_after) {
+        return false;
+    }
+    this->unlisted_since.erase(shard);
+    return true;
+}
+
 cell::config_copy host_control::copy_config() const {
     if (!this->ready()) {
         return {};
--- a/src/control/host_control.h
+++ b/src/control/host_control.h
@@ -38,8 +38,10 @@
     core::milliseconds startup_wait{2000};     ///< Before the first claim, to hear of the other hosts.
     core::milliseconds rebalance_after{10000}; ///< How long another host must be preferred before a handover.
     core::milliseconds isolation_limit{10000}; ///< Without log and peers for so long, shards are given up.
-    ledger::session_options config_session;    ///< `stream`, `producer`, `apply`, `reset` are set here.
-    shard_keeper_options keeper;               ///< What differs per shard is set here.
+    core::milliseconds snapshot_interval{6 * 3600 *
+                                         1000}; ///< Of the configuration; well below its retention.
+    ledger::session_options config_session;     ///< `stream`, `producer`, `apply`, `reset` are set here.
+    shard_keeper_options keeper;                ///< What differs per shard is set here.
 };
 
 /// Where calls on a job go.
@@ -156,6 +158,7 @@
     unknown_names(const core::team_id& team, const core::pool_id& pool, core::work_kind kind) const;
     [[nodiscard]] std::optional<std::string> never_fits(const core::job_spec& spec) const;
     [[nodiscard]] std::optional<core::shard_id> shard_with_room(const core::job_spec& spec) const;
+    [[nodiscard]] bool displaceable(core::shard_id shard, const ledger::shard_owner& owner);
     [[nodiscard]] core::resources remote_usage(const core::team_id& team) const;
     void pump_config(core::steady_time now);
     void send_heartbeats(core::steady_time now);
@@ -165,6 +168,7 @@
     void check_rivals(const cell::peer_view& view);
     void check_isolation(core::steady_time now);
     void answer_notes(core::steady_time now);
+    void take_snapshot(core::steady_time now);
     void change(telemetry::event_kind kind, const std::string& detail) const;
 
     host_control_options options;
@@ -177,6 +181,8 @@
     /// Of the streams of shards that were kept before, since a producer's batches are numbered over its life.
     std::map<core::shard_id, core::sequence_number> next_sequences;
     std::map<core::shard_id, core::steady_time> preferred_elsewhere_since;
+    /// Since when the live owner of a shard, by its stream, does not list it.
+    std::map<core::shard_id, core::steady_time> unlisted_since;
     std::vector<waiting_note> notes;
     platform::fleet_list fleet;
     bool fleet_known = false;
@@ -188,6 +194,7 @@
     core::steady_time next_heartbeat{};
     core::steady_time next_fleet{};
     core::steady_time next_ownership{};
+    core::steady_time next_snapshot{};
     core::steady_time current_time{}; ///< Of the call that is being served, for hooks that need it.
 };
 
--- a/src/control/job_runner.cpp
+++ b/src/control/job_runner.cpp
@@ -189,7 +189,7 @@
     auto& task = job.tasks[placement.task];
     assert(task.phase == core::task_phase::waiting);
     task.phase = core::task_phase::started;
-    ++task.attempt;
+    task.attempt = std::max(task.attempt, task.highest_seen) + 1;
     const auto attempt = job.attempt_of(placement.task);
     this->attempts[attempt] = attempt_state{
         .phase = attempt_phase::recording, .worker = placement.worker, .confirmed = now, .counted = true};
@@ -335,17 +335,37 @@
         }
         return;
     }
-    const bool unrecorded = job != this->jobs.end() && !job->second.ending &&
-                            item.attempt.task < job->second.tasks.size() &&
-                            job->second.tasks[item.attempt.task].phase == core::task_phase::waiting &&
-                            item.attempt.attempt > job->second.tasks[item.attempt.task].attempt;
-    if (unrecorded) {
+    if (job != this->jobs.end() && this->is_newer(item.attempt, job->second)) {
+        this->end_older_attempt(item.attempt, job->second, now);
         this->adopt_unrecorded(worker, item, job->second, now);
         return;
     }
     this->take_foreign(worker, item, now);
 }
 
+bool job_runner::is_newer(const core::attempt_id& attempt, const live_job& job) const {
+    if (job.ending || attempt.task >= job.tasks.size()) {
+        return false;
+    }
+    const auto& task = job.tasks[attempt.task];
+    if (task.phase == core::task_phase::waiting) {
+        return attempt.attempt > task.attempt;
+    }
+    // The former owner may have begun a later attempt than the recorded one, without a record.
+    const auto current = this->attempts.find(job.attempt_of(attempt.task));
+    return attempt.attempt > task.attempt && current != this->attempts.end() &&
+           current->second.phase == attempt_phase::adopted;
+}
+
+void job_runner::end_older_attempt(const core::attempt_id& newer, const live_job& job,
+                                   core::steady_time now) {
+    const auto current = job.attempt_of(newer.task);
+    if (this->attempts.contains(current)) {
+        this->end_attempt(current, core::attempt_end::lost, "a later attempt was found",
+                          core::milliseconds{0}, no_usage(), now);
+    }
+}
+
 void job_runner::adopt_unrecorded(worker_state& worker, const platform::inventory_item& item, live_job& job,
                                   core::steady_time now) {
     auto& task = job.tasks[item.attempt.task];
@@ -369,6 +389,11 @@
 
 void job_runner::take_foreign(worker_state& worker, const platform::inventory_item& item,
                               core::steady_time now) {
+    const auto known = this->jobs.find(item.attempt.job);
+    if (known != this->jobs.end() && item.attempt.task < known->second.tasks.size()) {
+        auto& task = known->second.tasks[item.attempt.task];
+        task.highest_seen = std::max(task.highest_seen, item.attempt.attempt);
+    }
     if (item.end) {
         if (worker.foreign.erase(item.attempt) > 0) {
             this->decisions.task_over(item.attempt, core::attempt_end::stopped, item.run_time, item.used,
--- a/src/control/job_runner.h
+++ b/src/control/job_runner.h
@@ -128,6 +128,8 @@
     void take_inventory(worker_state& worker, const platform::lease_reply& reply, core::steady_time sent,
                         bool new_lease, core::steady_time now);
     void take_item(worker_state& worker, const platform::inventory_item& item, core::steady_time now);
+    [[nodiscard]] bool is_newer(const core::attempt_id& attempt, const live_job& job) const;
+    void end_older_attempt(const core::attempt_id& newer, const live_job& job, core::steady_time now);
     void adopt_unrecorded(worker_state& worker, const platform::inventory_item& item, live_job& job,
                           core::steady_time now);
     void take_foreign(worker_state& worker, const platform::inventory_item& item, core::steady_time now);
--- a/src/control/live_job.h
+++ b/src/control/live_job.h
@@ -16,7 +16,8 @@
 /// One task as the owner of its shard has decided, which the log may not have recorded yet.
 struct live_task {
     core::task_phase phase = core::task_phase::waiting;
-    std::uint32_t attempt = 0; ///< The newest attempt; 0: none yet.
+    std::uint32_t attempt = 0;      ///< The newest attempt; 0: none yet.
+    std::uint32_t highest_seen = 0; ///< Of the attempts that inventories showed; no number is used twice.
     std::uint32_t failures = 0;
     std::uint32_t restarts = 0;     ///< Of a service, since it last ran well.
     core::steady_time not_before{}; ///< For a service that ended: when it may start again.
--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -38,13 +38,6 @@
 }
 
 bool shard_keeper::apply(core::log_offset offset, const ledger::record_batch& batch) {
-    ++this->entries_since_snapshot;
-    const bool snapshot = std::ranges::any_of(batch.records, [](const auto& record) {
-        return std::holds_alternative<ledger::snapshot_taken>(record);
-    });
-    if (snapshot) {
-        this->entries_since_snapshot = 0;
-    }
     return ledger::shard_fold::stands(this->fold.apply(offset, batch));
 }
 
@@ -112,7 +105,7 @@
     if (this->fleet_known) {
         this->run->set_workers(this->workers, now);
     }
-    this->last_snapshot = now - this->options.snapshot_interval / 2;
+    this->next_snapshot = now + this->options.snapshot_interval / 2;
     this->settle_orphaned_payments();
     for (const auto& [id, entry] : this->fold.jobs()) {
         if (entry.moved_to && !entry.move_confirmed) {
@@ -463,9 +456,15 @@
             this->session.add(ledger::job_forgotten{.job = id}, {.withdrawable = true}, {});
         }
     }
-    if (this->entries_since_snapshot > 0 && now - this->last_snapshot >= this->options.snapshot_interval) {
-        this->last_snapshot = now;
-        this->session.add(ledger::snapshot_taken{}, {.withdrawable = true, .alone = true}, {});
+    if (now >= this->next_snapshot) {
+        constexpr core::milliseconds retry{10000};
+        this->next_snapshot = now + this->options.snapshot_interval;
+        this->session.add(ledger::snapshot_taken{}, {.withdrawable = true, .alone = true},
+                          [this, again = now + retry](ledger::settlement settled) {
+                              if (settled != ledger::settlement::recorded) {
+                                  this->next_snapshot = again;
+                              }
+                          });
     }
 }
 
--- a/src/control/shard_keeper.h
+++ b/src/control/shard_keeper.h
@@ -147,8 +147,7 @@
     };
     std::unordered_map<core::job_id, pending_accept> accepting;
     std::unordered_map<core::job_id, bool> moving; ///< Moved, not confirmed; whether an order is on its way.
-    std::uint64_t entries_since_snapshot = 0;
-    core::steady_time last_snapshot{};
+    core::steady_time next_snapshot{};
     bool release_recorded = false;
     bool release_added = false;
     core::steady_time last_house_keeping{};
--- a/tests/control/simulated_cell.cpp
+++ b/tests/control/simulated_cell.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace rattanmount::tests {
 
@@ -93,6 +94,7 @@
     made.startup_wait = 1s;
     made.rebalance_after = 3s;
     made.isolation_limit = 4s;
+    made.snapshot_interval = 20s;
     made.config_session.append_spacing = 20ms;
     made.config_session.read_interval = 300ms;
     made.keeper.session.append_spacing = 20ms;
@@ -211,13 +213,19 @@
     };
     hooks.move = [=, this](const control::move_order& order) {
         const int peer = this->host_at(order.peer);
+        const auto answered = std::make_shared<bool>(false);
+        const auto reply = [=, this](bool taken, core::milliseconds after) {
+            this->on_host(host, incarnation, after, [=, this](control::host_control& control) {
+                if (!std::exchange(*answered, true)) {
+                    control.on_moved(order, taken, this->time);
+                }
+            });
+        };
         const auto done = [=, this](const cell::owner_answer& answer) {
             const bool taken = answer.owner && answer.answer.state == core::answer_state::accepted;
-            const bool lost = this->chance(this->options.lost_answers);
-            this->on_host(host, incarnation, this->delay(), [=, this](control::host_control& control) {
-                control.on_moved(order, taken && !lost, this->time);
-            });
+            reply(taken && !this->chance(this->options.lost_answers), this->delay());
         };
+        reply(false, 2 * call_timeout);
         const auto& state = this->hosts[static_cast<std::size_t>(peer)];
         if (!state.control || this->chance(this->options.lost_calls)) {
             done({});
