Hold back gangs during a takeover; hand jobs on from home only; claim only while the log answers

Claims were repeated at every tick of an outage. Change: a gang that restarts during a takeover waits for its end; only the home shard hands a job on; the release starts anew with each ownership; claims are 500 ms apart and need an answering log.

--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -722,6 +722,7 @@
         return this->displaceable(shard, owner);
     };
     made.never_fits = [this](const core::job_spec& spec) { return this->never_fits(spec); };
+    made.home_of = [this](const core::job_id& job) { return this->route(job, this->current_time).shard; };
     made.owner_of = [this](core::shard_id other) -> std::optional<core::endpoint> {
         const auto route = this->route_to(other, this->current_time);
         if (route.target == job_route::target_type::local) {
--- a/src/control/job_runner.cpp
+++ b/src/control/job_runner.cpp
@@ -570,6 +570,10 @@
         return;
     }
     job.restarting = false;
+    if (this->held_back.contains(job.spec.id)) {
+        // Another worker may run a task of it that is not known yet; it is admitted with the others.
+        return;
+    }
     this->decisions.remove_job(job.spec.id);
     this->admit(job);
 }
--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -43,7 +43,8 @@
 
 void shard_keeper::tick(core::steady_time now) {
     this->check_owner(now);
-    if (this->current == shard_phase::reading && this->session.caught_up() && this->fold.anchored()) {
+    if (this->current == shard_phase::reading && this->session.caught_up() && this->fold.anchored() &&
+        this->session.log_available() && now >= this->next_claim) {
         const auto& owner = this->fold.owner();
         if (!owner || owner->incarnation == this->options.incarnation || this->options.displaceable(*owner)) {
             this->claim(now);
@@ -79,6 +80,8 @@
 }
 
 void shard_keeper::claim(core::steady_time now) {
+    constexpr core::milliseconds claim_interval{500};
+    this->next_claim = now + claim_interval;
     this->current = shard_phase::claiming;
     this->change(telemetry::event_kind::shard_claimed,
                  "after epoch " + std::to_string(this->epoch().value()));
@@ -97,6 +100,8 @@
     const bool first_owner = this->fold.epoch() == core::epoch_id{1};
     this->session.set_epoch(this->fold.epoch());
     this->current = shard_phase::taking_over;
+    this->release_added = false;
+    this->release_recorded = false;
     if (!first_owner) {
         this->slot_book.hold_until(now + this->options.longest_quick_limit);
     }
@@ -412,7 +417,9 @@
         return;
     }
     for (const auto& id : this->run->movable(now, this->options.move_after)) {
-        const auto target = this->options.shard_with_room(this->run->find(id)->spec);
+        // Only its home shard hands a job on, so that it is always found over one step.
+        const bool at_home = this->options.home_of(id) == this->options.shard;
+        const auto target = at_home ? this->options.shard_with_room(this->run->find(id)->spec) : std::nullopt;
         if (!target || *target == this->options.shard) {
             continue;
         }
@@ -495,6 +502,7 @@
     this->release_added = true;
     this->session.add(ledger::shard_released{}, {.alone = true}, [this](ledger::settlement settled) {
         this->release_recorded = settled == ledger::settlement::recorded;
+        this->release_added = this->release_recorded;
     });
 }
 
--- a/src/control/shard_keeper.h
+++ b/src/control/shard_keeper.h
@@ -52,6 +52,8 @@
     std::function<std::optional<std::string>(const core::job_spec&)> never_fits;
     /// The shard, other than this one, whose owner reports room for a task of that size.
     std::function<std::optional<core::shard_id>(const core::job_spec&)> shard_with_room;
+    /// The shard that a job's key hashes to.
+    std::function<core::shard_id(const core::job_id&)> home_of;
     /// Where the owner of a shard takes calls of the inner protocol, where it is known.
     std::function<std::optional<core::endpoint>(core::shard_id)> owner_of;
 };
@@ -148,6 +150,7 @@
     std::unordered_map<core::job_id, pending_accept> accepting;
     std::unordered_map<core::job_id, bool> moving; ///< Moved, not confirmed; whether an order is on its way.
     core::steady_time next_snapshot{};
+    core::steady_time next_claim{};
     bool release_recorded = false;
     bool release_added = false;
     core::steady_time last_house_keeping{};
--- a/tests/control/random_faults_test.cpp
+++ b/tests/control/random_faults_test.cpp
@@ -121,7 +121,7 @@
 TEST_CASE("under random faults nothing that must always hold is broken, and all accepted jobs end") {
     // RATTANMOUNT_SEEDS=first:count runs others than the fixed ones.
     std::uint32_t first = 1;
-    std::uint32_t count = 12;
+    std::uint32_t count = 60;
     if (const char* range = std::getenv("RATTANMOUNT_SEEDS")) {
         const std::string text{range};
         first = static_cast<std::uint32_t>(std::stoul(text));
