Tell unreadable answers apart and survive a closed peer without a signal

Cause: a send to a closed peer raises SIGPIPE in a thread that has it unblocked; bad base64 in a read threw Poco's exception out of the client; the stand-in's short answer was cut before its first byte, and its stop cut the last answer. Change: sends raise no signal, bad base64 makes the read unavailable, the stand-in flushes each answer before its connection may end.

--- a/dev/stand_ins/stand_in_server.cpp
+++ b/dev/stand_ins/stand_in_server.cpp
@@ -102,14 +102,15 @@
 
 void send(HTTPServerResponse& response, const stand_in_reply& reply, const std::string& correlation) {
     prepare(response, reply, correlation);
-    response.sendBuffer(reply.body.data(), reply.body.size());
+    response.setContentLength64(static_cast<Poco::Int64>(reply.body.size()));
+    response.send() << reply.body << std::flush;
 }
 
 void send_short(HTTPServerResponse& response, const stand_in_reply& reply, const std::string& correlation) {
     prepare(response, reply, correlation);
     response.setKeepAlive(false);
     response.setContentLength64(static_cast<Poco::Int64>(reply.body.size()) + 1);
-    response.send() << reply.body;
+    response.send() << reply.body << std::flush;
 }
 
 Poco::Net::StreamSocket& socket_of(HTTPServerRequest& request) {
--- a/src/platform/base64.cpp
+++ b/src/platform/base64.cpp
@@ -21,14 +21,17 @@
 }
 
 std::string base64_decode(const std::string& text) {
-    constexpr std::size_t group = 4;
-    std::istringstream source{text};
-    Poco::Base64Decoder decoder{source};
-    std::string bytes{std::istreambuf_iterator<char>{decoder}, std::istreambuf_iterator<char>{}};
-    if (text.size() % group != 0 || base64_encode(bytes) != text) {
+    try {
+        std::istringstream source{text};
+        Poco::Base64Decoder decoder{source};
+        std::string bytes{std::istreambuf_iterator<char>{decoder}, std::istreambuf_iterator<char>{}};
+        if (base64_encode(bytes) != text) {
+            throw core::invalid_argument("not base64");
+        }
+        return bytes;
+    } catch (const Poco::DataFormatException&) {
         throw core::invalid_argument("not base64");
     }
-    return bytes;
 }
 
 } // namespace rattanmount::platform
--- a/src/platform/deadline_socket.cpp
+++ b/src/platform/deadline_socket.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/Socket.h>
 
 #include <algorithm>
+#include <sys/socket.h>
 
 namespace rattanmount::platform {
 
@@ -29,7 +30,7 @@
     int done = 0;
     while (done < length) {
         this->wait_for(Poco::Net::Socket::SELECT_WRITE);
-        const int taken = StreamSocketImpl::sendBytes(bytes + done, length - done, flags);
+        const int taken = StreamSocketImpl::sendBytes(bytes + done, length - done, flags | MSG_NOSIGNAL);
         if (taken > 0) {
             done += taken;
             this->sent_bytes += static_cast<std::uint64_t>(taken);
--- a/src/platform/deadline_socket.h
+++ b/src/platform/deadline_socket.h
@@ -12,7 +12,8 @@
 /// A TCP socket whose sends and receives share one deadline, and that counts what it carries.
 ///
 /// Connect it, call begin(), then use it through a Poco stream socket, which owns it. A send returns only
-/// when all bytes are with the kernel; both directions throw Poco::TimeoutException at the deadline.
+/// when all bytes are with the kernel; both directions throw Poco::TimeoutException at the deadline. A
+/// send to a peer that is gone throws too and raises no signal, whatever the thread's signal mask.
 /// One thread at a time.
 class deadline_socket : public Poco::Net::StreamSocketImpl {
 public:
--- a/src/platform/http_connection.cpp
+++ b/src/platform/http_connection.cpp
@@ -101,12 +101,9 @@
     Poco::Net::HTTPHeaderInputStream stream{*this};
     head.read(stream);
     const bool bodiless = head.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
-    if (!head.hasContentLength() && !bodiless) {
-        return this->failure("the answer has no content length", false);
-    }
     const auto length = bodiless ? 0 : head.getContentLength64();
     if (length < 0 || static_cast<std::uint64_t>(length) > max_answer_bytes) {
-        return this->failure("the answer's content length cannot be taken", false);
+        return this->failure("the answer has no content length that can be taken", false);
     }
     auto body = this->receive_body(static_cast<std::size_t>(length));
     if (head.get(correlation_header, "") != message.correlation) {
--- a/tests/platform/http_connection_test.cpp
+++ b/tests/platform/http_connection_test.cpp
@@ -1,57 +1,21 @@
 #include "platform/connection_budget.h"
 #include "platform/http_caller.h"
+#include "tests/platform/scripted_server.h"
 #include "tests/platform/stand_in_fixture.h"
 
-#include <Poco/Net/StreamSocket.h>
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <string>
 #include <thread>
 
 using namespace platform_test;
 using platform::exchange_fate;
 
-namespace {
-
-/// Takes one connection, reads a bit, sends a text at once and another a byte at a time.
-class dripping_server {
-public:
-    dripping_server(std::string at_once, std::string dripped)
-        : socket(Poco::Net::SocketAddress{"127.0.0.1", 0}),
-          worker([this, at_once = std::move(at_once), dripped = std::move(dripped)] {
-              this->serve(at_once, dripped);
-          }) {}
-
-    [[nodiscard]] core::endpoint at() const {
-        return {.address = "127.0.0.1", .port = this->socket.address().port()};
-    }
-
-private:
-    void serve(const std::string& at_once, const std::string& dripped) {
-        auto connection = this->socket.acceptConnection();
-        std::array<char, 1024> ignored{};
-        connection.receiveBytes(ignored.data(), ignored.size());
-        try {
-            connection.sendBytes(at_once.data(), static_cast<int>(at_once.size()));
-            for (const char byte : dripped) {
-                connection.sendBytes(&byte, 1);
-                std::this_thread::sleep_for(10ms);
-            }
-        } catch (const Poco::Exception&) {
-            // The client gave up, as it should.
-        }
-    }
-
-    Poco::Net::ServerSocket socket;
-    std::jthread worker;
-};
-
-} // namespace
-
 TEST_CASE("the timeout is the total of a call, however the answer trickles in") {
     const bool in_head = GENERATE(true, false);
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\nX-Correlation-Id: 1\r\n\r\n";
-    dripping_server server{in_head ? "" : head, in_head ? "H" + std::string(200, 'T') : std::string(40, 'x')};
+    scripted_server server{in_head ? "" : head, in_head ? "H" + std::string(200, 'T') : std::string(40, 'x')};
     platform::http_caller caller{{}};
     platform::http_answer answer;
     const auto elapsed =
@@ -62,8 +26,28 @@
     CHECK(caller.counters().failures == 1);
 }
 
+TEST_CASE("a connection that the server closed fails the call and not the process") {
+    sigset_t broken_pipe{};
+    sigemptyset(&broken_pipe);
+    sigaddset(&broken_pipe, SIGPIPE);
+    sigset_t before{};
+    pthread_sigmask(SIG_UNBLOCK, &broken_pipe, &before);
+    const scripted_server server{""};
+    platform::traffic_counters counters;
+    const auto deadline = std::chrono::steady_clock::now() + 1s;
+    platform::http_connection connection{server.at(), deadline, counters};
+    const platform::http_message message{
+        .method = "POST", .target = "/", .correlation = "1", .body = std::string(1000, 'x')};
+    for (int i = 0; i < 3; ++i) {
+        const auto fate = connection.exchange(message, deadline).fate;
+        CHECK((fate == exchange_fate::broken || fate == exchange_fate::not_sent));
+        std::this_thread::sleep_for(10ms);
+    }
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+}
+
 TEST_CASE("an answer without a length is not taken") {
-    dripping_server server{"HTTP/1.1 200 OK\r\nX-Correlation-Id: 1\r\n\r\nabc", ""};
+    scripted_server server{"HTTP/1.1 200 OK\r\nX-Correlation-Id: 1\r\n\r\nabc", ""};
     platform::http_caller caller{{}};
     CHECK(caller.call(server.at(), {.method = "GET", .target = "/"}, 1s).fate == exchange_fate::broken);
 }
--- a/tests/platform/log_client_test.cpp
+++ b/tests/platform/log_client_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/platform/scripted_server.h"
 #include "tests/platform/stand_in_fixture.h"
 
 #include <catch2/catch.hpp>
@@ -67,6 +68,28 @@
     }
 }
 
+TEST_CASE("an answer that does not tell is unknown") {
+    const auto* const status = GENERATE("503 Service Unavailable", "500 Internal Server Error", "200 OK");
+    const auto* const body = GENERATE("{}", "[]", "", R"({"offset":-1})", R"({"effect":"maybe"})");
+    const scripted_server server{scripted_server::answer(status, body)};
+    platform::http_log_client client{{.address = server.at()}};
+    CHECK(client.hooks().append(orders, "a", 1s).fate == append_fate::unknown);
+}
+
+TEST_CASE("entries with gaps or of no use are not handed out") {
+    const auto* const body =
+        GENERATE(R"({"first":0,"next":3,"entries":[{"offset":0,"data":""},{"offset":2,"data":""}]})",
+                 R"({"first":0,"next":1,"entries":[{"offset":0,"data":""},{"offset":1,"data":""}]})",
+                 R"({"first":0,"next":3,"entries":[{"offset":1,"data":""}]})",
+                 R"({"first":0,"next":1,"entries":[{"offset":0,"data":"?"}]})",
+                 R"({"first":3,"next":1,"entries":[]})", R"({"entries":[]})");
+    const scripted_server server{scripted_server::answer("200 OK", body)};
+    platform::http_log_client client{{.address = server.at()}};
+    const auto reply = client.hooks().read(orders, core::log_offset{0}, max_bytes, 1s);
+    CHECK_FALSE(reply.available);
+    CHECK(reply.entries.empty());
+}
+
 TEST_CASE("an append that takes effect after its timeout is unknown") {
     log_with_client log;
     log.server.order({.kind = fault_kind::slow, .count = 1, .length = 150ms});
--- a/tests/platform/stand_in_test.cpp
+++ b/tests/platform/stand_in_test.cpp
@@ -136,3 +136,20 @@
     CHECK(executors.log.count(journal_kind::violation) == 2);
     CHECK(executors.log.count(journal_kind::start) == 1);
 }
+
+TEST_CASE("a stand-in that is stopped finishes the request in flight") {
+    executors_fixture executors;
+    platform::http_caller caller{{}};
+    platform::http_answer answer;
+    {
+        std::jthread client{[&] {
+            answer = caller.call(
+                executors.at(),
+                {.method = "POST", .target = "/executors/e1/run", .body = R"({"run_ms":100,"size":5})"}, 1s);
+        }};
+        std::this_thread::sleep_for(40ms);
+        executors.server.stop();
+    }
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "\nxxxxx");
+}
