--- a/src/platform/connection_pool.cpp
+++ b/src/platform/connection_pool.cpp
@@ -25,10 +25,11 @@
     std::unique_lock lock{this->mutex};
     while (true) {
         auto& state = this->state_of(peer);
-        if (auto connection = this->take_idle(state)) {
+        const auto now = std::chrono::steady_clock::now();
+        if (auto connection = this->take_idle(state, now)) {
             return connection;
         }
-        if (state.budget.take(std::chrono::steady_clock::now())) {
+        if (state.budget.take(now)) {
             lock.unlock();
             return this->open(peer, deadline);
         }
@@ -74,14 +75,17 @@
     return this->peers.try_emplace(peer, this->options.max_connections).first->second;
 }
 
-std::unique_ptr<http_connection> connection_pool::take_idle(peer_state& state) {
+std::unique_ptr<http_connection> connection_pool::take_idle(peer_state& state, core::steady_time now) {
     while (!state.idle.empty()) {
         auto connection = std::move(state.idle.back());
         state.idle.pop_back();
-        if (connection->usable()) {
+        if (!connection->usable()) {
+            state.budget.give_back();
+        } else if (this->expired(*connection, now)) {
+            this->retire(state, this->options.close_time, now);
+        } else {
             return connection;
         }
-        state.budget.give_back();
     }
     return nullptr;
 }
@@ -113,6 +117,10 @@
     this->changed.notify_all();
 }
 
+bool connection_pool::expired(const http_connection& connection, core::steady_time now) const {
+    return connection.last_good() + this->options.idle_limit <= now;
+}
+
 void connection_pool::retire(peer_state& state, core::milliseconds linger, core::steady_time now) {
     if (linger.count() > 0) {
         state.budget.linger(now + linger);
@@ -135,7 +143,7 @@
 void connection_pool::close_expired(core::steady_time now, connections& closed) {
     for (auto peer = this->peers.begin(); peer != this->peers.end();) {
         auto& state = peer->second;
-        while (!state.idle.empty() && state.idle.front()->last_good() + this->options.idle_limit <= now) {
+        while (!state.idle.empty() && this->expired(*state.idle.front(), now)) {
             closed.push_back(std::move(state.idle.front()));
             state.idle.erase(state.idle.begin());
             this->retire(state, this->options.close_time, now);
--- a/src/platform/connection_pool.h
+++ b/src/platform/connection_pool.h
@@ -19,7 +19,9 @@
 struct connection_pool_options {
     std::size_t max_connections = 8; ///< To one endpoint: in use, idle and lingering together.
     std::size_t max_idle = 4;        ///< Idle ones to one endpoint; more are closed.
-    core::milliseconds idle_limit{30'000};
+    /// How long an idle connection is kept; below the keep-alive time of the server, so that the server
+    /// does not close a connection while a request is on its way.
+    core::milliseconds idle_limit{4'000};
     core::milliseconds linger{0}; ///< How long a connection counts after a timeout or a break.
     /// How long a connection counts after it was closed in good order.
     core::milliseconds close_time{0};
@@ -74,12 +76,13 @@
     };
 
     [[nodiscard]] peer_state& state_of(const core::endpoint& peer);
-    [[nodiscard]] std::unique_ptr<http_connection> take_idle(peer_state& state);
+    [[nodiscard]] std::unique_ptr<http_connection> take_idle(peer_state& state, core::steady_time now);
     void wait_for_room(std::unique_lock<std::mutex>& lock, const core::endpoint& peer,
                        core::steady_time give_up);
     [[nodiscard]] std::unique_ptr<http_connection> open(const core::endpoint& peer,
                                                         core::steady_time deadline);
     void give_back(const core::endpoint& peer, core::milliseconds linger);
+    [[nodiscard]] bool expired(const http_connection& connection, core::steady_time now) const;
     void retire(peer_state& state, core::milliseconds linger, core::steady_time now);
     void close_unproved(peer_state& state, core::steady_time since, connections& closed);
     void close_expired(core::steady_time now, connections& closed);
--- a/src/platform/http_executor_client.h
+++ b/src/platform/http_executor_client.h
@@ -12,10 +12,10 @@
     /// an executor holds, so it is the executor's number divided by the most entry hosts there can be.
     std::size_t max_connections_per_executor = 8;
     std::size_t max_idle_per_executor = 4;
-    core::milliseconds idle_limit{30'000};
-    core::milliseconds linger{3'000};   ///< How long a connection counts after a timeout or a break.
-    core::milliseconds close_time{100}; ///< How long it counts after it was closed in good order.
-    core::milliseconds max_wait{50};    ///< How long a call waits for a connection to come free.
+    core::milliseconds idle_limit{4'000}; ///< Below the keep-alive time of the executors.
+    core::milliseconds linger{3'000};     ///< How long a connection counts after a timeout or a break.
+    core::milliseconds close_time{100};   ///< How long it counts after it was closed in good order.
+    core::milliseconds max_wait{50};      ///< How long a call waits for a connection to come free.
 };
 
 /// Executors over HTTP.
--- a/src/platform/http_worker_client.cpp
+++ b/src/platform/http_worker_client.cpp
@@ -46,15 +46,12 @@
 
 lease_reply http_worker_client::lease(const core::endpoint& worker, const lease_request& request,
                                       core::milliseconds timeout) {
-    const auto answer = this->post(worker, "/lease", encode_lease_request(request), timeout);
-    if (answer.fate != exchange_fate::answered) {
-        return lease_reply{};
-    }
     try {
-        if (answer.status == status_ok) {
+        const auto answer = this->post(worker, "/lease", encode_lease_request(request), timeout);
+        if (answer.fate == exchange_fate::answered && answer.status == status_ok) {
             return decode_granted_lease(answer.body);
         }
-        if (answer.status == status_conflict) {
+        if (answer.fate == exchange_fate::answered && answer.status == status_conflict) {
             return decode_held_lease(answer.body);
         }
     } catch (const core::invalid_argument&) {
@@ -77,7 +74,11 @@
 start_reply http_worker_client::act(const core::endpoint& worker, core::lease_id lease,
                                     const core::attempt_id& attempt, attempt_action action,
                                     core::milliseconds timeout) {
-    return start_reply_of(this->post(worker, "/act", encode_act(lease, attempt, action), timeout));
+    try {
+        return start_reply_of(this->post(worker, "/act", encode_act(lease, attempt, action), timeout));
+    } catch (const core::invalid_argument& error) {
+        return {.verdict = start_verdict::refused, .reason = error.what()};
+    }
 }
 
 http_answer http_worker_client::post(const core::endpoint& worker, const char* call, std::string body,
--- a/src/platform/worker_codec.cpp
+++ b/src/platform/worker_codec.cpp
@@ -31,6 +31,14 @@
     return decoded;
 }
 
+std::string text_of(const json& body) {
+    try {
+        return body.dump();
+    } catch (const json::exception& error) {
+        throw core::invalid_argument(std::string{"a call of a worker cannot be encoded: "} + error.what());
+    }
+}
+
 template <typename Decode>
 lease_reply decode(const std::string& text, Decode decode_json) {
     try {
@@ -50,7 +58,7 @@
     for (const auto& attempt : request.forget) {
         body["forget"].push_back(attempt.text());
     }
-    return body.dump();
+    return text_of(body);
 }
 
 lease_reply decode_granted_lease(const std::string& text) {
@@ -83,15 +91,12 @@
     if (!payload.empty()) {
         body["payload"] = payload;
     }
-    try {
-        return body.dump();
-    } catch (const json::exception& error) {
-        throw core::invalid_argument(std::string{"the payload cannot be encoded: "} + error.what());
-    }
+    return text_of(body);
 }
 
 std::string encode_act(core::lease_id lease, const core::attempt_id& attempt, attempt_action action) {
-    return json{{"lease", lease.value()}, {"attempt", attempt.text()}, {"action", to_string(action)}}.dump();
+    return text_of(
+        json{{"lease", lease.value()}, {"attempt", attempt.text()}, {"action", to_string(action)}});
 }
 
 std::string_view to_string(attempt_action action) {
--- a/src/platform/worker_codec.h
+++ b/src/platform/worker_codec.h
@@ -9,6 +9,7 @@
 
 /// @param request a request for a lease.
 /// @return its body in JSON.
+/// @throws core::invalid_argument where a name in it is not UTF-8.
 [[nodiscard]] std::string encode_lease_request(const lease_request& request);
 
 /// @param text the body of a granted lease in JSON.
@@ -26,7 +27,7 @@
 /// @param each what it takes.
 /// @param payload for the task; must be UTF-8.
 /// @return the body of a start in JSON.
-/// @throws core::invalid_argument where the payload cannot be encoded.
+/// @throws core::invalid_argument where the payload or a name is not UTF-8.
 [[nodiscard]] std::string encode_start(core::lease_id lease, const core::attempt_id& attempt,
                                        const core::resources& each, const std::string& payload);
 
@@ -34,6 +35,7 @@
 /// @param attempt the attempt.
 /// @param action what to do to it.
 /// @return the body of an action in JSON.
+/// @throws core::invalid_argument where a name in it is not UTF-8.
 [[nodiscard]] std::string encode_act(core::lease_id lease, const core::attempt_id& attempt,
                                      attempt_action action);
 
