Keep at most half of an executor's connections idle

Cause: after a silent event all idle connections are closed and still count for the linger time; with as many idle as allowed in all, an executor could not be reached for 3 s. Change: the executor client bounds idle connections by half of its budget. Before and after: with 8 of 8 idle the call after the silent one was not sent; now it is answered. 38 test cases pass.

--- a/src/platform/http_executor_client.cpp
+++ b/src/platform/http_executor_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/http_executor_client.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace rattanmount::platform {
@@ -31,11 +32,16 @@
     return ran ? call_verdict::failed : call_verdict::broken;
 }
 
+std::size_t idle_bound(const http_executor_client_options& options) {
+    const auto half = std::max<std::size_t>(options.max_connections_per_executor / 2, 1);
+    return std::min(options.max_idle_per_executor, half);
+}
+
 } // namespace
 
 http_executor_client::http_executor_client(http_executor_client_options options)
     : caller({.max_connections = options.max_connections_per_executor,
-              .max_idle = options.max_idle_per_executor,
+              .max_idle = idle_bound(options),
               .idle_limit = options.idle_limit,
               .linger = options.linger,
               .close_time = options.close_time,
--- a/src/platform/http_executor_client.h
+++ b/src/platform/http_executor_client.h
@@ -11,6 +11,8 @@
     /// This host's part of each executor's connections: all entry hosts together must stay below what
     /// an executor holds, so it is the executor's number divided by the most entry hosts there can be.
     std::size_t max_connections_per_executor = 8;
+    /// At most half of its connections count, so that there is room for new ones when all idle ones have
+    /// gone silent and still count at the executor.
     std::size_t max_idle_per_executor = 4;
     core::milliseconds idle_limit{4'000}; ///< Below the keep-alive time of the executors.
     core::milliseconds linger{3'000};     ///< How long a connection counts after a timeout or a break.
--- a/tests/platform/executor_client_test.cpp
+++ b/tests/platform/executor_client_test.cpp
@@ -166,7 +166,7 @@
 }
 
 TEST_CASE("executors whose connections all went silent are reached again at the next call") {
-    executors_with_client executors;
+    executors_with_client executors{{.max_connections_per_executor = 8, .max_idle_per_executor = 8}};
     const auto call_all = [&executors] {
         std::vector<std::jthread> callers;
         callers.reserve(8);
