--- a/src/app/command_arguments.cpp
+++ b/src/app/command_arguments.cpp
@@ -89,9 +89,9 @@
                                      entry_variable);
     }
     const auto given_limit = text_of(parsed, "limit");
-    const cell_options options{.hosts = parse_endpoints(hosts),
-                               .limit = core::parse_duration(given_limit.empty() ? limit : given_limit),
-                               .json = parsed.count("json") > 0};
+    cell_options options{.hosts = parse_endpoints(hosts),
+                         .limit = core::parse_duration(given_limit.empty() ? limit : given_limit),
+                         .json = parsed.count("json") > 0};
     if (options.limit <= core::milliseconds::zero()) {
         throw core::invalid_argument("--limit must be more than 0");
     }
--- a/src/telemetry/quantile_estimate.h
+++ b/src/telemetry/quantile_estimate.h
@@ -26,6 +26,8 @@
 
     quantile_estimate();
     ~quantile_estimate();
+    quantile_estimate(const quantile_estimate&) = delete;
+    quantile_estimate& operator=(const quantile_estimate&) = delete;
     quantile_estimate(quantile_estimate&& other) noexcept;
     quantile_estimate& operator=(quantile_estimate&& other) noexcept;
 
--- a/src/telemetry/timeline.cpp
+++ b/src/telemetry/timeline.cpp
@@ -15,11 +15,7 @@
 void timeline::record(event_kind kind, event_fields about) {
     // The time is taken under the lock, so that the ring is in the order of the times.
     const std::lock_guard lock{this->mutex};
-    event added{.at = this->options.now(),
-                .host = this->options.host,
-                .incarnation = this->options.incarnation,
-                .kind = kind,
-                .about = std::move(about)};
+    entry added{.at = this->options.now(), .kind = kind, .about = std::move(about)};
     ++this->recorded;
     if (this->ring.size() < this->options.capacity) {
         this->ring.push_back(std::move(added));
@@ -30,10 +26,17 @@
 }
 
 std::vector<event> timeline::events() const {
+    std::vector<event> result;
     const std::lock_guard lock{this->mutex};
-    const auto middle = this->ring.begin() + static_cast<std::ptrdiff_t>(this->oldest);
-    std::vector<event> result{middle, this->ring.end()};
-    result.insert(result.end(), this->ring.begin(), middle);
+    result.reserve(this->ring.size());
+    for (std::size_t i = 0; i < this->ring.size(); ++i) {
+        const auto& each = this->ring[(this->oldest + i) % this->ring.size()];
+        result.push_back({.at = each.at,
+                          .host = this->options.host,
+                          .incarnation = this->options.incarnation,
+                          .kind = each.kind,
+                          .about = each.about});
+    }
     return result;
 }
 
--- a/src/telemetry/timeline.h
+++ b/src/telemetry/timeline.h
@@ -43,9 +43,16 @@
     [[nodiscard]] std::uint64_t overwritten() const;
 
 private:
+    /// An event without what is the same for all of them.
+    struct entry {
+        core::hybrid_time at;
+        event_kind kind;
+        event_fields about;
+    };
+
     timeline_options options;
     mutable std::mutex mutex;
-    std::vector<event> ring;
+    std::vector<entry> ring;
     std::size_t oldest = 0; ///< Index in the ring, once it is full.
     std::uint64_t recorded = 0;
 };
--- a/tests/app/command_line_test.cpp
+++ b/tests/app/command_line_test.cpp
@@ -108,6 +108,8 @@
 const std::vector<std::string> quick_line{"quick",  "--team", "t",         "--key", "k",
                                           "--pool", "p",      "--service", "s",     "--body=hi"};
 
+const std::string example = RATTANMOUNT_SOURCE_FOLDER "/examples/entry.json";
+
 const std::string nobody = "127.0.0.1:1";
 
 /// One JSON line of the time line of a host.
@@ -224,7 +226,7 @@
         submit_line({"--kind", "service", "--wait"}),
         submit_line({"--non-idempotent", "--max-attempts", "2"}),
         {"submit", "--file", "/nowhere/job.json"},
-        {"submit", "--file", RATTANMOUNT_SOURCE_FOLDER "/examples/entry.json", "--team", "t"},
+        {"submit", "--file", example, "--team", "t"},
         {"note"},
         {"note", "apply"},
         {"note", "show", "file"},
@@ -251,7 +253,6 @@
 }
 
 TEST_CASE("entry hands checked settings on and ends with what the host gives") {
-    const std::string example = RATTANMOUNT_SOURCE_FOLDER "/examples/entry.json";
     std::string name;
     const auto run_entry = [&](const settings::host_settings& settings) {
         name = settings.host.name.value();
@@ -266,7 +267,7 @@
 }
 
 TEST_CASE("check-settings tells every fault") {
-    CHECK(run({"check-settings", RATTANMOUNT_SOURCE_FOLDER "/examples/entry.json"}).code == 0);
+    CHECK(run({"check-settings", example}).code == 0);
     const temporary_file wrong{"faults.json", "{\"cell\": {\"shards\": 0}}"};
     const auto result = run({"check-settings", wrong.name(), "--json"});
     CHECK(result.code == 2);
--- a/tests/telemetry/counters_test.cpp
+++ b/tests/telemetry/counters_test.cpp
@@ -63,6 +63,7 @@
     auto& level = all.gauge("level", "L.");
     auto& times = all.distribution("t_seconds", "T.");
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int i = 0; i < 4; ++i) {
         threads.emplace_back([&] {
             for (int each = 0; each < 5000; ++each) {
--- a/tests/telemetry/hybrid_clock_test.cpp
+++ b/tests/telemetry/hybrid_clock_test.cpp
@@ -55,6 +55,7 @@
     constexpr std::size_t each_takes = 5000;
     std::vector<std::vector<hybrid_time>> taken(4);
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (auto& mine : taken) {
         threads.emplace_back([&] {
             for (std::size_t i = 0; i < each_takes; ++i) {
--- a/tests/telemetry/timeline_test.cpp
+++ b/tests/telemetry/timeline_test.cpp
@@ -73,6 +73,7 @@
     timeline line{
         {.host = host_id{"e1"}, .incarnation = incarnation_id{"e1-7"}, .now = [&] { return clock.now(); }}};
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int i = 0; i < 4; ++i) {
         threads.emplace_back([&] {
             for (int each = 0; each < 1000; ++each) {
