--- a/src/settings/cross_checks.cpp
+++ b/src/settings/cross_checks.cpp
@@ -1,8 +1,8 @@
 #include "settings/cross_checks.h"
 
 #include "core/duration_text.h"
+#include "settings/contradictions.h"
 
-#include <algorithm>
 #include <set>
 #include <string>
 
@@ -15,44 +15,7 @@
 /// While hosts are replaced, as many new ones as old ones may be connected.
 constexpr std::uint32_t hosts_over_while_replaced = 2;
 
-/// @return whether a place is the given setting or a part of it.
-bool is_within(const std::string& place, const std::string& setting) {
-    if (place.compare(0, setting.size(), setting) != 0) {
-        return false;
-    }
-    return place.size() == setting.size() || place[setting.size()] == '.' || place[setting.size()] == '[';
-}
-
-/// Notes contradictions between values that are each right.
-class checker {
-public:
-    explicit checker(const std::vector<fault>& known) : known(known) {}
-
-    /// @param paths what the check needs; the first is where the fault is shown.
-    /// @param holds whether the settings agree.
-    /// @param message what is wrong otherwise.
-    void check(const std::vector<std::string>& paths, bool holds, const std::string& message) {
-        const bool usable = std::none_of(paths.begin(), paths.end(),
-                                         [this](const std::string& path) { return this->at_fault(path); });
-        if (usable && !holds) {
-            this->found.push_back({.place = paths.front(), .message = message});
-        }
-    }
-
-    [[nodiscard]] std::vector<fault> take() { return std::move(this->found); }
-
-private:
-    [[nodiscard]] bool at_fault(const std::string& path) const {
-        return std::any_of(this->known.begin(), this->known.end(), [&](const fault& each) {
-            return is_within(each.place, path) || is_within(path, each.place);
-        });
-    }
-
-    const std::vector<fault>& known;
-    std::vector<fault> found;
-};
-
-void check_cell(const host_settings& settings, checker& result) {
+void check_cell(const host_settings& settings, contradictions& result) {
     std::set<core::region_id> regions;
     std::set<core::data_centre_id> data_centres;
     for (const auto& region : settings.cell.regions) {
@@ -70,7 +33,7 @@
                  "must be at least the number of data centres, " + std::to_string(data_centres.size()));
 }
 
-void check_addresses(const host_settings& settings, checker& result) {
+void check_addresses(const host_settings& settings, contradictions& result) {
     result.check({"host.front", "host.inner"}, settings.host.front != settings.host.inner,
                  "must not be the same address as host.inner");
     const auto& inner = settings.host.inner.address;
@@ -80,7 +43,7 @@
     result.check({"host.front"}, settings.host.front.path.empty(), "takes no path");
 }
 
-void check_leases(const worker_service_options& workers, checker& result) {
+void check_leases(const worker_service_options& workers, contradictions& result) {
     result.check({"platform.workers.renew_interval", "platform.workers.lease_term"},
                  workers.renew_interval * 2 < workers.lease_term,
                  "twice this time must be less than platform.workers.lease_term (" +
@@ -95,7 +58,7 @@
                      "), so that a lease outlives a renewal that times out");
 }
 
-void check_executors(const host_settings& settings, checker& result) {
+void check_executors(const host_settings& settings, contradictions& result) {
     const std::uint64_t open = std::uint64_t{settings.platform.executors.connections_per_host} *
                                settings.cell.max_entry_hosts * hosts_over_while_replaced;
     result.check(
@@ -105,7 +68,7 @@
             " connections and, while hosts are replaced, those of the old and the new hosts are open");
 }
 
-void check_times(const host_settings& settings, checker& result) {
+void check_times(const host_settings& settings, contradictions& result) {
     const auto& membership = settings.membership;
     result.check({"membership.suspect_after", "membership.heartbeat_interval"},
                  membership.suspect_after >= membership.heartbeat_interval * 2,
@@ -126,13 +89,13 @@
 } // namespace
 
 std::vector<fault> cross_check(const host_settings& settings, const std::vector<fault>& known) {
-    checker result{known};
+    contradictions result{known};
     check_addresses(settings, result);
     check_cell(settings, result);
     check_leases(settings.platform.workers, result);
     check_executors(settings, result);
     check_times(settings, result);
-    return result.take();
+    return result.faults();
 }
 
 } // namespace rattanmount::settings
--- a/src/settings/document.cpp
+++ b/src/settings/document.cpp
@@ -18,9 +18,12 @@
     return "line " + std::to_string(line) + ", column " + std::to_string(column);
 }
 
-/// Cuts "[json.exception.parse_error.101] parse error at line 1, column 2: " from the parser's text.
+/// Cuts what stands before the reason in the parser's text, which is one of
+/// "[json.exception.parse_error.101] parse error at line 1, column 2: REASON" and
+/// "[json.exception.out_of_range.406] REASON".
 std::string without_prefix(const std::string& text) {
-    const std::string mark = ": ";
+    const bool has_place = text.find("parse error at ") != std::string::npos;
+    const std::string mark = has_place ? ": " : "] ";
     const auto start = text.find(mark);
     return start == std::string::npos ? text : text.substr(start + mark.size());
 }
--- a/src/telemetry/timeline.h
+++ b/src/telemetry/timeline.h
@@ -46,7 +46,7 @@
     /// An event without what is the same for all of them.
     struct entry {
         core::hybrid_time at;
-        event_kind kind;
+        event_kind kind = event_kind::host_started;
         event_fields about;
     };
 
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -185,6 +185,7 @@
     check_one(faults_of(""), "line 1, column 1", "unexpected end of input");
     check_one(faults_of("{} {}"), "line 1, column 4", "unexpected");
     check_one(faults_of("/* open"), "line 1, column 8", "");
+    check_one(faults_of("{\"a\": 1e999}"), "line 1, column 11", "number overflow");
     check_one(faults_of("[1]"), "line 1, column 1", "one JSON object");
     check_one(faults_of("{\"a\": \"\xff\"}"), "line 1, column 8", "UTF-8");
 }
