Refuse a front address that takes the inner port on all addresses

Cause: 0.0.0.0 with the port of host.inner differs from it as text, but cannot be listened on beside it. Change: the check compares ports where the addresses are the same or the front listens on all. Before and after: such settings passed; now host.front is told as a fault, and test_settings has the case. Conclusion: other overlaps of addresses cannot be told without the host's list of them.

--- a/src/settings/cross_checks.cpp
+++ b/src/settings/cross_checks.cpp
@@ -33,14 +33,20 @@
                  "must be at least the number of data centres, " + std::to_string(data_centres.size()));
 }
 
+bool is_any_address(const core::endpoint& endpoint) {
+    return endpoint.address == "0.0.0.0" || endpoint.address == "[::]" || endpoint.address == "::";
+}
+
 void check_addresses(const host_settings& settings, contradictions& result) {
-    result.check({"host.front", "host.inner"}, settings.host.front != settings.host.inner,
+    const auto& inner = settings.host.inner;
+    const auto& front = settings.host.front;
+    const bool one_address = inner.address == front.address || is_any_address(front);
+    result.check({"host.front", "host.inner"}, !one_address || inner.port != front.port,
                  "must not be the same address as host.inner");
-    const auto& inner = settings.host.inner.address;
-    result.check({"host.inner"}, inner != "0.0.0.0" && inner != "[::]" && inner != "::",
+    result.check({"host.inner"}, !is_any_address(inner),
                  "other entry hosts call this address, so it must be one address of this host");
-    result.check({"host.inner"}, settings.host.inner.path.empty(), "takes no path");
-    result.check({"host.front"}, settings.host.front.path.empty(), "takes no path");
+    result.check({"host.inner"}, inner.path.empty(), "takes no path");
+    result.check({"host.front"}, front.path.empty(), "takes no path");
 }
 
 void check_leases(const worker_service_options& workers, contradictions& result) {
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -162,6 +162,7 @@
               "platform.executors.connections_per_host", "is 80, but an executor takes 64");
     check_one(faults_with("/cell/max_entry_hosts", 9), "platform.executors.connections_per_host", "is 72");
     check_one(faults_with("/host/front", "10.0.0.1:7100"), "host.front", "host.inner");
+    check_one(faults_with("/host/front", "0.0.0.0:7100"), "host.front", "host.inner");
     check_one(faults_with("/host/inner", "0.0.0.0:7100"), "host.inner", "one address of this host");
     check_one(faults_with("/host/data_centre", "c"), "host.data_centre", "in no region");
     check_one(faults_with("/cell/shards", 1), "cell.shards", "number of data centres, 2");
