--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,7 @@
 #include "app/command_line.h"
+#include "app/entry_host.h"
 
 int main(int argc, char** argv) {
-    return rattanmount::app::run_command(argc, argv, rattanmount::app::make_process_hooks({}));
+    return rattanmount::app::run_command(
+        argc, argv, rattanmount::app::make_process_hooks(rattanmount::app::run_entry_host));
 }
