Gather the time line past hosts whose address is not known

Cause: a live host whose front address has not been heard has an empty one, and reading it ended the search: the hosts after it were not asked. The entry host configures logging itself, so entry did it twice. Change: such hosts are passed over; the second configuring is gone. Conclusion: no other command reads the addresses of hosts.

--- a/src/app/command_entry.cpp
+++ b/src/app/command_entry.cpp
@@ -2,7 +2,6 @@
 
 #include "core/errors.h"
 #include "settings/settings_reader.h"
-#include "telemetry/logging.h"
 
 namespace rattanmount::app {
 
@@ -18,7 +17,6 @@
     if (!call.hooks.run_entry) {
         throw core::error("this program was built without an entry host");
     }
-    telemetry::configure_logging(settings.log);
     return static_cast<exit_code>(call.hooks.run_entry(settings));
 }
 
--- a/src/app/command_hooks.h
+++ b/src/app/command_hooks.h
@@ -11,7 +11,7 @@
 
 /// What the command line reaches the outside through; tests set hooks of their own.
 struct command_hooks {
-    /// Runs an entry host until it is stopped; logging is configured before. Gives the exit code.
+    /// Configures logging and runs an entry host until it is stopped. Gives the exit code of the process.
     std::function<int(const settings::host_settings&)> run_entry;
     /// Gives the value of a variable of the environment, "" where it is not set.
     std::function<std::string(const std::string& name)> environment;
--- a/src/app/command_timeline.cpp
+++ b/src/app/command_timeline.cpp
@@ -31,7 +31,7 @@
     try {
         const front::api_client client{{.hosts = cell.hosts}};
         for (const auto& host : client.hosts(std::min(cell.limit, longest_call))) {
-            if (host.live) {
+            if (host.live && !host.address.empty()) {
                 found.insert(core::endpoint::parse(host.address));
             }
         }
--- a/tests/app/command_line_test.cpp
+++ b/tests/app/command_line_test.cpp
@@ -308,6 +308,7 @@
     first.timeline = [] { return event_line("e1", 2ms) + event_line("e1", 5ms); };
     first.hosts = [&] {
         return std::vector<core::host_status>{
+            {.host = core::host_id{"e5"}, .address = "", .live = true},
             {.host = core::host_id{"e2"}, .address = second_host.address(), .live = true},
             {.host = core::host_id{"e3"}, .address = nobody, .live = true},
             {.host = core::host_id{"e4"}, .address = "127.0.0.1:2", .live = false}};
