Close only connections that are surely idle when others wait

Change: a connection gives way only after an answer and 100 ms without a request; the accepting thread looks for one every 20 ms while connections wait. The graceful stop is tested with a request that arrives during it, and a lost quick request with a host that could take it.

--- a/src/front/connection_server.cpp
+++ b/src/front/connection_server.cpp
@@ -1,6 +1,7 @@
 #include "front/connection_server.h"
 
 #include "core/errors.h"
+#include "front/timespan.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
@@ -19,6 +20,10 @@
 constexpr int accept_backlog = 128;
 /// How long to wait after a failure to accept, which means that the process lacks descriptors.
 constexpr core::milliseconds accept_retry_delay{50};
+/// A connection that was idle for less may have its next request on the way.
+constexpr core::milliseconds shortest_idle_time{100};
+/// How often to look for an idle connection to close while others wait.
+constexpr core::milliseconds idle_check_interval{20};
 
 } // namespace
 
@@ -71,7 +76,7 @@
     assert(!this->accepting);
     this->finishing = true;
     this->queued.notify_all();
-    for (const auto& connection : this->open) {
+    for (auto& connection : this->open) {
         connection.stop_reading();
     }
     const auto all_ended = [this] { return this->live_threads == 0; };
@@ -101,6 +106,11 @@
 void connection_server::accept_connections() {
     for (;;) {
         try {
+            if (this->crowded() &&
+                !this->socket.poll(to_timespan(idle_check_interval), Poco::Net::Socket::SELECT_READ)) {
+                this->end_idle_connection();
+                continue;
+            }
             auto connected = std::make_unique<Poco::Net::StreamSocket>(this->socket.acceptConnection());
             this->enqueue(std::move(connected));
         } catch (const Poco::Exception&) {
@@ -116,9 +126,6 @@
     const std::lock_guard lock{this->mutex};
     if (this->waiting.size() < this->free_threads + this->options.max_queued) {
         this->waiting.push_back(std::move(connected));
-        if (this->free_threads < this->waiting.size()) {
-            this->end_idle_connection();
-        }
     } else if (this->refused.size() < this->options.max_queued) {
         this->refused.push_back(std::move(connected));
     } else {
@@ -159,13 +166,17 @@
 }
 
 void connection_server::end_idle_connection() {
-    const open_connection* oldest = nullptr;
-    for (const auto& connection : this->open) {
-        if (connection.idle() && (oldest == nullptr || connection.since() < oldest->since())) {
+    const std::lock_guard lock{this->mutex};
+    open_connection* oldest = nullptr;
+    auto oldest_since = std::chrono::steady_clock::now() - shortest_idle_time;
+    for (auto& connection : this->open) {
+        const auto since = connection.idle_since();
+        if (since && *since < oldest_since) {
             oldest = &connection;
+            oldest_since = *since;
         }
     }
-    if (oldest != nullptr) {
+    if (oldest != nullptr && !this->waiting.empty()) {
         oldest->stop_reading();
     }
 }
--- a/src/front/connection_server.h
+++ b/src/front/connection_server.h
@@ -38,8 +38,9 @@
 /// Accepts connections and gives each to a thread of its own, with bounds for both.
 ///
 /// A connection that finds all threads taken waits in a bounded queue, and the connection that has been idle
-/// the longest is closed for it. One that finds the queue full is refused by a thread that does nothing else.
-/// Owned by the front end; start(), stop_accepting() and finish() are called by one thread, in this order.
+/// the longest is closed for it, though none that has just been used or has not had its first request. One
+/// that finds the queue full is refused by a thread that does nothing else. Owned by the front end; start(),
+/// stop_accepting() and finish() are called by one thread, in this order.
 class connection_server {
 public:
     explicit connection_server(connection_server_options options);
@@ -71,7 +72,7 @@
     void accept_connections();
     void enqueue(std::unique_ptr<Poco::Net::StreamSocket> connected);
     void work(socket_queue& queue, const serve_hook& serve);
-    /// Makes the connection that has been idle the longest end. Needs the lock.
+    /// Where connections wait, makes the one end that has been idle the longest.
     void end_idle_connection();
 
     connection_server_options options;
--- a/src/front/deadline_socket_impl.cpp
+++ b/src/front/deadline_socket_impl.cpp
@@ -1,5 +1,7 @@
 #include "front/deadline_socket_impl.h"
 
+#include "front/timespan.h"
+
 #include <Poco/Exception.h>
 
 #include <algorithm>
@@ -10,8 +12,7 @@
 
 void deadline_socket_impl::connect_in_time(const Poco::Net::SocketAddress& address,
                                            core::milliseconds limit) {
-    const Poco::Timespan bound{std::chrono::duration_cast<std::chrono::microseconds>(limit).count()};
-    this->connect(address, std::min(bound, this->remaining()));
+    this->connect(address, std::min(to_timespan(limit), this->remaining()));
     this->setNoDelay(true);
 }
 
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -1,12 +1,12 @@
 #include "front/http_front.h"
 
 #include "front/request_handler.h"
+#include "front/timespan.h"
 
 #include <Poco/AutoPtr.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/SharedPtr.h>
-#include <Poco/Timespan.h>
 
 #include <cassert>
 #include <utility>
@@ -18,10 +18,6 @@
 /// How long the one request of a refused connection may take to arrive.
 constexpr core::milliseconds refusal_limit{1000};
 
-Poco::Timespan to_timespan(core::milliseconds duration) {
-    return Poco::Timespan{std::chrono::duration_cast<std::chrono::microseconds>(duration).count()};
-}
-
 /// Makes the handlers of one connection.
 class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
 public:
--- a/src/front/open_connection.cpp
+++ b/src/front/open_connection.cpp
@@ -14,24 +14,23 @@
 }
 
 void open_connection::begin_request() {
-    this->set_idle(false);
+    const std::lock_guard lock{this->mutex};
+    this->answered_at.reset();
 }
 
 void open_connection::end_request() {
-    this->set_idle(true);
-}
-
-bool open_connection::idle() const {
     const std::lock_guard lock{this->mutex};
-    return this->waiting;
+    this->answered_at = std::chrono::steady_clock::now();
 }
 
-core::steady_time open_connection::since() const {
+std::optional<core::steady_time> open_connection::idle_since() const {
     const std::lock_guard lock{this->mutex};
-    return this->changed;
+    return this->ending ? std::nullopt : this->answered_at;
 }
 
-void open_connection::stop_reading() const {
+void open_connection::stop_reading() {
+    const std::lock_guard lock{this->mutex};
+    this->ending = true;
     ::shutdown(this->descriptor, SHUT_RD);
 }
 
@@ -39,10 +38,4 @@
     ::shutdown(this->descriptor, SHUT_RDWR);
 }
 
-void open_connection::set_idle(bool value) {
-    const std::lock_guard lock{this->mutex};
-    this->waiting = value;
-    this->changed = std::chrono::steady_clock::now();
-}
-
 } // namespace rattanmount::front
--- a/src/front/open_connection.h
+++ b/src/front/open_connection.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 
 #include <mutex>
+#include <optional>
 
 namespace rattanmount::front {
 
@@ -24,25 +25,21 @@
     /// The request on it has been answered.
     void end_request();
 
-    /// @return whether it waits for its next request.
-    [[nodiscard]] bool idle() const;
-
-    /// @return since when it waits, or when its request began.
-    [[nodiscard]] core::steady_time since() const;
+    /// @return since when it has waited for a further request, or none where a request runs, its first
+    /// request has not come yet, or it was told to end.
+    [[nodiscard]] std::optional<core::steady_time> idle_since() const;
 
     /// Ends the wait for the next request; one that has arrived is still served.
-    void stop_reading() const;
+    void stop_reading();
 
     /// Ends all waits on it, also for an answer that is being sent.
     void abort() const;
 
 private:
-    void set_idle(bool value);
-
     int descriptor;
     mutable std::mutex mutex;
-    bool waiting = true;
-    core::steady_time changed = std::chrono::steady_clock::now();
+    std::optional<core::steady_time> answered_at; ///< Empty while a request runs and before the first.
+    bool ending = false;
 };
 
 } // namespace rattanmount::front
--- a/tests/front/client_test.cpp
+++ b/tests/front/client_test.cpp
@@ -63,9 +63,14 @@
     server.start();
     const api_client client{{.hosts = {silent.endpoint(), server.endpoint()}}};
     CHECK(client.submit(sample_spec(), 2 * short_limit).state == core::answer_state::accepted);
-    auto quick = sample_quick();
-    quick.limit = short_limit;
-    CHECK_THROWS_AS(client.quick(quick, short_limit), core::fate_unknown);
+
+    scripted_host closing{[](Poco::Net::StreamSocket& connection) {
+        std::array<char, 4096> chunk{};
+        connection.receiveBytes(chunk.data(), chunk.size());
+    }};
+    const api_client after_loss{{.hosts = {closing.endpoint(), server.endpoint()}}};
+    CHECK(after_loss.submit(sample_spec(), call_limit).state == core::answer_state::accepted);
+    CHECK_THROWS_AS(after_loss.quick(sample_quick(), call_limit), core::fate_unknown);
     CHECK(quick_runs == 0);
 }
 
--- a/tests/front/server_test.cpp
+++ b/tests/front/server_test.cpp
@@ -131,8 +131,15 @@
 
 TEST_CASE("a graceful stop answers what runs, waits or arrives, and refuses new connections") {
     gate held;
-    http_front server{{.listen = any_port, .max_threads = 1, .quiet_time = 50ms, .calls = cell_behind(held)}};
+    const auto max_threads = GENERATE(1U, 8U);
+    CAPTURE(max_threads);
+    http_front server{
+        {.listen = any_port, .max_threads = max_threads, .quiet_time = 50ms, .calls = cell_behind(held)}};
     server.start();
+    auto idle = connect_to(server.endpoint());
+    send_text(idle, request_text("GET", "/live", "", ""));
+    std::array<char, 1024> chunk{};
+    REQUIRE(idle.receiveBytes(chunk.data(), chunk.size()) > 0);
     auto running = connect_to(server.endpoint());
     send_text(running, request_text("GET", status_target, "", ""));
     held.await_entry();
@@ -149,6 +156,10 @@
         }
     }
     CHECK(stopped.wait_for(0ms) == std::future_status::timeout);
+    if (max_threads > 1) { // Where there is one thread only, the idle connection was closed for the next.
+        send_text(idle, request_text("GET", "/ready", "", ""));
+        CHECK(starts_with_status(read_to_end(idle), 503));
+    }
     held.open();
     const auto answer = read_to_end(running);
     CHECK(starts_with_status(answer, 200));
