Free threads from requests that never arrive, and test silent connections

Cause: a caller that drips its headers could hold a thread for good while others waited; connections that something in between has lost track of are a named fault. Change: while connections wait, one that has sent no whole request within the receive limit is closed. A forwarder in the tests makes open inner connections silent while new ones work. Conclusion: one timeout drops all idle connections to that peer, so one lost call is the whole cost.

--- a/src/front/connection_server.cpp
+++ b/src/front/connection_server.cpp
@@ -167,11 +167,14 @@
 
 void connection_server::end_idle_connection() {
     const std::lock_guard lock{this->mutex};
+    const auto now = std::chrono::steady_clock::now();
     open_connection* oldest = nullptr;
-    auto oldest_since = std::chrono::steady_clock::now() - shortest_idle_time;
+    auto oldest_since = now;
     for (auto& connection : this->open) {
+        const auto least_time =
+            connection.answered() ? shortest_idle_time : this->options.first_request_limit;
         const auto since = connection.idle_since();
-        if (since && *since < oldest_since) {
+        if (since && *since + least_time <= now && *since < oldest_since) {
             oldest = &connection;
             oldest_since = *since;
         }
--- a/src/front/connection_server.h
+++ b/src/front/connection_server.h
@@ -28,6 +28,7 @@
     core::endpoint listen;
     std::uint32_t max_threads = 1;
     std::uint32_t max_queued = 1;
+    core::milliseconds first_request_limit{10000}; ///< How long a thread waits for it while others wait.
     /// Serves a connection until its end; called by worker threads, many at once.
     serve_hook serve;
     /// Refuses the one request of a connection; called by one thread.
@@ -38,7 +39,8 @@
 /// Accepts connections and gives each to a thread of its own, with bounds for both.
 ///
 /// A connection that finds all threads taken waits in a bounded queue, and the connection that has been idle
-/// the longest is closed for it, though none that has just been used or has not had its first request. One
+/// the longest is closed for it, though none that has just been used. One
+/// that has never sent a whole request counts as idle after a longer time. One
 /// that finds the queue full is refused by a thread that does nothing else. Owned by the front end; start(),
 /// stop_accepting() and finish() are called by one thread, in this order.
 class connection_server {
--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -90,6 +90,7 @@
     return {.listen = this->options.listen,
             .max_threads = this->options.max_threads,
             .max_queued = this->options.max_queued,
+            .first_request_limit = this->options.receive_limit,
             .serve = [this](const auto& socket, auto& connection) { this->serve(socket, connection, false); },
             .refuse = [this](const auto& socket, auto& connection) { this->serve(socket, connection, true); },
             .counters = this->options.counters};
--- a/src/front/open_connection.cpp
+++ b/src/front/open_connection.cpp
@@ -15,17 +15,23 @@
 
 void open_connection::begin_request() {
     const std::lock_guard lock{this->mutex};
-    this->answered_at.reset();
+    this->waiting_since.reset();
 }
 
 void open_connection::end_request() {
     const std::lock_guard lock{this->mutex};
-    this->answered_at = std::chrono::steady_clock::now();
+    this->waiting_since = std::chrono::steady_clock::now();
+    this->any_answered = true;
 }
 
 std::optional<core::steady_time> open_connection::idle_since() const {
     const std::lock_guard lock{this->mutex};
-    return this->ending ? std::nullopt : this->answered_at;
+    return this->ending ? std::nullopt : this->waiting_since;
+}
+
+bool open_connection::answered() const {
+    const std::lock_guard lock{this->mutex};
+    return this->any_answered;
 }
 
 void open_connection::stop_reading() {
--- a/src/front/open_connection.h
+++ b/src/front/open_connection.h
@@ -25,10 +25,13 @@
     /// The request on it has been answered.
     void end_request();
 
-    /// @return since when it has waited for a further request, or none where a request runs, its first
-    /// request has not come yet, or it was told to end.
+    /// @return since when it has waited for a whole request to begin, or none where a request runs or it was
+    /// told to end.
     [[nodiscard]] std::optional<core::steady_time> idle_since() const;
 
+    /// @return whether a request on it was answered.
+    [[nodiscard]] bool answered() const;
+
     /// Ends the wait for the next request; one that has arrived is still served.
     void stop_reading();
 
@@ -38,7 +41,8 @@
 private:
     int descriptor;
     mutable std::mutex mutex;
-    std::optional<core::steady_time> answered_at; ///< Empty while a request runs and before the first.
+    std::optional<core::steady_time> waiting_since = std::chrono::steady_clock::now();
+    bool any_answered = false;
     bool ending = false;
 };
 
--- a/tests/front/server_test.cpp
+++ b/tests/front/server_test.cpp
@@ -129,6 +129,29 @@
     CHECK(std::chrono::steady_clock::now() - start < 2s);
 }
 
+TEST_CASE("a connection that never sends its request does not hold a thread that others need") {
+    http_front server{{.listen = any_port, .max_threads = 1, .receive_limit = 100ms, .calls = fake_cell()}};
+    server.start();
+    auto dripping = connect_to(server.endpoint());
+    std::atomic<bool> ended{false};
+    auto drip = std::async(std::launch::async, [&] {
+        try {
+            send_text(dripping, "GET /live HTTP/1.1\r\nX-Slow: ");
+            while (!ended) {
+                send_text(dripping, "x");
+                std::this_thread::sleep_for(20ms);
+            }
+        } catch (const Poco::Exception&) {
+            return; // The server has closed the connection.
+        }
+    });
+    std::this_thread::sleep_for(10ms);
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(starts_with_status(exchange(server.endpoint(), request_text("GET", "/live", "")), 200));
+    CHECK(std::chrono::steady_clock::now() - start < 2s);
+    ended = true;
+}
+
 TEST_CASE("a graceful stop answers what runs, waits or arrives, and refuses new connections") {
     gate held;
     const auto max_threads = GENERATE(1U, 8U);
@@ -191,9 +214,11 @@
     http_front server{{.listen = any_port, .max_threads = 8, .calls = fake_cell()}};
     server.start();
     const api_client client{{.hosts = {server.endpoint()}}};
+    constexpr int caller_count = 8;
     std::vector<std::future<int>> callers;
+    callers.reserve(caller_count);
     constexpr int calls_each = 50;
-    for (int caller = 0; caller < 8; caller++) {
+    for (int caller = 0; caller < caller_count; caller++) {
         callers.push_back(std::async(std::launch::async, [&client, caller] {
             int right = 0;
             for (int i = 0; i < calls_each; i++) {
--- a/tests/inner/failures_test.cpp
+++ b/tests/inner/failures_test.cpp
@@ -2,6 +2,7 @@
 #include "inner/inner.h"
 #include "tests/inner/fake_peer.h"
 #include "tests/inner/scripted_peer.h"
+#include "tests/inner/silencer.h"
 
 #include <catch2/catch.hpp>
 
@@ -135,6 +136,37 @@
     CHECK(reserve(peer, call_limit).granted);
 }
 
+TEST_CASE("after one connection went silent the other idle ones are not used either") {
+    std::atomic<int> held{0};
+    std::promise<void> release;
+    const auto released = release.get_future().share();
+    auto calls = echo_calls();
+    calls.status = [&](auto&&...) {
+        held++;
+        released.wait();
+        return sample_answer();
+    };
+    inner_server server{{.listen = any_port, .calls = calls}};
+    server.start();
+    silencer middle{server.endpoint()};
+    const auto peer = make_peer_connector({})(middle.endpoint());
+    const auto status = [&] { return peer.status(shard, sample_id(), call_limit); };
+    auto first = std::async(std::launch::async, status);
+    auto second = std::async(std::launch::async, status);
+    while (held < 2) {
+        std::this_thread::sleep_for(1ms);
+    }
+    release.set_value();
+    CHECK(first.get().owner);
+    CHECK(second.get().owner);
+    REQUIRE(middle.accepted == 2);
+
+    middle.lose_open_connections();
+    CHECK_THROWS_AS(peer.timeline(short_limit), core::fate_unknown);
+    CHECK(peer.timeline(call_limit) == "{}\n");
+    CHECK(middle.accepted == 3);
+}
+
 TEST_CASE("a broken answer leaves the fate unknown") {
     scripted_peer broken{[](TSocket& connection, int number) {
         const auto request = scripted_peer::read_frame(connection);
@@ -275,9 +307,11 @@
     inner_server server{{.listen = any_port, .calls = calls}};
     server.start();
     const auto peer = make_peer_connector({})(server.endpoint());
+    constexpr int caller_count = 8;
     std::vector<std::future<int>> callers;
+    callers.reserve(caller_count);
     constexpr int calls_each = 100;
-    for (int caller = 0; caller < 8; caller++) {
+    for (int caller = 0; caller < caller_count; caller++) {
         callers.push_back(std::async(std::launch::async, [&peer, caller] {
             int right = 0;
             for (int i = 0; i < calls_each; i++) {
