Test that a fresh connection is not closed for one that waits

Change: a test with a connection that sends its request after 150 ms while another waits. Conclusion: the rule no longer rests on a test that fails now and then.

--- a/tests/front/server_test.cpp
+++ b/tests/front/server_test.cpp
@@ -129,6 +129,18 @@
     CHECK(std::chrono::steady_clock::now() - start < 2s);
 }
 
+TEST_CASE("a connection whose first request is on its way is not closed for another") {
+    http_front server{{.listen = any_port, .max_threads = 1, .calls = fake_cell()}};
+    server.start();
+    auto fresh = connect_to(server.endpoint());
+    auto waiting = connect_to(server.endpoint());
+    send_text(waiting, request_text("GET", "/live", ""));
+    std::this_thread::sleep_for(150ms);
+    send_text(fresh, request_text("GET", "/live", ""));
+    CHECK(starts_with_status(read_to_end(fresh), 200));
+    CHECK(starts_with_status(read_to_end(waiting), 200));
+}
+
 TEST_CASE("a connection that never sends its request does not hold a thread that others need") {
     http_front server{{.listen = any_port, .max_threads = 1, .receive_limit = 100ms, .calls = fake_cell()}};
     server.start();
