--- a/src/cell/peer_calls.h
+++ b/src/cell/peer_calls.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,17 +25,18 @@
 
 /// How the use of a granted slot ended; decides when the slot is free again.
 enum class slot_release : std::uint8_t {
-    done,     ///< Answered or refused: the slot is free.
-    unsent,   ///< Nothing was sent: the slot is free.
-    lost,     ///< No answer: the slot stays taken until the request's limit has surely passed.
-    broken    ///< The connection failed or went silent; as lost, and counts against the executor.
+    done,   ///< Answered or refused: the slot is free.
+    unsent, ///< Nothing was sent: the slot is free.
+    lost,   ///< No answer: the slot stays taken until the request's limit has surely passed.
+    broken  ///< The connection failed or went silent; as lost, and counts against the executor.
 };
 
 /// An answer of the owner of a shard, or the word that the callee is not its owner.
 struct owner_answer {
     bool owner = false; ///< false: the callee does not own the shard now; `answer` is empty.
     core::job_answer answer;
-    std::vector<std::string> explanation; ///< For explain.
+    std::vector<std::string> explanation;   ///< For explain.
+    std::optional<core::shard_id> moved_to; ///< The job went to that shard, whose owner is to be asked.
 };
 
 /// As owner_answer, for a quick request that is not idempotent and is sent by the owner of its key's shard.
