--- a/src/front/http_front.cpp
+++ b/src/front/http_front.cpp
@@ -1,12 +1,12 @@
 #include "front/http_front.h"
 
 #include "front/request_handler.h"
+#include "front/timespan.h"
 
 #include <Poco/AutoPtr.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/SharedPtr.h>
-#include <Poco/Timespan.h>
 
 #include <cassert>
 #include <utility>
@@ -18,10 +18,6 @@
 /// How long the one request of a refused connection may take to arrive.
 constexpr core::milliseconds refusal_limit{1000};
 
-Poco::Timespan to_timespan(core::milliseconds duration) {
-    return Poco::Timespan{std::chrono::duration_cast<std::chrono::microseconds>(duration).count()};
-}
-
 /// Makes the handlers of one connection.
 class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
 public:
@@ -94,6 +90,7 @@
     return {.listen = this->options.listen,
             .max_threads = this->options.max_threads,
             .max_queued = this->options.max_queued,
+            .first_request_limit = this->options.receive_limit,
             .serve = [this](const auto& socket, auto& connection) { this->serve(socket, connection, false); },
             .refuse = [this](const auto& socket, auto& connection) { this->serve(socket, connection, true); },
             .counters = this->options.counters};
