Order waiting work by lanes of team and pool

Cause: each place() walked all groups: with 10,000 jobs of 160 teams in 4 pools one decision took 1.0 ms (median) and 1.6 ms (p99) at 800 workers. Change: a lane for each team in each pool; only lanes are ordered, their groups are looked at when their turn comes. Sizes that fit nowhere are remembered over all groups until a worker gains room for them.

--- a/src/scheduling/accounts.h
+++ b/src/scheduling/accounts.h
@@ -2,11 +2,9 @@
 
 #include "core/ids.h"
 #include "core/resources.h"
-#include "core/time.h"
 #include "release/release_note.h"
 
 #include <cstdint>
-#include <unordered_map>
 #include <vector>
 
 namespace rattanmount::scheduling {
@@ -18,8 +16,6 @@
     core::resources remote;                       ///< Held on other shards, a hint.
     const release::team_policy* policy = nullptr; ///< Valid for the call in which it was looked up.
     std::uint64_t looked_up = 0;                  ///< The lookup round of policy and remote.
-    /// When the team was last given a task of each pool.
-    std::unordered_map<core::pool_id, core::steady_time> last_served;
 
     /// @return what the team's quota allows; an amount of 0 is no limit.
     [[nodiscard]] core::resources quota() const {
--- a/src/scheduling/admission.h
+++ b/src/scheduling/admission.h
@@ -65,8 +65,11 @@
 
     [[nodiscard]] const room_finder& finder() const { return this->rooms; }
 
+    /// @param wanted what all tasks that start together count with.
+    /// @return the first rule that stops a group whatever room there is, or gate::open.
+    [[nodiscard]] gate before_room(const job_group& group, const core::resources& wanted) const;
+
 private:
-    gate before_room(const job_group& group, const core::resources& wanted) const;
     row_index probe_row(const job_group& group, const waiting_job& job, const core::resources& size) const;
     std::vector<std::uint32_t> job_by_rack(const waiting_job& job) const;
 
--- a/src/scheduling/job_group.h
+++ b/src/scheduling/job_group.h
@@ -13,6 +13,8 @@
 
 namespace rattanmount::scheduling {
 
+struct team_lane;
+
 /// What the jobs of a group have in common.
 struct group_key {
     core::pool_id pool;
@@ -32,22 +34,20 @@
 /// Owned by the waiting queue; the control thread only.
 class job_group {
 public:
-    job_group(team_account& team, pool_account& pool, std::shared_ptr<estimate> history,
+    job_group(team_lane& lane, team_account& team, pool_account& pool, std::shared_ptr<estimate> history,
               const core::resources& each, bool gang)
-        : team(team), pool(pool), history(std::move(history)), each(each), gang(gang) {}
+        : lane(lane), team(team), pool(pool), history(std::move(history)), each(each), gang(gang) {}
 
     /// @return the job that waits longest; there must be one.
     [[nodiscard]] waiting_job& head() const { return **this->jobs.begin(); }
 
+    team_lane& lane;
     team_account& team;
     pool_account& pool;
     std::shared_ptr<estimate> history;
     core::resources each; ///< As declared.
     bool gang;
     std::set<waiting_job*, waits_longer> jobs;
-    std::uint64_t no_room_at = 0; ///< The version of the worker table at which no_room_size fitted nowhere.
-    core::resources no_room_size;
-    std::uint64_t pass = 0;          ///< The pass in which the group is a candidate.
     bool behind_reservation = false; ///< A reservation for another job stopped it in its last decision.
 };
 
--- a/src/scheduling/placer.cpp
+++ b/src/scheduling/placer.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
-#include <utility>
 
 namespace rattanmount::scheduling {
 
@@ -36,101 +35,106 @@
     return step.count() <= 0.0 ? 0.0 : std::max(0.0, waited / step);
 }
 
-placer::candidate placer::make_candidate(job_group& group) const {
-    const auto& head = group.head();
-    const auto& team = group.team;
+placer::candidate placer::make_candidate(team_lane& lane) const {
+    const auto& head = (*lane.groups.begin())->head();
+    const auto& team = lane.team;
     const auto weight = weight_of(team.policy == nullptr ? 1 : team.policy->weight);
-    auto unserved_since = head.since;
-    const auto served = team.last_served.find(group.pool.name);
-    if (served != team.last_served.end()) {
-        unserved_since = std::max(unserved_since, served->second);
-    }
+    const auto unserved_since = std::max(head.since, lane.last_served.value_or(head.since));
     const double share = (team.held + team.remote).dominant_share(this->state.workers.capacity()) / weight;
     return {.share = share - share_per_step * this->steps(unserved_since),
             .since = head.since,
             .serial = head.serial,
-            .group = &group};
-}
-
-bool placer::known_to_fit_nowhere(job_group& group) const {
-    if (group.no_room_at == 0 || this->probe_wanted) {
-        return false;
-    }
-    const auto size = this->rules.counted_size(group, 1);
-    const bool not_smaller = group.no_room_size.fits_in(size);
-    if (!not_smaller || this->state.workers.may_fit_since(group.no_room_at, size, group.pool.urgent())) {
-        group.no_room_at = 0;
-        return false;
-    }
-    group.no_room_at = this->state.workers.version();
-    return true;
+            .lane = &lane};
 }
 
 void placer::collect() {
     const auto& rows = this->state.workers.rows();
-    this->probe_wanted = std::any_of(
-        this->state.workers.probes().begin(), this->state.workers.probes().end(), [&](row_index row) {
-            return std::none_of(rows[row].holdings.begin(), rows[row].holdings.end(),
-                                [](const holding* what) { return what->reason.probe; });
-        });
-    pool_lane* lane = nullptr;
-    for (const auto& [key, group] : this->state.queue.groups()) {
-        if (group->jobs.empty()) {
+    const auto& probes = this->state.workers.probes();
+    this->probe_wanted = std::any_of(probes.begin(), probes.end(), [&](row_index row) {
+        return std::none_of(rows[row].holdings.begin(), rows[row].holdings.end(),
+                            [](const holding* what) { return what->reason.probe; });
+    });
+    for (const auto& [key, lane] : this->state.queue.lanes()) {
+        if (lane->groups.empty()) {
             continue;
         }
-        this->state.accounts.refresh(group->team);
-        this->state.accounts.refresh(group->pool);
-        if (this->known_to_fit_nowhere(*group)) {
-            continue;
-        }
-        if (lane == nullptr || lane->pool != &group->pool) {
-            lane = &this->lanes.emplace_back();
-            lane->pool = &group->pool;
+        this->state.accounts.refresh(lane->team);
+        this->state.accounts.refresh(lane->pool);
+        if (this->pools.empty() || this->pools.back().pool != &lane->pool) {
+            this->pools.emplace_back().pool = &lane->pool;
         }
-        group->pass = this->state.pass;
-        const auto made = this->make_candidate(*group);
-        lane->teams.push(made);
-        lane->oldest.push(made);
+        lane->pass = this->state.pass;
+        const auto made = this->make_candidate(*lane);
+        this->pools.back().teams.push(made);
+        this->pools.back().oldest.push(made);
+    }
+}
+
+bool placer::may_keep_room(const job_group& group, const core::resources& size) const {
+    if (this->room_is_kept) {
+        return false;
+    }
+    const double share = size.dominant_share(this->state.workers.largest_capacity());
+    return group.gang || (share >= large_task && this->steps(group.head().since) >= 1.0);
+}
+
+/// Whether a group is worth a search: nothing is known yet to stop it, or room may be kept for it.
+bool placer::eligible(const job_group& group) const {
+    const auto tasks = admission::tasks_together(group, group.head());
+    const auto size = this->rules.counted_size(group, tasks);
+    if (this->rules.before_room(group, size * static_cast<std::int64_t>(tasks)) != gate::open) {
+        return false;
     }
+    return this->probe_wanted || this->may_keep_room(group, size) ||
+           !this->state.failures.fits_nowhere(size, group.pool.urgent());
 }
 
-void placer::drop_stale(pool_lane& lane) const {
-    while (!lane.oldest.empty()) {
-        const auto top = lane.oldest.top();
-        const bool candidate_still = top.group->pass == this->state.pass && !top.group->jobs.empty();
-        if (candidate_still && top.group->head().since == top.since) {
+const job_group* placer::first_eligible(const team_lane& lane) const {
+    const auto found = std::find_if(lane.groups.begin(), lane.groups.end(),
+                                    [this](const job_group* group) { return this->eligible(*group); });
+    return found == lane.groups.end() ? nullptr : *found;
+}
+
+/// Lets the oldest candidate of a pool be one that may start, so that a job which cannot start does not raise
+/// the standing of its pool.
+void placer::drop_stale(pool_lanes& lanes) const {
+    while (!lanes.oldest.empty()) {
+        auto top = lanes.oldest.top();
+        const auto* group = top.lane->pass == this->state.pass ? this->first_eligible(*top.lane) : nullptr;
+        if (group != nullptr && group->head().since == top.since) {
             return;
         }
-        lane.oldest.pop();
-        if (candidate_still) {
-            lane.oldest.push(this->make_candidate(*top.group));
+        lanes.oldest.pop();
+        if (group != nullptr) {
+            top.since = group->head().since;
+            lanes.oldest.push(top);
         }
     }
 }
 
-double placer::standing(const pool_lane& lane) const {
+double placer::standing(const pool_lanes& lanes) const {
     const double priority =
-        lane.pool->policy == nullptr ? 0.0 : static_cast<double>(lane.pool->policy->priority);
-    return priority + (lane.oldest.empty() ? 0.0 : std::floor(this->steps(lane.oldest.top().since)));
+        lanes.pool->policy == nullptr ? 0.0 : static_cast<double>(lanes.pool->policy->priority);
+    return priority + std::floor(this->steps(lanes.oldest.top().since));
 }
 
-double placer::share_of(const pool_lane& lane) const {
-    const auto weight = weight_of(lane.pool->policy == nullptr ? 1 : lane.pool->policy->weight);
-    return lane.pool->held.dominant_share(this->state.workers.capacity()) / weight;
+double placer::share_of(const pool_lanes& lanes) const {
+    const auto weight = weight_of(lanes.pool->policy == nullptr ? 1 : lanes.pool->policy->weight);
+    return lanes.pool->held.dominant_share(this->state.workers.capacity()) / weight;
 }
 
-placer::pool_lane* placer::next_lane() {
-    pool_lane* best = nullptr;
+placer::pool_lanes* placer::next_pool() {
+    pool_lanes* best = nullptr;
     std::tuple<bool, double, double> best_rank;
-    for (auto& lane : this->lanes) {
-        if (lane.teams.empty()) {
+    for (auto& lanes : this->pools) {
+        this->drop_stale(lanes);
+        if (lanes.teams.empty() || lanes.oldest.empty()) {
             continue;
         }
-        this->drop_stale(lane);
-        const std::tuple<bool, double, double> rank{lane.pool->urgent(), this->standing(lane),
-                                                    -this->share_of(lane)};
+        const std::tuple<bool, double, double> rank{lanes.pool->urgent(), this->standing(lanes),
+                                                    -this->share_of(lanes)};
         if (best == nullptr || rank > best_rank) {
-            best = &lane;
+            best = &lanes;
             best_rank = rank;
         }
     }
@@ -141,35 +145,49 @@
     std::vector<placement> placed;
     this->collect();
     while (placed.size() < most) {
-        auto* lane = this->next_lane();
-        if (lane == nullptr) {
+        auto* lanes = this->next_pool();
+        if (lanes == nullptr) {
             break;
         }
-        const auto next = lane->teams.top();
-        lane->teams.pop();
-        const auto current = this->make_candidate(*next.group);
-        if (!lane->teams.empty() && served_later{}(current, lane->teams.top())) {
-            lane->teams.push(current); // Its team was served since it was queued: others come first.
+        auto& lane = *lanes->teams.top().lane;
+        lanes->teams.pop();
+        const auto current = this->make_candidate(lane);
+        if (!lanes->teams.empty() && served_later{}(current, lanes->teams.top())) {
+            lanes->teams.push(current); // Its team was served since it was queued: others come first.
             continue;
         }
-        const bool started = this->try_group(*next.group, placed);
-        if (started && !next.group->jobs.empty()) {
-            lane->teams.push(this->make_candidate(*next.group));
+        const bool started = this->try_lane(lane, placed);
+        if (started && !lane.groups.empty()) {
+            lanes->teams.push(this->make_candidate(lane));
         } else {
-            next.group->pass = 0;
+            lane.pass = 0;
         }
     }
     return placed;
 }
 
+bool placer::try_lane(team_lane& lane, std::vector<placement>& placed) {
+    for (auto* group : lane.groups) {
+        if (this->eligible(*group) && this->try_group(*group, placed)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool placer::try_group(job_group& group, std::vector<placement>& placed) {
+    const auto size = this->rules.counted_size(group, admission::tasks_together(group, group.head()));
+    if (!this->probe_wanted && this->state.failures.fits_nowhere(size, group.pool.urgent())) {
+        this->keep_room(group, size);
+        return false;
+    }
     admission_result result;
     auto* job = this->next_job(group, result);
     if (job != nullptr) {
         this->start(group, *job, result, placed);
         return true;
     }
-    this->note_failure(group, group.head(), result);
+    this->note_failure(group, result);
     return false;
 }
 
@@ -195,44 +213,39 @@
     return nullptr;
 }
 
-void placer::note_failure(job_group& group, const waiting_job& job, const admission_result& result) {
+void placer::note_failure(job_group& group, const admission_result& result) {
     group.behind_reservation = result.stopped_by == gate::reservation;
     if (result.stopped_by != gate::room) {
         return;
     }
-    const double share = result.size.dominant_share(this->state.workers.largest_capacity());
-    const bool large = group.gang || share >= large_task;
-    if (!large && job.failed_on.empty()) {
-        group.no_room_at = this->state.workers.version();
-        group.no_room_size = result.size;
+    if (!group.gang && group.head().failed_on.empty()) {
+        this->state.failures.note(result.size, group.pool.urgent());
     }
-    if (group.gang || (large && this->steps(job.since) >= 1.0)) {
-        this->keep_room(group, job, result);
+    if (this->may_keep_room(group, result.size)) {
+        this->keep_room(group, result.size);
     }
 }
 
-/// Keeps room for the first gang, or large task that has aged, that fits nowhere.
-void placer::keep_room(const job_group& group, const waiting_job& job, const admission_result& result) {
-    if (std::exchange(this->room_is_kept, true)) {
-        return;
-    }
+/// Keeps room for the head of a group: a gang, or a large task that has aged, that fits nowhere.
+void placer::keep_room(const job_group& group, const core::resources& size) {
+    this->room_is_kept = true;
+    const auto& job = group.head();
     const auto tasks = admission::tasks_together(group, job);
     const auto& kept = this->state.reserved;
     const bool stands = kept.has_value() && kept->job == job.spec.id && kept->tasks == tasks &&
-                        kept->size == result.size &&
-                        kept->spare.size() <= this->state.workers.rows().size() &&
+                        kept->size == size &&
                         this->now - kept->made < this->state.options.reservation_refresh;
     if (stands) {
         return;
     }
-    this->state.reserved = forecast(this->state, this->now).earliest(result.size, tasks, group.pool.urgent());
+    this->state.reserved = forecast(this->state, this->now).earliest(size, tasks, group.pool.urgent());
     this->state.reserved->job = job.spec.id;
 }
 
 void placer::start(job_group& group, waiting_job& job, const admission_result& result,
                    std::vector<placement>& placed) {
     group.behind_reservation = false;
-    group.team.last_served[group.pool.name] = this->now;
+    group.lane.last_served = this->now;
     if (this->state.reserved.has_value() && this->state.reserved->job == job.spec.id) {
         this->state.reserved.reset();
         this->room_is_kept = false;
--- a/src/scheduling/placer.h
+++ b/src/scheduling/placer.h
@@ -5,6 +5,7 @@
 #include "scheduling/job_group.h"
 #include "scheduling/placement.h"
 #include "scheduling/shard_state.h"
+#include "scheduling/team_lane.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -27,11 +28,12 @@
     [[nodiscard]] std::vector<placement> run(std::size_t most);
 
 private:
+    /// A lane with what orders it, as of when it was queued; later it can only come further behind.
     struct candidate {
         double share = 0.0;
         core::steady_time since;
         std::uint64_t serial = 0;
-        job_group* group = nullptr;
+        team_lane* lane = nullptr;
     };
     struct served_later {
         bool operator()(const candidate& left, const candidate& right) const;
@@ -42,34 +44,37 @@
         }
     };
     /// The candidates of one pool.
-    struct pool_lane {
+    struct pool_lanes {
         pool_account* pool = nullptr;
         std::priority_queue<candidate, std::vector<candidate>, served_later> teams;
         std::priority_queue<candidate, std::vector<candidate>, waits_shorter> oldest;
     };
 
     void collect();
-    bool known_to_fit_nowhere(job_group& group) const;
-    candidate make_candidate(job_group& group) const;
-    pool_lane* next_lane();
-    void drop_stale(pool_lane& lane) const;
-    double standing(const pool_lane& lane) const;
-    double share_of(const pool_lane& lane) const;
+    candidate make_candidate(team_lane& lane) const;
+    pool_lanes* next_pool();
+    void drop_stale(pool_lanes& lanes) const;
+    const job_group* first_eligible(const team_lane& lane) const;
+    bool eligible(const job_group& group) const;
+    bool may_keep_room(const job_group& group, const core::resources& size) const;
+    double standing(const pool_lanes& lanes) const;
+    double share_of(const pool_lanes& lanes) const;
     double steps(core::steady_time since) const;
 
+    bool try_lane(team_lane& lane, std::vector<placement>& placed);
     bool try_group(job_group& group, std::vector<placement>& placed);
     waiting_job* next_job(job_group& group, admission_result& result);
     void start(job_group& group, waiting_job& job, const admission_result& result,
                std::vector<placement>& placed);
-    void keep_room(const job_group& group, const waiting_job& job, const admission_result& result);
+    void keep_room(const job_group& group, const core::resources& size);
     void hold(job_group& group, waiting_job& job, std::uint32_t task, row_index row,
               const admission_result& result);
-    void note_failure(job_group& group, const waiting_job& job, const admission_result& result);
+    void note_failure(job_group& group, const admission_result& result);
 
     shard_state& state;
     core::steady_time now;
     admission rules;
-    std::vector<pool_lane> lanes;
+    std::vector<pool_lanes> pools;
     bool probe_wanted = false;
     bool room_is_kept = false; ///< From here on in the order, work may only backfill.
 };
--- a/src/scheduling/preemption_planner.cpp
+++ b/src/scheduling/preemption_planner.cpp
@@ -76,31 +76,33 @@
 
 std::vector<preemption_planner::need> preemption_planner::needs() {
     std::vector<need> found;
-    for (const auto& [key, group] : this->state.queue.groups()) {
-        if (group->jobs.empty()) {
+    for (const auto& [key, lane] : this->state.queue.lanes()) {
+        this->state.accounts.refresh(lane->pool);
+        if (!lane->pool.urgent()) {
             continue;
         }
-        this->state.accounts.refresh(group->pool);
-        this->state.accounts.refresh(group->team);
-        if (!group->pool.urgent()) {
-            continue;
-        }
-        for (const auto* job : group->jobs) {
-            if (this->now - job->since < this->state.options.preempt_after || found.size() >= needs_at_once) {
-                break;
-            }
-            const auto verdict = this->rules.check(*group, *job, false);
-            if (verdict.stopped_by != gate::room && verdict.stopped_by != gate::failed_there) {
-                break;
-            }
-            const auto room_left = needs_at_once - found.size();
-            const auto tasks = std::min(job->waiting.size(), room_left);
-            found.insert(found.end(), tasks, {.job = job->spec.id, .size = verdict.size});
+        this->state.accounts.refresh(lane->team);
+        for (const auto* group : lane->groups) {
+            this->add_needs(*group, found);
         }
     }
     return found;
 }
 
+void preemption_planner::add_needs(const job_group& group, std::vector<need>& found) const {
+    for (const auto* job : group.jobs) {
+        if (this->now - job->since < this->state.options.preempt_after || found.size() >= needs_at_once) {
+            return;
+        }
+        const auto verdict = this->rules.check(group, *job, false);
+        if (verdict.stopped_by != gate::room && verdict.stopped_by != gate::failed_there) {
+            return;
+        }
+        const auto tasks = std::min(job->waiting.size(), needs_at_once - found.size());
+        found.insert(found.end(), tasks, {.job = job->spec.id, .size = verdict.size});
+    }
+}
+
 bool preemption_planner::covered(const need& wanted) {
     const auto place = std::find_if(this->rooms.begin(), this->rooms.end(),
                                     [&](const core::resources& room) { return wanted.size.fits_in(room); });
--- a/src/scheduling/preemption_planner.h
+++ b/src/scheduling/preemption_planner.h
@@ -43,6 +43,7 @@
 
     void escalate(std::vector<preemption>& decided);
     std::vector<need> needs();
+    void add_needs(const job_group& group, std::vector<need>& found) const;
     bool covered(const need& wanted);
     std::optional<plan> cheapest(const need& wanted) const;
     std::optional<plan> plan_for(row_index row, const need& wanted) const;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -129,6 +129,7 @@
     this->apply_standings();
     this->state->workers.refresh_reserve();
     this->state->queue.sweep();
+    this->state->failures.refresh(this->state->workers);
     return placer(*this->state, now).run(most);
 }
 
--- a/src/scheduling/shard_state.h
+++ b/src/scheduling/shard_state.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/account_book.h"
 #include "scheduling/estimator.h"
+#include "scheduling/fit_memory.h"
 #include "scheduling/holding_table.h"
 #include "scheduling/quarantine.h"
 #include "scheduling/reservation.h"
@@ -36,6 +37,7 @@
     worker_table workers;
     holding_table holdings;
     waiting_queue queue;
+    fit_memory failures; ///< Sizes that fit on no worker now.
     std::optional<reservation> reserved;
     std::uint64_t pass = 0; ///< Counts calls of place().
 };
--- a/src/scheduling/waiting_queue.cpp
+++ b/src/scheduling/waiting_queue.cpp
@@ -76,18 +76,31 @@
             .run_time_class = std::ilogb(static_cast<double>(1 + spec.expected_run_time.count()))};
 }
 
+team_lane& waiting_queue::lane_of(const core::job_spec& spec) {
+    auto& lane = this->by_team[{.pool = spec.pool, .team = spec.id.team}];
+    if (lane == nullptr) {
+        lane = std::make_unique<team_lane>(
+            team_lane{.team = this->accounts.team(spec.id.team), .pool = this->accounts.pool(spec.pool)});
+    }
+    return *lane;
+}
+
 void waiting_queue::enter(waiting_job& job) {
     if (job.group != nullptr) {
         return;
     }
     auto& group = this->by_key[waiting_queue::key_of(job.spec)];
     if (group == nullptr) {
-        group = std::make_unique<job_group>(this->accounts.team(job.spec.id.team),
-                                            this->accounts.pool(job.spec.pool),
+        auto& lane = this->lane_of(job.spec);
+        group = std::make_unique<job_group>(lane, lane.team, lane.pool,
                                             this->estimates.find(job.spec.id.team, job.spec.pool),
                                             job.spec.each, job.spec.kind == core::work_kind::gang);
     }
+    if (!group->jobs.empty()) {
+        group->lane.groups.erase(group.get());
+    }
     group->jobs.insert(&job);
+    group->lane.groups.insert(group.get());
     job.group = group.get();
 }
 
@@ -96,9 +109,12 @@
         return;
     }
     auto* group = std::exchange(job.group, nullptr);
+    group->lane.groups.erase(group);
     group->jobs.erase(&job);
     if (group->jobs.empty()) {
         this->emptied.push_back(waiting_queue::key_of(job.spec));
+    } else {
+        group->lane.groups.insert(group);
     }
 }
 
@@ -110,6 +126,7 @@
         }
     }
     this->emptied.clear();
+    std::erase_if(this->by_team, [](const auto& entry) { return entry.second->groups.empty(); });
 }
 
 } // namespace rattanmount::scheduling
--- a/src/scheduling/waiting_queue.h
+++ b/src/scheduling/waiting_queue.h
@@ -7,6 +7,7 @@
 #include "scheduling/account_book.h"
 #include "scheduling/estimator.h"
 #include "scheduling/job_group.h"
+#include "scheduling/team_lane.h"
 
 #include <cstddef>
 #include <map>
@@ -46,7 +47,7 @@
     /// Changes since when a job waits.
     void set_since(waiting_job& job, core::steady_time since);
 
-    /// Drops groups without jobs. Until then references to groups stay valid.
+    /// Drops groups without jobs and lanes without groups. Until then references to them stay valid.
     void sweep();
 
     /// @return all groups; some may have no jobs.
@@ -54,6 +55,11 @@
         return this->by_key;
     }
 
+    /// @return the lanes, those of one pool side by side; some may have no groups.
+    [[nodiscard]] const std::map<lane_key, std::unique_ptr<team_lane>>& lanes() const {
+        return this->by_team;
+    }
+
     [[nodiscard]] std::size_t tasks() const { return this->task_count; }
 
     /// @return the sum of the declared sizes of all tasks that wait.
@@ -61,6 +67,7 @@
 
 private:
     static group_key key_of(const core::job_spec& spec);
+    team_lane& lane_of(const core::job_spec& spec);
     void enter(waiting_job& job);
     void leave(waiting_job& job);
 
@@ -68,6 +75,7 @@
     estimator& estimates;
     std::unordered_map<core::job_id, std::unique_ptr<waiting_job>> jobs;
     std::map<group_key, std::unique_ptr<job_group>> by_key;
+    std::map<lane_key, std::unique_ptr<team_lane>> by_team;
     std::vector<group_key> emptied;
     std::uint64_t next_serial = 1;
     std::size_t task_count = 0;
