--- a/src/scheduling/preemption_planner.cpp
+++ b/src/scheduling/preemption_planner.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
+/// Urgent tasks that are looked at in one call.
+constexpr std::size_t most_needs = 1024;
 /// Urgent tasks for which room is made in one call.
-constexpr std::size_t needs_at_once = 16;
+constexpr std::size_t plans_at_once = 16;
 
 /// Whether a throttle would help: the task uses more than it is counted with.
 bool overuses(const holding& what) {
@@ -31,14 +33,22 @@
 std::vector<preemption> preemption_planner::run() {
     std::vector<preemption> decided;
     this->escalate(decided);
+    std::size_t plans = 0;
+    std::optional<core::resources> hopeless;
     for (const auto& wanted : this->needs()) {
-        if (this->covered(wanted)) {
+        if (plans == plans_at_once) {
+            break;
+        }
+        if (this->covered(wanted) || wanted.size == hopeless) {
             continue;
         }
         const auto chosen = this->cheapest(wanted);
-        if (chosen.has_value()) {
-            this->carry_out(wanted, *chosen, decided);
+        if (!chosen.has_value()) {
+            hopeless = wanted.size;
+            continue;
         }
+        this->carry_out(wanted, *chosen, decided);
+        ++plans;
     }
     return decided;
 }
@@ -90,27 +100,40 @@
 }
 
 void preemption_planner::add_needs(const job_group& group, std::vector<need>& found) const {
+    const auto waits = [this](const waiting_job& job) {
+        return this->now - job.since >= this->state.options.preempt_after;
+    };
+    if (!waits(group.head())) {
+        return;
+    }
+    const auto verdict = this->rules.check(group, group.head(), false);
+    if (verdict.stopped_by != gate::room && verdict.stopped_by != gate::failed_there) {
+        return;
+    }
     for (const auto* job : group.jobs) {
-        if (this->now - job->since < this->state.options.preempt_after || found.size() >= needs_at_once) {
+        if (!waits(*job) || found.size() >= most_needs) {
             return;
         }
-        const auto verdict = this->rules.check(group, *job, false);
-        if (verdict.stopped_by != gate::room && verdict.stopped_by != gate::failed_there) {
-            return;
-        }
-        const auto tasks = std::min(job->waiting.size(), needs_at_once - found.size());
+        const auto tasks = std::min(job->waiting.size(), most_needs - found.size());
         found.insert(found.end(), tasks, {.job = job->spec.id, .size = verdict.size});
     }
 }
 
+/// Takes the room for a task from what is free or on its way. Tasks of one size are asked for in a row, so
+/// the search goes on where the last one ended.
 bool preemption_planner::covered(const need& wanted) {
-    const auto place = std::find_if(this->rooms.begin(), this->rooms.end(),
-                                    [&](const core::resources& room) { return wanted.size.fits_in(room); });
-    if (place == this->rooms.end()) {
-        return false;
+    if (wanted.size != this->searched_size) {
+        this->searched_size = wanted.size;
+        this->searched_rows = 0;
+    }
+    for (; this->searched_rows < this->rooms.size(); ++this->searched_rows) {
+        auto& room = this->rooms[this->searched_rows];
+        if (wanted.size.fits_in(room)) {
+            room -= wanted.size;
+            return true;
+        }
     }
-    *place -= wanted.size;
-    return true;
+    return false;
 }
 
 bool preemption_planner::preemptible(const holding& what) const {
@@ -215,6 +238,7 @@
             {.attempt = what->attempt, .worker = what->worker, .kind = kind, .for_job = wanted.job});
     }
     this->rooms[chosen.row] -= wanted.size;
+    this->searched_rows = std::min<std::size_t>(this->searched_rows, chosen.row);
 }
 
 } // namespace rattanmount::scheduling
--- a/src/scheduling/preemption_planner.h
+++ b/src/scheduling/preemption_planner.h
@@ -58,6 +58,8 @@
     core::steady_time now;
     admission rules;
     std::vector<core::resources> rooms; ///< By row: free, and soon free by what was asked for.
+    core::resources searched_size;      ///< The size that was searched for last,
+    std::size_t searched_rows = 0;      ///< and the rows in which it does not fit.
 };
 
 } // namespace rattanmount::scheduling
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -10,6 +10,7 @@
 #include "scheduling/estimator.h"
 #include "scheduling/placement.h"
 #include "scheduling/preemption.h"
+#include "scheduling/quarantine.h"
 #include "scheduling/scheduler.h"
 #include "scheduling/scheduler_options.h"
 #include "scheduling/worker_info.h"
--- a/tests/scheduling/failure_test.cpp
+++ b/tests/scheduling/failure_test.cpp
@@ -82,6 +82,50 @@
     CHECK(shard.finished.size() == 3000);
 }
 
+TEST_CASE("failures of one kind of work count once another worker finished the job") {
+    quarantine health({.failures = 3});
+    health.set_worker_count(10);
+    const core::pool_id pool{"batch"};
+    const core::steady_time now{seconds{100}};
+    const auto job = [](int key) { return make_job("t", std::to_string(key), "batch", one_core).id; };
+    for (int key = 0; key < 10; ++key) {
+        health.failed(broken, job(key), pool, now);
+    }
+    CHECK(health.phase(broken) == quarantine_phase::clear);
+    health.finished(core::worker_id{"w2"}, job(0), pool, now, now);
+    health.finished(core::worker_id{"w3"}, job(0), pool, now, now);
+    health.finished(core::worker_id{"w2"}, job(1), pool, now, now);
+    CHECK(health.phase(broken) == quarantine_phase::clear);
+    health.finished(core::worker_id{"w2"}, job(2), pool, now, now);
+    CHECK(health.phase(broken) == quarantine_phase::set_aside);
+    CHECK(health.until(broken) == now + minutes{1});
+}
+
+TEST_CASE("jobs that fail on every worker set none aside, however many they are") {
+    quarantine health({.failures = 3});
+    health.set_worker_count(10);
+    const core::steady_time now{seconds{100}};
+    for (int key = 0; key < 50; ++key) {
+        const auto bad = make_job("t" + std::to_string(key % 4), std::to_string(key), "batch", one_core).id;
+        for (int worker = 0; worker < 3; ++worker) {
+            health.failed(core::worker_id{"w" + std::to_string(worker)}, bad, core::pool_id{"batch"}, now);
+        }
+    }
+    CHECK(health.count() == 0);
+}
+
+TEST_CASE("only a part of the workers is set aside at once") {
+    quarantine health({.failures = 3, .max_share = 0.25});
+    health.set_worker_count(8);
+    const core::steady_time now{seconds{100}};
+    for (int refusal = 0; refusal < 3; ++refusal) {
+        for (int worker = 0; worker < 8; ++worker) {
+            health.refused(core::worker_id{"w" + std::to_string(worker)}, now);
+        }
+    }
+    CHECK(health.count() == 2);
+}
+
 TEST_CASE("a job that fails everywhere sets no worker aside") {
     virtual_shard shard({.urgent_reserve = 0.0});
     shard.add_pool(make_pool("batch"));
