Ignore late reports of old attempts

Cause: a repeated task_over() of an old attempt freed the room of a new placement that was not bound yet, and a late inventory adopted an attempt that was over. Room could be given twice. Change: each task remembers its highest bound and ended attempt; requeue() of a task that runs and add_job() of a task found running change nothing. Before: the two new tests fail on the code before. Conclusion: the unbound placement itself needs no number; the attempt before it does.

--- a/src/scheduling/explainer.cpp
+++ b/src/scheduling/explainer.cpp
@@ -147,6 +147,10 @@
     if (!group.pool.urgent() && size.fits_in(worker.room(true))) {
         text += " beside the reserve for urgent pools";
     }
+    if (this->state.health.count() > 0) {
+        text +=
+            "; " + std::to_string(this->state.health.count()) + " workers are set aside for their failures";
+    }
     return text;
 }
 
--- a/src/scheduling/holding.h
+++ b/src/scheduling/holding.h
@@ -33,7 +33,8 @@
 
 /// What one placed or running task holds.
 struct holding {
-    core::attempt_id attempt; ///< Its attempt number is 0 until it is bound.
+    core::attempt_id attempt;           ///< Its attempt number is 0 until it is bound.
+    std::uint32_t previous_attempt = 0; ///< The highest attempt at the task before this one.
     core::worker_id worker;
     row_index row = no_row;
     std::uint32_t rack = 0; ///< Number of the worker's rack in the worker table.
--- a/src/scheduling/holding_table.cpp
+++ b/src/scheduling/holding_table.cpp
@@ -53,6 +53,11 @@
     return latest == this->newest.end() ? nullptr : this->find(latest->second);
 }
 
+holding* holding_table::of_task(const core::job_id& job, std::uint32_t task) {
+    const auto latest = this->newest.find({job, task});
+    return latest == this->newest.end() ? nullptr : this->find(latest->second);
+}
+
 void holding_table::release(const core::attempt_id& attempt) {
     const auto known = this->entries.find(attempt);
     if (known == this->entries.end()) {
--- a/src/scheduling/holding_table.h
+++ b/src/scheduling/holding_table.h
@@ -36,6 +36,7 @@
     [[nodiscard]] const holding* find(const core::attempt_id& attempt) const;
 
     /// @return the holding of one task of a job, as placed or bound last; or nullptr.
+    [[nodiscard]] holding* of_task(const core::job_id& job, std::uint32_t task);
     [[nodiscard]] const holding* of_task(const core::job_id& job, std::uint32_t task) const;
 
     /// Frees what an attempt holds.
--- a/src/scheduling/placer.cpp
+++ b/src/scheduling/placer.cpp
@@ -282,6 +282,7 @@
                   const admission_result& result) {
     const auto& worker = this->state.workers.rows()[row].info.name;
     auto& held = this->state.holdings.hold({.attempt = {.job = job.spec.id, .task = task},
+                                            .previous_attempt = job.attempts[task].bound,
                                             .worker = worker,
                                             .row = row,
                                             .declared = job.spec.each,
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -98,11 +98,30 @@
 void scheduler::add_job(const core::job_spec& spec, core::steady_time waiting_since,
                         const std::vector<std::uint32_t>& waiting_tasks) {
     auto& job = this->state->queue.add(spec, waiting_since);
+    for (std::uint32_t task = 0; task < spec.tasks; ++task) {
+        auto* found = this->state->holdings.of_task(spec.id, task);
+        if (found != nullptr) {
+            this->join(job, *found);
+        }
+    }
     for (const auto task : waiting_tasks) {
         this->state->queue.wait(job, task);
     }
 }
 
+/// Tells a holding and its job of each other.
+void scheduler::join(waiting_job& job, holding& what) {
+    what.kind = job.spec.kind;
+    what.idempotent = job.spec.idempotent;
+    what.declared_time = job.spec.expected_run_time;
+    if (what.kind == core::work_kind::service) {
+        what.expected_time = core::milliseconds::max();
+    }
+    auto& bound = job.attempts[what.attempt.task].bound;
+    bound = std::max(bound, what.attempt.attempt);
+    this->state->queue.take(job, what.attempt.task, what.worker);
+}
+
 void scheduler::remove_job(const core::job_id& job) {
     if (this->state->reserved.has_value() && this->state->reserved->job == job) {
         this->state->reserved.reset();
@@ -112,13 +131,12 @@
 
 void scheduler::requeue(const core::job_id& job, std::uint32_t task, core::steady_time now) {
     auto* known = this->state->queue.find(job);
-    if (known == nullptr) {
+    if (known == nullptr || known->placed_on.contains(task)) {
         return;
     }
     if (known->spec.kind == core::work_kind::service && known->waiting.empty()) {
         this->state->queue.set_since(*known, now);
     }
-    waiting_queue::end(*known, task);
     this->state->queue.wait(*known, task);
 }
 
@@ -145,48 +163,41 @@
 void scheduler::task_running(const core::attempt_id& attempt, const core::worker_id& worker,
                              const core::resources& each, const core::pool_id& pool,
                              core::steady_time since) {
-    if (this->state->holdings.find(attempt) != nullptr) {
+    auto* job = this->state->queue.find(attempt.job);
+    const bool over = job != nullptr && attempt.attempt <= job->attempts[attempt.task].over;
+    if (over || this->state->holdings.find(attempt) != nullptr) {
         return;
     }
     const core::attempt_id unbound{.job = attempt.job, .task = attempt.task};
     const auto* placed = this->state->holdings.find(unbound);
-    if (placed != nullptr && placed->worker == worker) {
-        this->state->holdings.bind(unbound, attempt).since = since;
-        return;
+    const bool own =
+        placed != nullptr && placed->worker == worker && attempt.attempt > placed->previous_attempt;
+    auto& what =
+        own ? this->state->holdings.bind(unbound, attempt) : this->adopt(attempt, worker, each, pool);
+    what.since = since;
+    if (job != nullptr) {
+        this->join(*job, what);
     }
-    this->adopt(attempt, worker, each, pool, since);
 }
 
-void scheduler::adopt(const core::attempt_id& attempt, const core::worker_id& worker,
-                      const core::resources& each, const core::pool_id& pool, core::steady_time since) {
+holding& scheduler::adopt(const core::attempt_id& attempt, const core::worker_id& worker,
+                          const core::resources& each, const core::pool_id& pool) {
     auto& accounts = this->state->accounts;
     accounts.start_round();
-    auto* job = this->state->queue.find(attempt.job);
     holding what{.attempt = attempt,
                  .worker = worker,
                  .row = this->state->workers.find(worker),
                  .declared = each,
                  .size = each,
                  .occupied = each,
-                 .since = since,
+                 .idempotent = false, // As long as its job is not known it is never stopped for others.
                  .team = &accounts.team(attempt.job.team),
                  .pool = &accounts.pool(pool),
                  .history = this->state->estimates.find(attempt.job.team, pool),
                  .reason = {.adopted = true}};
     what.urgent = what.pool->urgent();
-    if (job != nullptr) {
-        what.kind = job->spec.kind;
-        what.idempotent = job->spec.idempotent;
-        what.declared_time = job->spec.expected_run_time;
-        this->state->queue.take(*job, attempt.task, worker);
-    } else {
-        what.idempotent = false; // Not known: it is never stopped for others.
-    }
-    what.expected_time =
-        what.kind == core::work_kind::service
-            ? core::milliseconds::max()
-            : what.history->run_time(what.declared_time, this->state->options.default_run_time);
-    this->state->holdings.hold(what);
+    what.expected_time = what.history->run_time(core::milliseconds{0}, this->state->options.default_run_time);
+    return this->state->holdings.hold(what);
 }
 
 void scheduler::placement_dropped(const core::job_id& job, std::uint32_t task) {
@@ -204,16 +215,22 @@
 
 void scheduler::task_over(const core::attempt_id& attempt, core::attempt_end end, core::milliseconds run_time,
                           const core::resources& used, core::steady_time now) {
+    auto* job = this->state->queue.find(attempt.job);
     auto known = attempt;
-    if (this->state->holdings.find(known) == nullptr) {
-        known.attempt = 0; // Its placement may not have been bound yet.
-    }
     const auto* what = this->state->holdings.find(known);
     if (what == nullptr) {
+        known.attempt = 0; // Its placement may not have been bound yet.
+        what = this->state->holdings.find(known);
+    }
+    if (what == nullptr || attempt.attempt <= what->previous_attempt) {
         return;
     }
+    if (job != nullptr) {
+        auto& attempts = job->attempts[attempt.task];
+        attempts.bound = std::max(attempts.bound, attempt.attempt);
+        attempts.over = std::max(attempts.over, attempt.attempt);
+    }
     this->learn(*what, end, run_time, used, now);
-    auto* job = this->state->queue.find(attempt.job);
     if (job != nullptr) {
         waiting_queue::end(*job, attempt.task);
         if (end == core::attempt_end::failed || end == core::attempt_end::refused) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -20,6 +20,7 @@
 
 struct holding;
 struct shard_state;
+struct waiting_job;
 
 /// Decides for one shard which waiting task starts on which worker.
 ///
@@ -56,7 +57,7 @@
     /// Adds a job with the tasks that wait; a known job gets the tasks added.
     /// @param spec the job.
     /// @param waiting_since since when it waits.
-    /// @param waiting_tasks indexes of the tasks that wait; none that runs.
+    /// @param waiting_tasks indexes of the tasks that wait; those known to run are left out.
     void add_job(const core::job_spec& spec, core::steady_time waiting_since,
                  const std::vector<std::uint32_t>& waiting_tasks);
 
@@ -65,7 +66,8 @@
     /// @param job its id; an unknown one changes nothing.
     void remove_job(const core::job_id& job);
 
-    /// An attempt is over and the task waits again. Unknown jobs and tasks that wait already change nothing.
+    /// A task waits again after task_over() of its last attempt. No effect for an unknown job, a task that
+    /// waits and a task that is placed or runs.
     void requeue(const core::job_id& job, std::uint32_t task, core::steady_time now);
 
     /// Decides on starts and takes their room at once.
@@ -74,7 +76,8 @@
     /// @return the placements in the order in which to start them.
     [[nodiscard]] std::vector<placement> place(core::steady_time now, std::size_t most);
 
-    /// Binds a placement to its attempt, or adopts an attempt found on a worker. A repeat changes nothing.
+    /// Binds a placement to its attempt, or adopts an attempt found on a worker. A repeat changes nothing,
+    /// nor does an attempt that task_over() was told of.
     void task_running(const core::attempt_id& attempt, const core::worker_id& worker,
                       const core::resources& each, const core::pool_id& pool, core::steady_time since);
 
@@ -125,8 +128,9 @@
 
 private:
     void apply_standings();
-    void adopt(const core::attempt_id& attempt, const core::worker_id& worker, const core::resources& each,
-               const core::pool_id& pool, core::steady_time since);
+    void join(waiting_job& job, holding& what);
+    holding& adopt(const core::attempt_id& attempt, const core::worker_id& worker,
+                   const core::resources& each, const core::pool_id& pool);
     void learn(const holding& what, core::attempt_end end, core::milliseconds run_time,
                const core::resources& used, core::steady_time now);
 
--- a/src/scheduling/waiting_job.h
+++ b/src/scheduling/waiting_job.h
@@ -13,6 +13,12 @@
 
 class job_group;
 
+/// The attempts at one task, as far as the scheduler was told.
+struct task_attempts {
+    std::uint32_t bound = 0; ///< The highest that was bound or adopted.
+    std::uint32_t over = 0;  ///< The highest that is over.
+};
+
 /// A job that the scheduler knows, with its tasks that wait.
 struct waiting_job {
     core::job_spec spec; ///< Without its payload.
@@ -20,7 +26,8 @@
     std::uint64_t serial = 0; ///< Orders jobs that wait since the same time.
     std::set<std::uint32_t> waiting;
     std::map<std::uint32_t, core::worker_id> placed_on; ///< Tasks placed or running, and where.
-    bool started = false;                               ///< Some task was placed at some time.
+    std::map<std::uint32_t, task_attempts> attempts;
+    bool started = false;                   ///< Some task was placed at some time.
     std::vector<core::worker_id> failed_on; ///< Workers that failed a task of it; avoided where others fit.
     job_group* group = nullptr;             ///< Set while a task waits.
 };
--- a/tests/scheduling/capacity_test.cpp
+++ b/tests/scheduling/capacity_test.cpp
@@ -146,6 +146,43 @@
     CHECK(decisions.place(shard.now, 10).size() == 1);
 }
 
+TEST_CASE("a report of an old attempt frees and adopts nothing") {
+    virtual_shard shard;
+    shard.add_pool(make_pool("batch"));
+    shard.add_workers(1, 1, small_worker);
+    auto& decisions = shard.decisions;
+    const auto spec = make_job("t", "j", "batch", {.millicores = 9000});
+    const core::attempt_id first{.job = spec.id, .attempt = 1};
+    const core::worker_id worker{"w0"};
+    decisions.add_job(spec, shard.now, {0});
+    REQUIRE(decisions.place(shard.now, 1).size() == 1);
+    decisions.task_running(first, worker, spec.each, spec.pool, shard.now);
+    decisions.requeue(spec.id, 0, shard.now);
+    CHECK(decisions.waiting_tasks() == 0);
+    decisions.task_over(first, core::attempt_end::stopped, seconds{1}, {}, shard.now);
+    decisions.task_running(first, worker, spec.each, spec.pool, shard.now);
+    CHECK(decisions.held(spec.id.team) == core::resources{});
+    decisions.requeue(spec.id, 0, shard.now);
+    REQUIRE(decisions.place(shard.now, 1).size() == 1);
+    decisions.task_over(first, core::attempt_end::stopped, seconds{1}, {}, shard.now);
+    CHECK(decisions.held(spec.id.team).millicores == 9000);
+    const core::attempt_id second{.job = spec.id, .attempt = 2};
+    decisions.task_over(second, core::attempt_end::refused, seconds{0}, {}, shard.now);
+    CHECK(decisions.held(spec.id.team) == core::resources{});
+}
+
+TEST_CASE("a job added after its task was found running does not start it again") {
+    virtual_shard shard;
+    shard.add_pool(make_pool("batch"));
+    shard.add_workers(1, 1, small_worker);
+    const auto spec = make_job("t", "j", "batch", {.millicores = 1000});
+    shard.decisions.task_running({.job = spec.id, .attempt = 1}, core::worker_id{"w0"}, spec.each, spec.pool,
+                                 shard.now);
+    shard.decisions.add_job(spec, shard.now, {0});
+    CHECK(shard.decisions.place(shard.now, 10).empty());
+    CHECK_THAT(shard.decisions.explain(spec.id, shard.now).front(), Catch::Contains("found running there"));
+}
+
 TEST_CASE("a worker that does not accept keeps its tasks and gets none") {
     virtual_shard shard;
     shard.add_pool(make_pool("batch"));
