--- a/tests/scheduling/policy_test.cpp
+++ b/tests/scheduling/policy_test.cpp
@@ -39,8 +39,9 @@
         shard.submit(spec, seconds{4} * (straggler ? 50 : 1), begin + milliseconds{60 * job});
     }
     for (int job = 0; job < 3000; ++job) {
-        shard.submit(make_job("vendor", "v" + std::to_string(job), "preview", one_core),
-                     milliseconds{400 + random() % 400}, begin + milliseconds{40 * job + random() % 40});
+        const milliseconds run_time{400 + random() % 400};
+        const auto at = begin + milliseconds{40} * job + milliseconds{random() % 40};
+        shard.submit(make_job("vendor", "v" + std::to_string(job), "preview", one_core), run_time, at);
     }
     shard.run_for(minutes{2});
     CHECK(shard.exceeded == 0);
--- a/tests/scheduling/virtual_shard.h
+++ b/tests/scheduling/virtual_shard.h
@@ -141,12 +141,12 @@
     }
 
     /// Ends an attempt that runs; tasks that did not finish wait again.
-    void finish(const core::attempt_id& attempt, core::attempt_end end) {
-        const auto known = this->running.find(attempt);
+    void finish(const core::attempt_id& which, core::attempt_end end) {
+        const auto known = this->running.find(which);
         if (known == this->running.end()) {
             return;
         }
-        const auto record = known->second;
+        const auto [attempt, record] = *known; // Copies: `which` may be the key that is erased.
         this->running.erase(known);
         this->in_use[record.worker] -= this->specs.at(attempt.job).each;
         const auto ran = std::chrono::duration_cast<core::milliseconds>(this->now - record.since);
