--- a/src/scheduling/preemption_planner.h
+++ b/src/scheduling/preemption_planner.h
@@ -43,6 +43,7 @@
 
     void escalate(std::vector<preemption>& decided);
     std::vector<need> needs();
+    void add_needs(const job_group& group, std::vector<need>& found) const;
     bool covered(const need& wanted);
     std::optional<plan> cheapest(const need& wanted) const;
     std::optional<plan> plan_for(row_index row, const need& wanted) const;
@@ -57,6 +58,8 @@
     core::steady_time now;
     admission rules;
     std::vector<core::resources> rooms; ///< By row: free, and soon free by what was asked for.
+    core::resources searched_size;      ///< The size that was searched for last,
+    std::size_t searched_rows = 0;      ///< and the rows in which it does not fit.
 };
 
 } // namespace rattanmount::scheduling
