--- a/src/core/endpoint.h
+++ b/src/core/endpoint.h
@@ -11,7 +11,6 @@
     std::uint16_t port = 0;
     std::string path; ///< "" or "/workers/w1", without a slash at its end.
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on the generated comparison with 0.
     friend auto operator<=>(const endpoint&, const endpoint&) = default;
 
     /// @return "address:port/path".
--- a/src/core/hybrid_time.h
+++ b/src/core/hybrid_time.h
@@ -21,7 +21,6 @@
     static constexpr std::uint32_t counter_bits = 16;
     static constexpr std::uint32_t max_counter = (1U << counter_bits) - 1;
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on the generated comparison with 0.
     friend auto operator<=>(const hybrid_time&, const hybrid_time&) = default;
 
     /// @return a number for messages, in the same order as the times.
--- a/src/core/strong_types.h
+++ b/src/core/strong_types.h
@@ -27,7 +27,6 @@
     /// @return whether the id names nothing.
     [[nodiscard]] bool empty() const { return this->text.empty(); }
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on the generated comparison with 0.
     friend auto operator<=>(const text_id&, const text_id&) = default;
 
 private:
@@ -52,7 +51,6 @@
     /// @return the id that follows this one.
     [[nodiscard]] constexpr number_id next() const { return number_id{this->number + 1}; }
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on the generated comparison with 0.
     friend constexpr auto operator<=>(const number_id&, const number_id&) = default;
 
 private:
--- a/src/telemetry/counters.h
+++ b/src/telemetry/counters.h
@@ -19,7 +19,6 @@
     std::string name;
     std::string value;
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on the generated comparison with 0.
     friend auto operator<=>(const label&, const label&) = default;
 };
 
--- a/src/telemetry/trace_builder.h
+++ b/src/telemetry/trace_builder.h
@@ -29,7 +29,6 @@
         core::worker_id worker;
         std::string job;
 
-        // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on the generated comparison with 0.
         friend auto operator<=>(const attempt_key&, const attempt_key&) = default;
     };
 
