Check a moved job's shard on arrival and test the fields that were added

Cause: fields were added to the inner protocol without a test; a negative shard passed. Change: the conversion of moved_to refuses a negative number; the samples set every field. Conclusion: all fields of each message are compared both ways again.

--- a/src/front/connection_server.h
+++ b/src/front/connection_server.h
@@ -38,11 +38,11 @@
 
 /// Accepts connections and gives each to a thread of its own, with bounds for both.
 ///
-/// A connection that finds all threads taken waits in a bounded queue, and the connection that has been idle
-/// the longest is closed for it, though none that has just been used. One
-/// that has never sent a whole request counts as idle after a longer time. One
-/// that finds the queue full is refused by a thread that does nothing else. Owned by the front end; start(),
-/// stop_accepting() and finish() are called by one thread, in this order.
+/// A connection that finds all threads taken waits in a bounded queue. While any wait, the one that has been
+/// idle the longest is closed, but none that has just been used; one that has never sent a whole request
+/// counts as idle after a longer time. A connection that finds the queue full is refused by a thread that
+/// does nothing else. Owned by the front end; start(), stop_accepting() and finish() are called by one
+/// thread, in this order.
 class connection_server {
 public:
     explicit connection_server(connection_server_options options);
--- a/src/inner/conversion.cpp
+++ b/src/inner/conversion.cpp
@@ -372,7 +372,7 @@
         message.__set_explanation(value.explanation);
     }
     if (value.moved_to) {
-        message.__set_moved_to(static_cast<std::int64_t>(value.moved_to->value()));
+        message.__set_moved_to(to_wire(*value.moved_to));
     }
     return message;
 }
@@ -383,12 +383,14 @@
         return {};
     }
     require(message.__isset.answer, "owner_answer.answer");
-    return {.owner = true,
-            .answer = job_answer_from_wire(message.answer),
-            .explanation = message.explanation,
-            .moved_to = message.__isset.moved_to
-                            ? std::optional{core::shard_id{static_cast<std::uint64_t>(message.moved_to)}}
-                            : std::nullopt};
+    cell::owner_answer value{.owner = true,
+                             .answer = job_answer_from_wire(message.answer),
+                             .explanation = message.explanation,
+                             .moved_to = std::nullopt};
+    if (message.__isset.moved_to) {
+        value.moved_to = number_from<core::shard_id>(message.moved_to, "owner_answer.moved_to");
+    }
+    return value;
 }
 
 gen::quick_request to_wire(const core::quick_request& value) {
--- a/tests/inner/conversion_test.cpp
+++ b/tests/inner/conversion_test.cpp
@@ -52,6 +52,7 @@
     CHECK(answer.owner);
     check_equal(answer.answer, sample_answer().answer);
     CHECK(answer.explanation == sample_answer().explanation);
+    CHECK(answer.moved_to == sample_answer().moved_to);
     CHECK_FALSE(from_wire(carry(to_wire(cell::owner_answer{}))).owner);
 
     const auto quick = from_wire(carry(to_wire(sample_quick())));
@@ -125,6 +126,9 @@
     auto no_answer = carry(to_wire(sample_answer()));
     no_answer.__isset.answer = false;
     CHECK_THROWS_AS(from_wire(no_answer), core::invalid_argument);
+    auto no_shard = carry(to_wire(sample_answer()));
+    no_shard.moved_to = -1;
+    CHECK_THROWS_WITH(from_wire(no_shard), Catch::Contains("owner_answer.moved_to"));
     CHECK_THROWS_AS(slot_release_from_wire(0), core::invalid_argument);
     CHECK_THROWS_AS(duration_from_wire(-1, "limit_ms"), core::invalid_argument);
 }
--- a/tests/inner/fake_peer.h
+++ b/tests/inner/fake_peer.h
@@ -37,7 +37,8 @@
                                               .tasks_running = 2,
                                               .tasks_ended = 3,
                                               .places = {"task 0 on worker w1"}}},
-        .explanation = {"waits for memory"}};
+        .explanation = {"waits for memory"},
+        .moved_to = core::shard_id{6}};
 }
 
 inline core::quick_request sample_quick() {
@@ -69,8 +70,11 @@
     return {.host = core::host_id{"entry-1"},
             .incarnation = core::incarnation_id{"entry-1:abc"},
             .inner = {.address = "10.0.0.2", .port = 4100, .path = ""},
+            .front = {.address = "10.0.0.2", .port = 8000, .path = "/cell"},
             .data_centre = core::data_centre_id{"suva-1"},
             .leaving = true,
+            .log_available = true,
+            .clock = 123456789,
             .config_next = core::log_offset{99},
             .shards = {{.shard = core::shard_id{3},
                         .epoch = core::epoch_id{8},
