Queue quick requests for slots; add circuits, retry budget and two choices

Cause: a request polled for a slot every 5 ms, without a bound, fairness, a retry budget or a circuit, and all hosts went to the peer with most room. Change: routing has admission_queue, circuit, retry_budget and peer_rooms; control::slot_broker answers a request when a slot is there. slot_release gets refused, so that refusals count against an executor. Conclusion: a slot is handed on when it comes free; what cannot be served is shed with not_run.

--- a/src/app/entry_host.cpp
+++ b/src/app/entry_host.cpp
@@ -58,6 +58,8 @@
     options.queue_limit = settings.jobs.queue_limit;
     options.move_after = settings.jobs.move_after;
     options.snapshot_interval = settings.platform.log.retention / 4;
+    options.slots.circuit = {.failures = settings.quick.circuit_failures,
+                             .open_time = settings.quick.circuit_open};
     return options;
 }
 
@@ -77,7 +79,10 @@
             .startup_wait = settings.membership.startup_wait,
             .config_session = {.append_spacing = append_spacing(settings),
                                .read_interval = settings.platform.log.config_read_interval},
-            .keeper = keeper_options(settings)};
+            .keeper = keeper_options(settings),
+            .quick = {.queue = {.pool_limit = settings.quick.queue_limit},
+                      .rooms = {.random = [engine = std::mt19937{std::random_device{}()}](
+                                              std::size_t bound) mutable { return engine() % bound; }}}};
 }
 
 /// Changes of the cell's state are logged; those of single jobs and leases are counted and on the time line.
@@ -85,7 +90,8 @@
     using type = telemetry::event_kind;
     return kind == type::shard_serving || kind == type::shard_lost || kind == type::shard_released ||
            kind == type::log_down || kind == type::log_up || kind == type::peer_joined ||
-           kind == type::note_in_force || kind == type::note_refused || kind == type::lease_lost;
+           kind == type::note_in_force || kind == type::note_refused || kind == type::circuit_opened ||
+           kind == type::circuit_closed || kind == type::lease_lost;
 }
 
 } // namespace
@@ -145,6 +151,8 @@
         quick_calls_options{.incarnation = this->incarnation,
                             .attempt_timeout = this->settings.quick.attempt_timeout,
                             .max_attempts = this->settings.quick.max_attempts,
+                            .retries = {.per_request = this->settings.quick.retry_budget},
+                            .counters = &this->counts,
                             .connect = connect,
                             .executors = this->executors.hooks()},
         *this->control);
@@ -324,20 +332,23 @@
         .take_job = [this](core::shard_id to, const core::job_spec& spec, core::system_time accepted_at,
                            core::milliseconds limit) { return this->take_job(to, spec, accepted_at, limit); },
         .reserve_slot =
-            [this](core::shard_id shard, const core::service_id& service, const core::incarnation_id&,
+            [this](core::shard_id shard, const core::service_id& service, const core::incarnation_id& caller,
                    core::milliseconds request_limit, core::milliseconds limit) {
+                // The control thread answers by itself a little before the caller gives up.
+                const auto wait = limit * 3 / 4;
                 return ask<cell::slot_grant>(
                            *this->control, limit,
-                           [shard, service, request_limit](host_control& host, core::steady_time now,
-                                                           const auto& respond) {
-                               respond(host.reserve_for_peer(shard, service, request_limit, now));
+                           [shard, service, caller, request_limit,
+                            wait](host_control& host, core::steady_time now, const auto& respond) {
+                               host.reserve_for_peer(shard, service, caller, request_limit, wait, now,
+                                                     respond);
                            })
                     .answer.value_or(cell::slot_grant{.reason = "the owner is overloaded"});
             },
         .release_slot =
             [this](core::shard_id shard, std::uint64_t grant, cell::slot_release how, core::milliseconds) {
-                this->control->reply([shard, grant, how](host_control& host, core::steady_time) {
-                    host.release_slot(shard, grant, how);
+                this->control->reply([shard, grant, how](host_control& host, core::steady_time now) {
+                    host.release_slot(shard, grant, how, now);
                 });
             },
         .copy_config =
--- a/src/app/quick_calls.cpp
+++ b/src/app/quick_calls.cpp
@@ -17,6 +17,7 @@
 using platform::call_verdict;
 
 constexpr core::milliseconds control_limit{1000}; ///< For questions that the control thread answers at once.
+constexpr core::milliseconds shed_margin{100};    ///< For the word that there is no slot in time.
 constexpr core::milliseconds owner_pause{50};     ///< Before the owner of a shard is looked for again.
 
 core::milliseconds left_until(core::steady_time deadline) {
@@ -45,10 +46,10 @@
     switch (verdict) {
     case call_verdict::answered:
     case call_verdict::failed:
-    case call_verdict::refused:
         return cell::slot_release::done;
+    case call_verdict::refused:
     case call_verdict::not_sent:
-        return cell::slot_release::unsent;
+        return cell::slot_release::refused;
     case call_verdict::timed_out:
         return cell::slot_release::lost;
     case call_verdict::broken:
@@ -60,7 +61,8 @@
 } // namespace
 
 quick_calls::quick_calls(quick_calls_options options, control::control_thread& control)
-    : options(std::move(options)), control(control) {}
+    : options(std::move(options)), control(control), counts(*this->options.counters),
+      budget(this->options.retries) {}
 
 core::steady_time quick_calls::deadline_of(const core::quick_request& request) {
     const auto limit = ask<core::milliseconds>(
@@ -77,33 +79,75 @@
 
 core::quick_answer quick_calls::call(const core::quick_request& request) {
     payment_spec(request).check();
-    const auto deadline = this->deadline_of(request);
-    return request.idempotent ? this->serve(request, deadline) : this->pay(request, deadline);
+    progress used{.begun = std::chrono::steady_clock::now(), .deadline = this->deadline_of(request)};
+    auto answer = request.idempotent ? this->serve(request, used) : this->pay(request, used.deadline);
+    this->counts.count(answer.result);
+    return answer;
 }
 
-core::quick_answer quick_calls::serve(const core::quick_request& request, core::steady_time deadline) {
-    core::quick_answer answer;
-    for (std::uint32_t attempt = 0; attempt < this->options.max_attempts; ++attempt) {
-        bool may_retry = false;
-        answer = this->send(request, deadline, may_retry);
-        if (!may_retry || left_until(deadline).count() <= 0) {
-            return answer;
+core::quick_answer quick_calls::serve(const core::quick_request& request, progress& used) {
+    {
+        const std::lock_guard lock{this->budget_mutex};
+        this->budget.on_request();
+    }
+    for (std::uint32_t attempt = 1;; ++attempt) {
+        // An attempt that no other may follow may take all the time that is left.
+        const bool last = attempt == this->options.max_attempts || used.second_run;
+        const auto left = left_until(used.deadline);
+        auto result = this->send(request, last ? left : this->options.attempt_timeout, used);
+        if (last || !this->may_retry(result, used)) {
+            if (result.answer.result == core::outcome::completed) {
+                this->counts.added.record(std::chrono::steady_clock::now() - used.begun - used.executor_time);
+            }
+            return result.answer;
         }
+        this->counts.retries.add();
     }
-    return answer;
 }
 
-core::quick_answer quick_calls::send(const core::quick_request& request, core::steady_time deadline,
-                                     bool& may_retry) {
-    const auto found = this->wait_for_slot(request, deadline);
+bool quick_calls::may_retry(const attempt_result& result, progress& used) {
+    if (result.next == next_step::answer) {
+        return false;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto resume = result.next == next_step::retry ? now : result.until + this->options.settle_margin;
+    if (resume >= used.deadline) {
+        return false;
+    }
+    {
+        const std::lock_guard lock{this->budget_mutex};
+        if (!this->budget.take()) {
+            this->counts.over_budget.add();
+            return false;
+        }
+    }
+    if (result.next == next_step::wait_over) {
+        used.second_run = true;
+        std::this_thread::sleep_until(resume);
+    }
+    return true;
+}
+
+quick_calls::attempt_result quick_calls::send(const core::quick_request& request,
+                                              core::milliseconds attempt_limit, progress& used) {
+    // What came before may have run, so that `not_run` would not be true of the request as a whole.
+    const auto unsent = [&used](std::string reason) {
+        return attempt_result{.answer =
+                                  used.second_run ? unknown(std::move(reason)) : not_run(std::move(reason))};
+    };
+    const auto asked = std::chrono::steady_clock::now();
+    const auto found = this->wait_for_slot(request, attempt_limit, used.deadline);
     if (!found.slot) {
-        return not_run(found.reason);
+        this->counts.shed.add();
+        return unsent(found.reason);
     }
     const auto& slot = *found.slot;
-    const auto left = left_until(deadline);
+    const auto begun = std::chrono::steady_clock::now();
+    this->counts.waits.record(begun - asked);
+    const auto left = std::min(attempt_limit, left_until(std::min(used.deadline, slot.until)));
     if (left.count() <= 0) {
         this->release(slot, cell::slot_release::unsent);
-        return not_run("no slot was free in time");
+        return unsent("no slot was free in time");
     }
     const auto correlation =
         this->options.incarnation.value() + "-" + std::to_string(this->next_correlation++);
@@ -113,50 +157,54 @@
                                                .id = request.id,
                                                .body = request.body,
                                                .limit = left});
+    used.executor_time +=
+        std::chrono::duration_cast<core::milliseconds>(std::chrono::steady_clock::now() - begun);
     this->release(slot, release_for(reply.verdict));
-    core::quick_answer answer{.reason = reply.reason, .executor = slot.executor};
+    attempt_result result{.answer = {.reason = reply.reason, .executor = slot.executor}};
     switch (reply.verdict) {
     case call_verdict::answered:
-        answer.result = core::outcome::completed;
-        answer.body = std::move(reply.body);
-        return answer;
+        result.answer.result = core::outcome::completed;
+        result.answer.body = std::move(reply.body);
+        return result;
     case call_verdict::failed:
-        answer.result = core::outcome::failed;
-        return answer;
+        result.answer.result = core::outcome::failed;
+        return result;
     case call_verdict::refused:
     case call_verdict::not_sent:
-        answer.result = core::outcome::not_run;
-        may_retry = true;
-        return answer;
+        result.answer.result = used.second_run ? core::outcome::unknown : core::outcome::not_run;
+        result.next = next_step::retry;
+        return result;
     case call_verdict::timed_out:
     case call_verdict::broken:
-        answer.result = core::outcome::unknown;
-        return answer;
+        result.answer.result = core::outcome::unknown;
+        result.next = next_step::wait_over;
+        result.until = begun + left;
+        return result;
     }
-    return answer;
+    return result;
 }
 
 quick_calls::slot_answer quick_calls::wait_for_slot(const core::quick_request& request,
+                                                    core::milliseconds attempt_limit,
                                                     core::steady_time deadline) {
     slot_answer answer;
     do {
-        answer = this->find_slot(request, deadline);
-        if (answer.slot || answer.refused) {
-            return answer;
-        }
-        std::this_thread::sleep_for(this->options.slot_pause);
-    } while (left_until(deadline).count() > 0);
+        // Each round waits in this host's queue or in a peer's.
+        answer = this->find_slot(request, attempt_limit, deadline);
+    } while (!answer.slot && !answer.refused && left_until(deadline).count() > 0);
     return answer;
 }
 
 quick_calls::slot_answer quick_calls::find_slot(const core::quick_request& request,
+                                                core::milliseconds attempt_limit,
                                                 core::steady_time deadline) {
     const auto limit = std::max(left_until(deadline), core::milliseconds{1});
-    const auto route =
-        ask<quick_route>(this->control, limit,
-                         [request, limit](host_control& state, core::steady_time now, const auto& respond) {
-                             respond(state.reserve(request, limit, now));
-                         });
+    // The control thread sheds in time by itself; the margin is for its answer.
+    const auto route = ask<quick_route>(
+        this->control, limit + shed_margin,
+        [request, limit, attempt_limit](host_control& state, core::steady_time now, const auto& respond) {
+            state.reserve(request, limit, attempt_limit, now, respond);
+        });
     if (!route.taken) {
         return {.refused = true, .reason = "this entry host is overloaded"};
     }
@@ -168,37 +216,53 @@
         return {.slot = held_slot{.shard = route.answer->shard,
                                   .grant = route.answer->slot.grant,
                                   .executor = route.answer->slot.executor,
-                                  .address = route.answer->slot.address}};
+                                  .address = route.answer->slot.address,
+                                  .until = route.answer->until}};
+    case quick_route::target_type::shed:
     case quick_route::target_type::refused:
         return {.refused = true, .reason = route.answer->reason};
-    case quick_route::target_type::none:
-        return {.reason = "no slot was free in time"};
     case quick_route::target_type::ask:
         break;
     }
+    return this->ask_peer(request, *route.answer, attempt_limit, deadline);
+}
+
+quick_calls::slot_answer quick_calls::ask_peer(const core::quick_request& request, const quick_route& route,
+                                               core::milliseconds attempt_limit, core::steady_time deadline) {
+    const auto begun = std::chrono::steady_clock::now();
+    const auto left = std::max(left_until(deadline), core::milliseconds{1});
+    const auto wait = std::min(left, this->options.peer_wait);
+    const auto limit = std::min(left, attempt_limit + wait);
+    slot_answer answer;
     try {
         const auto grant =
-            this->options.connect(route.answer->peer)
-                .reserve_slot(route.answer->shard, request.service, this->options.incarnation, limit, limit);
+            this->options.connect(route.peer)
+                .reserve_slot(route.shard, request.service, this->options.incarnation, limit, wait);
+        answer.reason = grant.reason;
         if (grant.granted) {
-            return {.slot = held_slot{.shard = route.answer->shard,
-                                      .grant = grant.grant,
-                                      .executor = grant.executor,
-                                      .address = grant.address,
-                                      .peer = route.answer->peer}};
+            answer.slot = held_slot{.shard = route.shard,
+                                    .grant = grant.grant,
+                                    .executor = grant.executor,
+                                    .address = grant.address,
+                                    .peer = route.peer,
+                                    .until = begun + limit};
         }
-        return {.reason = grant.reason};
     } catch (const core::error& error) {
         // A grant whose answer was lost is freed by its owner when the request's limit has passed.
-        return {.reason = error.what()};
+        answer.reason = error.what();
     }
+    this->control.reply([shard = route.shard, service = request.service,
+                         refused = !answer.slot](host_control& state, core::steady_time now) {
+        state.on_peer_slot(shard, service, refused, now);
+    });
+    return answer;
 }
 
 void quick_calls::release(const held_slot& slot, cell::slot_release how) {
     if (slot.peer.port == 0) {
         this->control.reply(
-            [shard = slot.shard, grant = slot.grant, how](host_control& state, core::steady_time) {
-                state.release_slot(shard, grant, how);
+            [shard = slot.shard, grant = slot.grant, how](host_control& state, core::steady_time now) {
+                state.release_slot(shard, grant, how, now);
             });
         return;
     }
@@ -273,8 +337,8 @@
     if (answer.state != core::answer_state::accepted) {
         return {.owner = true, .answer = {.result = answer.result, .reason = answer.reason}};
     }
-    bool may_retry = false;
-    auto result = this->send(request, deadline, may_retry);
+    progress used{.begun = std::chrono::steady_clock::now(), .deadline = deadline};
+    const auto result = this->send(request, request.limit, used).answer;
     // A caller who asks again before this is recorded is told `unsettled`, and the outcome afterwards.
     static_cast<void>(ask<bool>(
         this->control, this->options.record_limit,
--- a/src/cell/peer_calls.h
+++ b/src/cell/peer_calls.h
@@ -25,10 +25,11 @@
 
 /// How the use of a granted slot ended; decides when the slot is free again.
 enum class slot_release : std::uint8_t {
-    done,   ///< Answered or refused: the slot is free.
-    unsent, ///< Nothing was sent: the slot is free.
+    done,   ///< Answered: the slot is free.
+    unsent, ///< Nothing was sent and the executor is not to blame: the slot is free.
     lost,   ///< No answer: the slot stays taken until the request's limit has surely passed.
-    broken  ///< The connection failed or went silent; as lost, and counts against the executor.
+    broken, ///< The connection failed or went silent; as lost, and counts against the executor.
+    refused ///< The executor did not take it, or was not reached: the slot is free, and it counts against it.
 };
 
 /// An answer of the owner of a shard, or the word that the callee is not its owner.
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -13,3 +13,4 @@
 #include "control/job_runner.h"
 #include "control/live_job.h"
 #include "control/shard_keeper.h"
+#include "control/slot_broker.h"
--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -15,6 +15,21 @@
     return core::stream_id{prefix + "-config"};
 }
 
+routing::slot_end slot_end_of(cell::slot_release how) {
+    switch (how) {
+    case cell::slot_release::done:
+        return routing::slot_end::answered;
+    case cell::slot_release::unsent:
+        return routing::slot_end::unsent;
+    case cell::slot_release::refused:
+        return routing::slot_end::refused;
+    case cell::slot_release::lost:
+    case cell::slot_release::broken:
+        return routing::slot_end::lost;
+    }
+    return routing::slot_end::lost;
+}
+
 } // namespace
 
 host_control::host_control(host_control_options options, host_hooks hooks)
@@ -33,7 +48,8 @@
           session.reset = [this] { this->config.reset(); };
           session.state = [this] { return this->config.state(); };
           return session;
-      }()) {}
+      }()),
+      broker(this->broker_options()) {}
 
 void host_control::tick(core::steady_time now) {
     this->current_time = now;
@@ -63,6 +79,7 @@
         this->next_sequences[entry.first] = entry.second->next_sequence();
         return entry.second->phase() == shard_phase::released;
     });
+    this->broker.serve(now);
     this->answer_notes(now);
 }
 
@@ -188,6 +205,7 @@
         this->change(telemetry::event_kind::peer_joined, view.incarnation.value());
     }
     this->check_rivals(view);
+    this->broker.on_view(view, now);
 }
 
 void host_control::check_rivals(const cell::peer_view& view) {
@@ -437,64 +455,111 @@
     keeper->end_payment(job, result, reason, std::move(recorded));
 }
 
-quick_route host_control::reserve(const core::quick_request& request, core::milliseconds limit,
-                                  core::steady_time now) {
-    this->current_time = now;
-    if (const auto unknown = this->unknown_names(request.id.team, request.pool, core::work_kind::quick)) {
-        return {.target = quick_route::target_type::refused, .reason = *unknown};
-    }
-    const auto& services = this->config.policies().pool(request.pool)->services;
-    if (std::ranges::find(services, request.service) == services.end()) {
-        return {.target = quick_route::target_type::refused,
-                .reason = "pool '" + request.pool.value() + "' does not call service '" +
-                          request.service.value() + "'"};
-    }
+slot_broker_options host_control::broker_options() {
+    auto made = this->options.quick;
+    made.reserve_own = [this](const core::service_id& service, std::optional<core::shard_id> only,
+                              core::milliseconds limit,
+                              core::steady_time now) { return this->reserve_own(service, only, limit, now); };
+    return made;
+}
+
+std::optional<quick_route> host_control::reserve_own(const core::service_id& service,
+                                                     std::optional<core::shard_id> only,
+                                                     core::milliseconds limit, core::steady_time now) const {
     for (const auto& [shard, keeper] : this->keepers) {
-        if (!keeper->owned()) {
+        if (!keeper->owned() || keeper->phase() == shard_phase::releasing || (only && *only != shard)) {
             continue;
         }
-        if (auto slot = keeper->slots().reserve(request.service, limit, now)) {
-            return {.target = quick_route::target_type::granted, .shard = shard, .slot = *slot};
+        if (auto slot = keeper->slots().reserve(service, limit, now)) {
+            return quick_route{.target = quick_route::target_type::granted,
+                               .shard = shard,
+                               .slot = *slot,
+                               .until = now + limit};
         }
     }
-    quick_route best;
-    std::uint32_t most = 0;
-    for (const auto* view : this->members.live_views(now)) {
-        for (const auto& owned : view->shards) {
-            for (const auto& room : owned.services) {
-                if (room.service == request.service && room.free_slots > most) {
-                    most = room.free_slots;
-                    best = {
-                        .target = quick_route::target_type::ask, .shard = owned.shard, .peer = view->inner};
-                }
-            }
-        }
+    return std::nullopt;
+}
+
+void host_control::reserve(const core::quick_request& request, core::milliseconds limit,
+                           core::milliseconds attempt_limit, core::steady_time now, quick_responder respond) {
+    this->current_time = now;
+    if (const auto unknown = this->unknown_names(request.id.team, request.pool, core::work_kind::quick)) {
+        respond({.target = quick_route::target_type::refused, .reason = *unknown});
+        return;
     }
-    return best;
+    const auto* pool = this->config.policies().pool(request.pool);
+    if (std::ranges::find(pool->services, request.service) == pool->services.end()) {
+        respond({.target = quick_route::target_type::refused,
+                 .reason = "pool '" + request.pool.value() + "' does not call service '" +
+                           request.service.value() + "'"});
+        return;
+    }
+    this->broker.find({.request = {.pool = request.pool,
+                                   .team = request.id.team,
+                                   .service = request.service,
+                                   .urgent = pool->urgent,
+                                   .priority = pool->priority,
+                                   .deadline = now + limit},
+                       .attempt_limit = attempt_limit},
+                      now, std::move(respond));
 }
 
-cell::slot_grant host_control::reserve_for_peer(core::shard_id shard, const core::service_id& service,
-                                                core::milliseconds limit, core::steady_time now) {
+void host_control::on_peer_slot(core::shard_id shard, const core::service_id& service, bool refused,
+                                core::steady_time now) {
     this->current_time = now;
-    auto* keeper = this->owned_keeper(shard);
-    if (keeper == nullptr) {
-        return {.reason = "not the owner of the shard"};
+    this->broker.on_peer_answer(shard, service, refused, now);
+}
+
+void host_control::reserve_for_peer(core::shard_id shard, const core::service_id& service,
+                                    const core::incarnation_id& caller, core::milliseconds limit,
+                                    core::milliseconds wait, core::steady_time now,
+                                    const std::function<void(cell::slot_grant)>& respond) {
+    this->current_time = now;
+    if (this->owned_keeper(shard) == nullptr) {
+        respond({.reason = "not the owner of the shard"});
+        return;
     }
-    const auto slot = keeper->slots().reserve(service, limit, now);
-    if (!slot) {
-        return {.reason = "no slot is free"};
+    // The peer does not say for which pool: its request ranks as the first pool that calls the service.
+    routing::waiting_request request{.shard = shard,
+                                     .pool = core::pool_id{"peers"},
+                                     .team = core::team_id{caller.value()},
+                                     .service = service,
+                                     .deadline = now + wait};
+    for (const auto& pool : this->config.policies().pools()) {
+        if (std::ranges::find(pool.services, service) != pool.services.end()) {
+            request.urgent = request.urgent || pool.urgent;
+            request.priority = std::max(request.priority, pool.priority);
+        }
     }
-    return {.granted = true, .grant = slot->grant, .executor = slot->executor, .address = slot->address};
+    this->broker.find({.request = request, .attempt_limit = limit}, now, [respond](const quick_route& route) {
+        if (route.target != quick_route::target_type::granted) {
+            respond({.reason = route.reason});
+            return;
+        }
+        respond({.granted = true,
+                 .grant = route.slot.grant,
+                 .executor = route.slot.executor,
+                 .address = route.slot.address});
+    });
 }
 
-void host_control::release_slot(core::shard_id shard, std::uint64_t grant, cell::slot_release how) {
-    auto* keeper = this->owned_keeper(shard);
-    const bool over = how == cell::slot_release::done || how == cell::slot_release::unsent;
-    if (keeper != nullptr && over) {
-        keeper->slots().release(grant);
+void host_control::release_slot(core::shard_id shard, std::uint64_t grant, cell::slot_release how,
+                                core::steady_time now) {
+    this->current_time = now;
+    if (auto* keeper = this->owned_keeper(shard)) {
+        keeper->slots().release(grant, slot_end_of(how), now);
+        this->broker.serve(now);
     }
 }
 
+core::milliseconds host_control::longest_quick_limit() const {
+    core::milliseconds longest = this->options.keeper.longest_quick_limit;
+    for (const auto& [name, record] : this->config.policies().pool_records()) {
+        longest = std::max(longest, record.last.quick_limit);
+    }
+    return longest + this->options.keeper.slots.release_margin;
+}
+
 void host_control::apply_note(const release::release_note& note, core::milliseconds limit,
                               core::steady_time now, std::function<void(core::note_answer)> respond) {
     this->current_time = now;
@@ -696,6 +761,12 @@
         const auto all = this->remote_usage(team);
         return own == nullptr ? all : all - own->runner()->placement().held(team);
     };
+    made.longest_quick_limit = this->longest_quick_limit();
+    made.slots.on_circuit = [this, shard](const core::executor_id& executor, bool open) {
+        this->hooks.on_change(open ? telemetry::event_kind::circuit_opened
+                                   : telemetry::event_kind::circuit_closed,
+                              {.shard = shard, .detail = "executor " + executor.value()});
+    };
     made.displaceable = [this](const ledger::shard_owner& owner) {
         return !this->members.live(owner.incarnation, this->current_time);
     };
--- a/src/control/host_control.h
+++ b/src/control/host_control.h
@@ -5,6 +5,7 @@
 #include "cell/peer_calls.h"
 #include "control/host_hooks.h"
 #include "control/shard_keeper.h"
+#include "control/slot_broker.h"
 #include "core/calls.h"
 #include "core/ids.h"
 #include "core/time.h"
@@ -40,6 +41,7 @@
     core::milliseconds isolation_limit{10000}; ///< Without log and peers for so long, shards are given up.
     ledger::session_options config_session;    ///< `stream`, `producer`, `apply`, `reset` are set here.
     shard_keeper_options keeper;               ///< What differs per shard is set here.
+    slot_broker_options quick;                 ///< `reserve_own` is set here.
 };
 
 /// Where calls on a job go.
@@ -56,21 +58,6 @@
     std::string reason;
 };
 
-/// Where a quick request may be sent.
-struct quick_route {
-    enum class target_type : std::uint8_t {
-        granted, ///< A slot of a shard of this host.
-        ask,     ///< The owner of the shard at the endpoint probably has one.
-        none,    ///< No slot is known to be free.
-        refused, ///< The pool, team or service is not known; the reason says which.
-    };
-    target_type target = target_type::none;
-    core::shard_id shard;
-    routing::slot slot;
-    core::endpoint peer;
-    std::string reason;
-};
-
 /// All control state of one entry host and its decisions; knows nothing of threads or encodings.
 ///
 /// Time is passed to every call; what is to be done leaves through host_hooks, and the replies come back
@@ -114,13 +101,25 @@
     void end_payment(core::shard_id shard, const core::job_id& job, core::outcome result,
                      const std::string& reason, std::function<void()> recorded);
 
-    /// Picks a slot for a quick request: of this host's shards first, else of the better of two others.
-    [[nodiscard]] quick_route reserve(const core::quick_request& request, core::milliseconds limit,
-                                      core::steady_time now);
+    /// Finds a slot for a quick request: of this host's shards first, else of the better of two others.
+    /// @param limit how long the caller waits.
+    /// @param attempt_limit how long the request may use the slot, and not beyond the caller's limit.
+    /// @param respond called once, when there is a slot or it is sure that there will be none in time.
+    void reserve(const core::quick_request& request, core::milliseconds limit,
+                 core::milliseconds attempt_limit, core::steady_time now, quick_responder respond);
+    /// Takes the answer of the owner that reserve() said to ask.
+    void on_peer_slot(core::shard_id shard, const core::service_id& service, bool refused,
+                      core::steady_time now);
     /// Sets a slot of one shard aside for a peer's request.
-    [[nodiscard]] cell::slot_grant reserve_for_peer(core::shard_id shard, const core::service_id& service,
-                                                    core::milliseconds limit, core::steady_time now);
-    void release_slot(core::shard_id shard, std::uint64_t grant, cell::slot_release how);
+    /// @param caller the peer's run, for fairness.
+    /// @param limit how long the request may use the slot.
+    /// @param wait how long to wait for one.
+    void reserve_for_peer(core::shard_id shard, const core::service_id& service,
+                          const core::incarnation_id& caller, core::milliseconds limit,
+                          core::milliseconds wait, core::steady_time now,
+                          const std::function<void(cell::slot_grant)>& respond);
+    void release_slot(core::shard_id shard, std::uint64_t grant, cell::slot_release how,
+                      core::steady_time now);
 
     /// Hands in a release note. The answer comes when it is in force on every live host, or at the limit.
     void apply_note(const release::release_note& note, core::milliseconds limit, core::steady_time now,
@@ -152,6 +151,12 @@
     [[nodiscard]] shard_keeper* owned_keeper(core::shard_id shard) const;
     [[nodiscard]] core::stream_id stream_of(core::shard_id shard) const;
     [[nodiscard]] shard_keeper_options options_for(core::shard_id shard);
+    [[nodiscard]] slot_broker_options broker_options();
+    [[nodiscard]] std::optional<quick_route> reserve_own(const core::service_id& service,
+                                                         std::optional<core::shard_id> only,
+                                                         core::milliseconds limit,
+                                                         core::steady_time now) const;
+    [[nodiscard]] core::milliseconds longest_quick_limit() const;
     [[nodiscard]] std::optional<std::string>
     unknown_names(const core::team_id& team, const core::pool_id& pool, core::work_kind kind) const;
     [[nodiscard]] std::optional<std::string> never_fits(const core::job_spec& spec) const;
@@ -177,6 +182,7 @@
     /// Of the streams of shards that were kept before, since a producer's batches are numbered over its life.
     std::map<core::shard_id, core::sequence_number> next_sequences;
     std::map<core::shard_id, core::steady_time> preferred_elsewhere_since;
+    slot_broker broker;
     std::vector<waiting_note> notes;
     platform::fleet_list fleet;
     bool fleet_known = false;
--- /dev/null
+++ b/src/control/slot_broker.cpp
@@ -0,0 +1,106 @@
+#include "control/slot_broker.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace rattanmount::control {
+
+namespace {
+
+quick_route shed(std::string reason) {
+    return {.target = quick_route::target_type::shed, .reason = std::move(reason)};
+}
+
+} // namespace
+
+slot_broker::slot_broker(slot_broker_options options)
+    : options(std::move(options)), queue(this->options.queue), rooms(this->options.rooms) {}
+
+std::optional<quick_route> slot_broker::route(const slot_need& need, core::steady_time now) {
+    const auto left = std::chrono::duration_cast<core::milliseconds>(need.request.deadline - now);
+    // What a peer asks for is bounded by its own word; its deadline here is only how long it waits.
+    const auto limit = need.request.shard ? need.attempt_limit : std::min(left, need.attempt_limit);
+    if (limit.count() <= 0) {
+        return std::nullopt;
+    }
+    if (auto own = this->options.reserve_own(need.request.service, need.request.shard, limit, now)) {
+        return own;
+    }
+    if (need.request.shard) {
+        return std::nullopt;
+    }
+    const auto choice = this->rooms.choose(need.request.service);
+    if (!choice) {
+        return std::nullopt;
+    }
+    return quick_route{.target = quick_route::target_type::ask, .shard = choice->shard, .peer = choice->peer};
+}
+
+void slot_broker::find(const slot_need& need, core::steady_time now, quick_responder respond) {
+    this->shed_hopeless(now);
+    auto request = need.request;
+    request.ticket = this->next_ticket++;
+    const bool of_peer = request.shard.has_value();
+    if (of_peer && this->peers_waiting >= this->options.peer_waiters) {
+        respond(shed("too many peers wait for a slot here"));
+        return;
+    }
+    if (!this->queue.push(request, now)) {
+        respond(shed(request.deadline > now ? "the pool's queue on this entry host is full"
+                                            : "no slot was free in time"));
+        return;
+    }
+    this->peers_waiting += of_peer ? 1 : 0;
+    this->waiters[request.ticket] = {
+        .attempt_limit = need.attempt_limit, .respond = std::move(respond), .of_peer = of_peer};
+    this->serve(now);
+}
+
+void slot_broker::serve(core::steady_time now) {
+    this->shed_hopeless(now);
+    this->queue.hand_out([this, now](const routing::waiting_request& request) {
+        const auto found = this->waiters.find(request.ticket);
+        auto answer = this->route({.request = request, .attempt_limit = found->second.attempt_limit}, now);
+        if (!answer) {
+            return false;
+        }
+        const auto taken = std::move(found->second);
+        this->waiters.erase(found);
+        this->peers_waiting -= taken.of_peer ? 1 : 0;
+        taken.respond(std::move(*answer));
+        return true;
+    });
+}
+
+void slot_broker::shed_hopeless(core::steady_time now) {
+    for (const auto ticket : this->queue.drop_hopeless(now)) {
+        const auto found = this->waiters.find(ticket);
+        const auto taken = std::move(found->second);
+        this->waiters.erase(found);
+        this->peers_waiting -= taken.of_peer ? 1 : 0;
+        taken.respond(shed("no slot was free in time"));
+    }
+}
+
+void slot_broker::on_view(const cell::peer_view& view, core::steady_time now) {
+    std::vector<routing::peer_room> known;
+    for (const auto& owned : view.shards) {
+        for (const auto& room : owned.services) {
+            known.push_back({.shard = owned.shard,
+                             .peer = view.inner,
+                             .service = room.service,
+                             .free_slots = room.free_slots});
+        }
+    }
+    this->rooms.set(view.inner, known);
+    this->serve(now);
+}
+
+void slot_broker::on_peer_answer(core::shard_id shard, const core::service_id& service, bool refused,
+                                 core::steady_time now) {
+    this->rooms.on_answer(shard, service, refused);
+    this->serve(now);
+}
+
+} // namespace rattanmount::control
--- a/src/inner/conversion.cpp
+++ b/src/inner/conversion.cpp
@@ -29,11 +29,12 @@
      {core::answer_state::ended, gen::answer_state::ended},
      {core::answer_state::refused, gen::answer_state::refused},
      {core::answer_state::unsettled, gen::answer_state::unsettled}}};
-constexpr enum_table<cell::slot_release, 4> releases{
+constexpr enum_table<cell::slot_release, 5> releases{
     {{cell::slot_release::done, gen::slot_release::done},
      {cell::slot_release::unsent, gen::slot_release::unsent},
      {cell::slot_release::lost, gen::slot_release::lost},
-     {cell::slot_release::broken, gen::slot_release::broken}}};
+     {cell::slot_release::broken, gen::slot_release::broken},
+     {cell::slot_release::refused, gen::slot_release::refused}}};
 
 template <typename Table, typename Core>
 std::int8_t number_of(const Table& table, Core value) {
--- a/src/inner/gen/inner_types.cpp
+++ b/src/inner/gen/inner_types.cpp
@@ -116,15 +116,17 @@
   slot_release::done,
   slot_release::unsent,
   slot_release::lost,
-  slot_release::broken
+  slot_release::broken,
+  slot_release::refused
 };
 const char* _kslot_releaseNames[] = {
   "done",
   "unsent",
   "lost",
-  "broken"
+  "broken",
+  "refused"
 };
-const std::map<int, const char*> _slot_release_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kslot_releaseValues, _kslot_releaseNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _slot_release_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kslot_releaseValues, _kslot_releaseNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const slot_release::type& val) {
   std::map<int, const char*>::const_iterator it = _slot_release_VALUES_TO_NAMES.find(val);
--- a/src/inner/gen/inner_types.h
+++ b/src/inner/gen/inner_types.h
@@ -71,7 +71,8 @@
     done = 1,
     unsent = 2,
     lost = 3,
-    broken = 4
+    broken = 4,
+    refused = 5
   };
 };
 
--- a/src/inner/inner.thrift
+++ b/src/inner/inner.thrift
@@ -82,6 +82,7 @@
   unsent = 2,
   lost = 3,
   broken = 4
+  refused = 5
 }
 
 struct job_id {
--- /dev/null
+++ b/src/routing/peer_rooms.cpp
@@ -0,0 +1,58 @@
+#include "routing/peer_rooms.h"
+
+#include <cassert>
+
+namespace rattanmount::routing {
+
+peer_rooms::peer_rooms(peer_rooms_options options) : options(std::move(options)) {
+    assert(this->options.random);
+}
+
+void peer_rooms::set(const core::endpoint& peer, const std::vector<peer_room>& rooms) {
+    std::erase_if(this->states, [&](const auto& entry) { return entry.second.room.peer == peer; });
+    for (const auto& room : rooms) {
+        this->states[{room.shard, room.service}] = {.room = room};
+    }
+}
+
+std::optional<peer_choice> peer_rooms::choose(const core::service_id& service) {
+    std::vector<state*> free;
+    std::vector<state*> busy;
+    for (auto& [key, state] : this->states) {
+        if (key.second != service || state.refused) {
+            continue;
+        }
+        if (state.room.free_slots > 0) {
+            free.push_back(&state);
+        } else if (state.asks < this->options.asks_per_shard) {
+            busy.push_back(&state);
+        }
+    }
+    const auto& candidates = free.empty() ? busy : free;
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    auto* chosen = candidates.at(this->options.random(candidates.size()));
+    auto* other = candidates.at(this->options.random(candidates.size()));
+    if (other->room.free_slots > chosen->room.free_slots) {
+        chosen = other;
+    }
+    chosen->room.free_slots -= chosen->room.free_slots > 0 ? 1 : 0;
+    ++chosen->asks;
+    return peer_choice{.shard = chosen->room.shard, .peer = chosen->room.peer};
+}
+
+void peer_rooms::on_answer(core::shard_id shard, const core::service_id& service, bool refused) {
+    const auto found = this->states.find({shard, service});
+    if (found == this->states.end()) {
+        return;
+    }
+    auto& state = found->second;
+    state.asks -= state.asks > 0 ? 1 : 0;
+    if (refused) {
+        state.refused = true;
+        state.room.free_slots = 0;
+    }
+}
+
+} // namespace rattanmount::routing
--- a/src/routing/slot_table.cpp
+++ b/src/routing/slot_table.cpp
@@ -1,18 +1,23 @@
 #include "routing/slot_table.h"
 
-#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace rattanmount::routing {
 
-slot_table::slot_table(slot_table_options options) : options(options) {}
+slot_table::slot_table(slot_table_options options) : options(std::move(options)) {}
 
 void slot_table::set_executors(const std::vector<executor_info>& listed) {
     for (auto& [name, state] : this->executors) {
         state.listed = false;
     }
     for (const auto& info : listed) {
-        auto& state = this->executors[info.name];
+        const auto known = this->executors.find(info.name);
+        auto& state =
+            known != this->executors.end()
+                ? known->second
+                : this->executors.emplace(info.name, executor_state{.health = circuit{this->options.circuit}})
+                      .first->second;
         state.info = info;
         state.listed = true;
     }
@@ -27,8 +32,8 @@
     }
     executor_state* best = nullptr;
     for (auto& [name, state] : this->executors) {
-        const bool usable = state.listed && state.info.service == service && state.used < state.info.slots;
-        if (usable && (best == nullptr || state.info.slots - state.used > best->info.slots - best->used)) {
+        if (usable(state, service, now) &&
+            (best == nullptr || state.info.slots - state.used > best->info.slots - best->used)) {
             best = &state;
         }
     }
@@ -36,19 +41,60 @@
         return std::nullopt;
     }
     ++best->used;
+    best->health.on_sent(now);
     const auto grant = this->next_grant++;
     this->grants[grant] =
         grant_state{.executor = best->info.name, .over = now + limit + this->options.release_margin};
     return slot{.grant = grant, .executor = best->info.name, .address = best->info.address};
 }
 
-void slot_table::release(std::uint64_t grant) {
+bool slot_table::usable(const executor_state& state, const core::service_id& service, core::steady_time now) {
+    return state.listed && state.info.service == service && state.used < state.info.slots &&
+           state.health.allows(now);
+}
+
+void slot_table::release(std::uint64_t grant, slot_end how, core::steady_time now) {
     const auto found = this->grants.find(grant);
-    if (found == this->grants.end()) {
+    if (found == this->grants.end() || found->second.lost) {
+        return;
+    }
+    this->judge(found->second.executor, how, now);
+    if (how == slot_end::lost) {
+        found->second.lost = true;
+        return;
+    }
+    this->free(grant);
+}
+
+void slot_table::judge(const core::executor_id& name, slot_end how, core::steady_time now) {
+    const auto found = this->executors.find(name);
+    if (found == this->executors.end()) {
         return;
     }
+    auto& state = found->second;
+    switch (how) {
+    case slot_end::answered:
+        state.health.on_success();
+        break;
+    case slot_end::unsent:
+        state.health.on_no_verdict();
+        break;
+    case slot_end::refused:
+    case slot_end::lost:
+        state.health.on_failure(now);
+        break;
+    }
+    const bool open = state.health.state(now) != circuit_state::closed;
+    if (open != state.circuit_known_open && this->options.on_circuit) {
+        this->options.on_circuit(name, open);
+    }
+    state.circuit_known_open = open;
+}
+
+void slot_table::free(std::uint64_t grant) {
+    const auto found = this->grants.find(grant);
     const auto executor = this->executors.find(found->second.executor);
-    if (executor != this->executors.end() && executor->second.used > 0) {
+    if (executor != this->executors.end()) {
         --executor->second.used;
     }
     this->grants.erase(found);
@@ -62,7 +108,12 @@
         }
     }
     for (const auto grant : over) {
-        this->release(grant);
+        const auto& state = this->grants.at(grant);
+        if (!state.lost) {
+            // Nobody said how it ended: its entry host is gone, or its word was lost.
+            this->judge(state.executor, slot_end::unsent, now);
+        }
+        this->free(grant);
     }
 }
 
@@ -72,8 +123,8 @@
     }
     std::uint32_t free = 0;
     for (const auto& [name, state] : this->executors) {
-        if (state.listed && state.info.service == service) {
-            free += state.info.slots - std::min(state.info.slots, state.used);
+        if (usable(state, service, now)) {
+            free += state.info.slots - state.used;
         }
     }
     return free;
--- a/src/routing/slot_table.h
+++ b/src/routing/slot_table.h
@@ -3,6 +3,7 @@
 #include "core/endpoint.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "routing/circuit.h"
 
 #include <cstdint>
 #include <functional>
@@ -27,15 +28,26 @@
     core::endpoint address;
 };
 
+/// How a request that had a slot ended.
+enum class slot_end : std::uint8_t {
+    answered, ///< With a whole answer.
+    unsent,   ///< It was not sent; says nothing of the executor.
+    refused,  ///< The executor did not take it or was not reached; it has not run.
+    lost      ///< Without a whole answer; it may still run until its limit.
+};
+
 struct slot_table_options {
     core::milliseconds release_margin{500}; ///< Beyond a lost request's limit before its slot is free again.
+    circuit_options circuit;                ///< Of each executor.
+    /// Told of a circuit that opens (true) or closes (false); may be empty.
+    std::function<void(const core::executor_id&, bool open)> on_circuit;
 };
 
 /// Counts the slots of the executors of one shard, for its owner.
 ///
 /// Every request of every entry host to these executors has a slot reserved here first. A slot is free again
-/// when its user says that the request is over, or when the request's own limit has passed by a margin. Owned
-/// by the control thread.
+/// when its user says that the request is over, or when the request's own limit has passed by a margin. An
+/// executor whose circuit is open gets none. Owned by the control thread.
 class slot_table {
 public:
     explicit slot_table(slot_table_options options);
@@ -55,9 +67,12 @@
     std::optional<slot> reserve(const core::service_id& service, core::milliseconds limit,
                                 core::steady_time now);
 
-    /// Frees a slot now. A grant that is not known is passed over.
+    /// Takes note of how a request ended, and frees its slot unless it may still run. A grant that is not
+    /// known is passed over.
     /// @param grant the slot's grant.
-    void release(std::uint64_t grant);
+    /// @param how how its request ended.
+    /// @param now the time.
+    void release(std::uint64_t grant, slot_end how, core::steady_time now);
 
     /// Frees the slots of requests whose limits have passed.
     /// @param now the time.
@@ -79,12 +94,20 @@
         executor_info info;
         std::uint32_t used = 0;
         bool listed = false;
+        circuit health;
+        bool circuit_known_open = false;
     };
     struct grant_state {
         core::executor_id executor;
         core::steady_time over; ///< When the request has surely ended.
+        bool lost = false;      ///< Its end was reported, and it may still run.
     };
 
+    [[nodiscard]] static bool usable(const executor_state& state, const core::service_id& service,
+                                     core::steady_time now);
+    void judge(const core::executor_id& name, slot_end how, core::steady_time now);
+    void free(std::uint64_t grant);
+
     slot_table_options options;
     std::map<core::executor_id, executor_state> executors;
     std::map<std::uint64_t, grant_state> grants;
--- /dev/null
+++ b/tests/routing/slot_table_test.cpp
@@ -0,0 +1,172 @@
+#include "routing/slot_table.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace rattanmount;
+using namespace rattanmount::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::service_id templates{"templates"};
+
+std::vector<executor_info> executors(int count, std::uint32_t slots = 8) {
+    std::vector<executor_info> made;
+    for (int number = 0; number < count; ++number) {
+        made.push_back(
+            {.name = core::executor_id{"x" + std::to_string(number)}, .service = templates, .slots = slots});
+    }
+    return made;
+}
+
+core::steady_time at(core::milliseconds time) {
+    return core::steady_time{} + 1h + time;
+}
+
+} // namespace
+
+TEST_CASE("no executor ever has more requests than slots, over any course of owners") {
+    // Counts apart from the table what may run: each request until its end is known or its limit has passed.
+    struct running {
+        core::executor_id executor;
+        std::uint64_t grant = 0;
+        core::steady_time limit;
+        bool current_owner = true;
+    };
+    constexpr auto longest = 400ms;
+    constexpr auto margin = 50ms;
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        std::mt19937 random{seed};
+        auto now = at(0ms);
+        const slot_table_options options{.release_margin = margin};
+        slot_table table{options};
+        table.set_executors(executors(3));
+        std::vector<running> runs;
+        std::size_t granted = 0;
+        for (int step = 0; step < 4000; ++step) {
+            now += core::milliseconds{random() % 5};
+            table.expire(now);
+            std::erase_if(runs, [&](const running& run) { return now >= run.limit; });
+            const auto dice = random() % 1000;
+            if (dice < 550) {
+                const core::milliseconds limit{1 + random() % longest.count()};
+                if (const auto slot = table.reserve(templates, limit, now)) {
+                    runs.push_back({.executor = slot->executor, .grant = slot->grant, .limit = now + limit});
+                    ++granted;
+                }
+            } else if (dice < 990 && !runs.empty()) {
+                const auto index = random() % runs.size();
+                const auto run = runs.at(index);
+                const bool lost = random() % 10 == 0;
+                if (run.current_owner) {
+                    table.release(run.grant, lost ? slot_end::lost : slot_end::answered, now);
+                }
+                if (!lost) {
+                    runs.erase(runs.begin() + static_cast<std::ptrdiff_t>(index));
+                }
+            } else if (dice == 999) {
+                // A new owner knows nothing of what the former one granted.
+                table = slot_table{options};
+                table.set_executors(executors(3));
+                table.hold_until(now + longest + margin);
+                for (auto& run : runs) {
+                    run.current_owner = false;
+                }
+            }
+            std::map<core::executor_id, int> used;
+            for (const auto& run : runs) {
+                ++used[run.executor];
+            }
+            for (const auto& [executor, count] : used) {
+                INFO("seed " << seed << " step " << step << " executor " << executor.value());
+                REQUIRE(count <= 8);
+            }
+        }
+        REQUIRE(granted > 300);
+    }
+}
+
+TEST_CASE("an executor that stays silent holds back no request to others") {
+    slot_table table{{.circuit = {.failures = 2, .open_time = 2s}}};
+    table.set_executors(executors(2, 4));
+    const core::executor_id silent{"x0"};
+    int to_silent = 0;
+    auto now = at(0ms);
+    for (int request = 0; request < 200; ++request) {
+        now += 5ms;
+        const auto slot = table.reserve(templates, 500ms, now);
+        REQUIRE(slot);
+        if (slot->executor != silent) {
+            table.release(slot->grant, slot_end::answered, now);
+            continue;
+        }
+        ++to_silent;
+        table.release(slot->grant, slot_end::lost, now + 1ms);
+    }
+    // Its four slots at most before the circuit opens; all 200 requests span one second.
+    REQUIRE(to_silent <= 4);
+}
+
+TEST_CASE("an open circuit is probed by one request, and closed by its answer") {
+    std::vector<bool> changes;
+    slot_table table{{.circuit = {.failures = 3, .open_time = 1s},
+                      .on_circuit = [&](const core::executor_id&, bool open) { changes.push_back(open); }}};
+    table.set_executors(executors(1));
+    for (int failure = 0; failure < 3; ++failure) {
+        const auto slot = table.reserve(templates, 100ms, at(0ms));
+        REQUIRE(slot);
+        table.release(slot->grant, slot_end::refused, at(0ms));
+    }
+    REQUIRE(changes == std::vector<bool>{true});
+    REQUIRE(table.free_slots(templates, at(999ms)) == 0);
+    REQUIRE_FALSE(table.reserve(templates, 100ms, at(999ms)));
+    const auto probe = table.reserve(templates, 100ms, at(1000ms));
+    REQUIRE(probe);
+    REQUIRE_FALSE(table.reserve(templates, 100ms, at(1001ms)));
+    table.release(probe->grant, slot_end::refused, at(1002ms));
+    REQUIRE_FALSE(table.reserve(templates, 100ms, at(1900ms)));
+    const auto second = table.reserve(templates, 100ms, at(2002ms));
+    REQUIRE(second);
+    table.release(second->grant, slot_end::answered, at(2003ms));
+    REQUIRE(changes == std::vector<bool>{true, false});
+    REQUIRE(table.free_slots(templates, at(2003ms)) == 8);
+}
+
+TEST_CASE("a probe whose user is gone does not keep the circuit open for ever") {
+    slot_table table{{.release_margin = 100ms, .circuit = {.failures = 1, .open_time = 1s}}};
+    table.set_executors(executors(1));
+    const auto first = table.reserve(templates, 100ms, at(0ms));
+    table.release(first->grant, slot_end::refused, at(0ms));
+    REQUIRE(table.reserve(templates, 100ms, at(1000ms)));
+    table.expire(at(1200ms));
+    REQUIRE(table.reserve(templates, 100ms, at(1200ms)));
+}
+
+TEST_CASE("an executor is left out as soon as the list drops it or it refuses, whichever is first") {
+    slot_table table{{.circuit = {.failures = 3, .open_time = 10s}}};
+    table.set_executors(executors(2));
+    SECTION("the list drops it") {
+        table.set_executors({executors(2).back()});
+    }
+    SECTION("it refuses while the list still shows it") {
+        int refused = 0;
+        for (auto time = 0ms; time < 3s && refused < 3; time += 10ms) {
+            const auto slot = table.reserve(templates, 100ms, at(time));
+            REQUIRE(slot);
+            const bool leaving = slot->executor == core::executor_id{"x0"};
+            refused += leaving ? 1 : 0;
+            table.release(slot->grant, leaving ? slot_end::refused : slot_end::answered, at(time));
+        }
+    }
+    for (int request = 0; request < 8; ++request) {
+        const auto slot = table.reserve(templates, 100ms, at(3s));
+        REQUIRE(slot);
+        REQUIRE(slot->executor == core::executor_id{"x1"});
+    }
+    REQUIRE_FALSE(table.reserve(templates, 100ms, at(3s)));
+}
