--- a/bench/quick_bench.cpp
+++ b/bench/quick_bench.cpp
@@ -97,17 +97,18 @@
 }
 
 sender through_host(int port) {
-    auto session = std::make_shared<Poco::Net::HTTPClientSession>("127.0.0.1", static_cast<Poco::UInt16>(port));
+    auto session =
+        std::make_shared<Poco::Net::HTTPClientSession>("127.0.0.1", static_cast<Poco::UInt16>(port));
     session->setKeepAlive(true);
     session->setTimeout(Poco::Timespan{call_limit.count() * 1000});
     return [session](const std::string& key) {
         try {
-            const auto body = nlohmann::json{{"team", "tabua"},
-                                             {"key", key},
-                                             {"pool", "previews"},
-                                             {"service", "templates"},
-                                             {"body", plan()}}
-                                  .dump();
+            const auto body = nlohmann::json{
+                {"team", "tabua"},
+                {"key", key},
+                {"pool", "previews"},
+                {"service", "templates"},
+                {"body", plan()}}.dump();
             Poco::Net::HTTPRequest request{"POST", "/v1/quick", Poco::Net::HTTPMessage::HTTP_1_1};
             request.setContentLength(static_cast<std::streamsize>(body.size()));
             request.setKeepAlive(true);
--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -466,6 +466,9 @@
 std::optional<quick_route> host_control::reserve_own(const core::service_id& service,
                                                      std::optional<core::shard_id> only,
                                                      core::milliseconds limit, core::steady_time now) const {
+    if (this->may_be_displaced(now)) {
+        return std::nullopt;
+    }
     for (const auto& [shard, keeper] : this->keepers) {
         if (!keeper->owned() || keeper->phase() == shard_phase::releasing || (only && *only != shard)) {
             continue;
@@ -480,6 +483,11 @@
     return std::nullopt;
 }
 
+bool host_control::may_be_displaced(core::steady_time now) const {
+    const bool others = this->members.listed().size() > 1;
+    return others && now - this->last_contact > this->options.suspect_after;
+}
+
 void host_control::reserve(const core::quick_request& request, core::milliseconds limit,
                            core::milliseconds attempt_limit, core::steady_time now, quick_responder respond) {
     this->current_time = now;
--- a/src/control/host_control.h
+++ b/src/control/host_control.h
@@ -157,6 +157,8 @@
                                                          core::milliseconds limit,
                                                          core::steady_time now) const;
     [[nodiscard]] core::milliseconds longest_quick_limit() const;
+    /// @return whether others may own this host's shards without its knowledge: it was frozen or is cut off.
+    [[nodiscard]] bool may_be_displaced(core::steady_time now) const;
     [[nodiscard]] std::optional<std::string>
     unknown_names(const core::team_id& team, const core::pool_id& pool, core::work_kind kind) const;
     [[nodiscard]] std::optional<std::string> never_fits(const core::job_spec& spec) const;
--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -49,6 +49,10 @@
 }
 
 void shard_keeper::tick(core::steady_time now) {
+    if (this->hold_begins) {
+        this->slot_book.hold_until(now + this->options.longest_quick_limit);
+        this->hold_begins = false;
+    }
     this->check_owner(now);
     if (this->current == shard_phase::reading && this->session.caught_up() && this->fold.anchored()) {
         const auto& owner = this->fold.owner();
@@ -87,6 +91,8 @@
 
 void shard_keeper::claim(core::steady_time now) {
     this->current = shard_phase::claiming;
+    // An owner records that it has released the shard only when no slot is in use any more.
+    this->handed_over = !this->fold.owner();
     this->change(telemetry::event_kind::shard_claimed,
                  "after epoch " + std::to_string(this->epoch().value()));
     this->session.add(ledger::shard_claimed{.previous = this->fold.epoch(), .host = this->options.host},
@@ -104,8 +110,10 @@
     const bool first_owner = this->fold.epoch() == core::epoch_id{1};
     this->session.set_epoch(this->fold.epoch());
     this->current = shard_phase::taking_over;
-    if (!first_owner) {
-        this->slot_book.hold_until(now + this->options.longest_quick_limit);
+    if (!first_owner && !this->handed_over) {
+        // `now` is when the claim was made; the former owner may have granted slots until this very moment.
+        this->slot_book.hold_until(core::steady_time::max());
+        this->hold_begins = true;
     }
     this->run = std::make_unique<job_runner>(this->options.runner, this->hooks, this->fold, this->session);
     this->run->begin(now);
--- a/src/control/shard_keeper.h
+++ b/src/control/shard_keeper.h
@@ -149,6 +149,9 @@
     std::unordered_map<core::job_id, bool> moving; ///< Moved, not confirmed; whether an order is on its way.
     std::uint64_t entries_since_snapshot = 0;
     core::steady_time last_snapshot{};
+    bool handed_over = false; ///< The former owner had released the shard when it was claimed.
+    bool hold_begins =
+        false; ///< The time that a former owner's requests still take begins with the next tick.
     bool release_recorded = false;
     bool release_added = false;
     core::steady_time last_house_keeping{};
