Take an answer at an attempt's limit as abandoned by its executor

Change: a failure within 20 ms of the limit may be followed by the one second run, within the budget.

--- a/src/app/quick_calls.cpp
+++ b/src/app/quick_calls.cpp
@@ -18,7 +18,9 @@
 
 constexpr core::milliseconds control_limit{1000}; ///< For questions that the control thread answers at once.
 constexpr core::milliseconds shed_margin{100};    ///< For the word that there is no slot in time.
-constexpr core::milliseconds owner_pause{50};     ///< Before the owner of a shard is looked for again.
+constexpr core::milliseconds abandon_tolerance{
+    20};                                      ///< How far before its limit an attempt counts as abandoned.
+constexpr core::milliseconds owner_pause{50}; ///< Before the owner of a shard is looked for again.
 
 core::milliseconds left_until(core::steady_time deadline) {
     return std::chrono::duration_cast<core::milliseconds>(deadline - std::chrono::steady_clock::now());
@@ -168,6 +170,11 @@
         return result;
     case call_verdict::failed:
         result.answer.result = core::outcome::failed;
+        if (std::chrono::steady_clock::now() - begun + abandon_tolerance >= left) {
+            // The executor abandoned it at its limit, and says so a little before the client gives up.
+            result.next = next_step::wait_over;
+            result.until = begun;
+        }
         return result;
     case call_verdict::refused:
     case call_verdict::not_sent:
--- a/src/control/slot_broker.h
+++ b/src/control/slot_broker.h
@@ -37,8 +37,8 @@
 
 /// What a request needs a slot for.
 struct slot_need {
-    routing::waiting_request request; ///< `ticket` is set by the broker.
-    core::milliseconds attempt_limit; ///< How long it may use the slot, and not beyond its deadline.
+    routing::waiting_request request;    ///< `ticket` is set by the broker.
+    core::milliseconds attempt_limit{0}; ///< How long it may use the slot, and not beyond its deadline.
 };
 
 struct slot_broker_options {
@@ -85,7 +85,7 @@
 
 private:
     struct waiter {
-        core::milliseconds attempt_limit;
+        core::milliseconds attempt_limit{0};
         quick_responder respond;
         bool of_peer = false;
     };
