--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -42,6 +42,10 @@
 }
 
 void shard_keeper::tick(core::steady_time now) {
+    if (this->hold_begins) {
+        this->slot_book.hold_until(now + this->options.longest_quick_limit);
+        this->hold_begins = false;
+    }
     this->check_owner(now);
     if (this->current == shard_phase::reading && this->session.caught_up() && this->fold.anchored() &&
         this->session.log_available() && now >= this->next_claim) {
@@ -83,6 +87,8 @@
     constexpr core::milliseconds claim_interval{500};
     this->next_claim = now + claim_interval;
     this->current = shard_phase::claiming;
+    // An owner records that it has released the shard only when no slot is in use any more.
+    this->handed_over = !this->fold.owner();
     this->change(telemetry::event_kind::shard_claimed,
                  "after epoch " + std::to_string(this->epoch().value()));
     this->session.add(ledger::shard_claimed{.previous = this->fold.epoch(), .host = this->options.host},
@@ -102,8 +108,10 @@
     this->current = shard_phase::taking_over;
     this->release_added = false;
     this->release_recorded = false;
-    if (!first_owner) {
-        this->slot_book.hold_until(now + this->options.longest_quick_limit);
+    if (!first_owner && !this->handed_over) {
+        // `now` is when the claim was made; the former owner may have granted slots until this very moment.
+        this->slot_book.hold_until(core::steady_time::max());
+        this->hold_begins = true;
     }
     this->run = std::make_unique<job_runner>(this->options.runner, this->hooks, this->fold, this->session);
     this->run->begin(now);
