Test paused owners, takeovers, notes and cold starts in virtual time

Cause: real processes can't time a pause beyond a lease or a takeover exactly, and the simulated cell did not pass the configuration on to a host that starts during an outage of the log.

--- a/tests/control/simulated_cell.cpp
+++ b/tests/control/simulated_cell.cpp
@@ -257,7 +257,20 @@
             control.on_fleet(this->shown_fleet, this->time);
         });
     };
-    hooks.copy_config = [](const core::endpoint&) {};
+    hooks.copy_config = [=, this](const core::endpoint& to) {
+        const int peer = this->host_at(to);
+        const auto& state = this->hosts[static_cast<std::size_t>(peer)];
+        if (!state.control || state.no_peers || this->hosts[static_cast<std::size_t>(host)].no_peers ||
+            this->chance(this->options.lost_calls)) {
+            return;
+        }
+        this->on_host(peer, state.incarnation, this->delay(), [=, this](control::host_control& control) {
+            const auto copy = control.copy_config();
+            this->on_host(host, incarnation, this->delay(), [=, this](control::host_control& caller) {
+                caller.on_config_copy(copy, this->time);
+            });
+        });
+    };
     hooks.on_change = [](telemetry::event_kind, const telemetry::event_fields&) {};
     hooks.wall_time = [this] {
         return core::system_time{} +
@@ -340,6 +353,7 @@
             answer({.verdict = platform::start_verdict::refused, .reason = "lapsed before the send"}, 0ms);
             return;
         }
+        this->starts.push_back({.host = host, .at = this->time, .attempt = order.attempt});
         const bool cut = this->hosts[static_cast<std::size_t>(host)].no_workers ||
                          this->cut_workers.contains(order.worker);
         if (cut || this->chance(this->options.lost_calls)) {
--- a/tests/control/simulated_cell.h
+++ b/tests/control/simulated_cell.h
@@ -28,6 +28,13 @@
     double failing_tasks = 0.0;
 };
 
+/// A start that a host sent to a worker.
+struct sent_start {
+    int host = 0;
+    core::steady_time at;
+    core::attempt_id attempt;
+};
+
 /// What became of one submitted job, as its caller was told.
 struct told {
     core::job_spec spec;
@@ -73,6 +80,7 @@
     [[nodiscard]] const std::map<core::job_id, told>& jobs() const { return this->submitted; }
     [[nodiscard]] core::steady_time now() const { return this->time; }
     [[nodiscard]] std::vector<observed_run> runs() const;
+    [[nodiscard]] const std::vector<sent_start>& sent_starts() const { return this->starts; }
     [[nodiscard]] std::mt19937& random() { return this->generator; }
     simulated_log& log() { return this->entries; }
 
@@ -122,6 +130,7 @@
     std::set<core::worker_id> cut_workers;
     std::vector<host_state> hosts;
     std::map<core::job_id, told> submitted;
+    std::vector<sent_start> starts;
 };
 
 /// @return a batch job of the tests' team.
--- a/tests/end_to_end/journal_checks.cpp
+++ b/tests/end_to_end/journal_checks.cpp
@@ -47,6 +47,12 @@
     }));
 }
 
+/// @return how many requests of the id the executors began.
+std::size_t requests_run(const std::vector<nlohmann::json>& journal, const std::string& id) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        journal, [&](const auto& item) { return item.at("kind") == "start" && item.value("id", "") == id; }));
+}
+
 } // namespace
 
 std::size_t starts_of(const std::vector<nlohmann::json>& journal, const std::string& job) {
@@ -70,4 +76,29 @@
     }
 }
 
+void check_records(const std::vector<caller_record>& records, const std::vector<nlohmann::json>& workers,
+                   const std::vector<nlohmann::json>& executors) {
+    for (const auto& record : records) {
+        const auto requests = requests_run(executors, record.id);
+        const auto runs = starts_of(workers, record.id) + requests;
+        INFO(record.id << " ran " << runs << " times, answered '" << record.answer << "'");
+        CHECK((record.idempotent || runs <= 1));
+        CHECK_FALSE((record.not_run && runs > 0));
+        CHECK_FALSE((record.completed && requests == 0));
+        CHECK_FALSE((record.completed && !record.answer.starts_with(record.id + "\n")));
+        CHECK_FALSE((record.accepted && !record.ended));
+    }
+}
+
+void check_no_new_work(const std::vector<nlohmann::json>& journal, const std::string& target,
+                       std::int64_t shown) {
+    constexpr std::int64_t allowed_ms = 3000;
+    for (const auto& item : journal) {
+        if (item.at("kind") == "start" && item.value("target", "") == target) {
+            INFO(item.dump() << " after " << shown);
+            CHECK(at_ms(item) <= shown + allowed_ms);
+        }
+    }
+}
+
 } // namespace rattanmount::tests
