Add graceful shutdowns and leaving targets to the matrix of faults

Cause: the matrix covered the steps of a request, not the hand over or targets that leave. Change: shutdowns under faults with requests in flight; leaving targets judged from the time when the fleet list first showed them; two faults together. The paused owner now has records under way when it is paused, so the case fails where leases are not checked.

--- a/tests/control/lease_faults_test.cpp
+++ b/tests/control/lease_faults_test.cpp
@@ -57,9 +57,11 @@
         cell.run_for(3s);
         cell.apply_first_note();
         const int owner = first_owner(cell);
-        // More than fits, so that work waits at the owner when it is paused.
-        submit_many(cell, "waiting-", 120, 3s);
-        cell.run_for(1s);
+        // The pause meets attempts whose records are under way to the log.
+        for (int number = 0; number < 20; ++number) {
+            cell.submit(owner, batch_job("waiting-" + std::to_string(number), 1s));
+            cell.run_for(5ms);
+        }
         constexpr core::milliseconds pause = 8s;
         cell.pause(owner, pause);
         const auto woken = cell.now() + pause;
--- a/tests/end_to_end/fault_matrix_test.cpp
+++ b/tests/end_to_end/fault_matrix_test.cpp
@@ -75,6 +75,13 @@
     }
 }
 
+void submit_four_more(cell_fixture& cell, step_state& state, int round) {
+    for (int number = 0; number < 4; ++number) {
+        submit(cell, state, number % 3,
+               state.prefix + "-" + std::to_string(round) + "x" + std::to_string(number), 100ms);
+    }
+}
+
 void wait_for_starts(cell_fixture& cell, const step_state& state) {
     CHECK(wait_until(
         [&] {
@@ -129,6 +136,18 @@
     return http("POST", cell.front_port(host), "/v1/quick", request.dump());
 }
 
+http_result quick_for(cell_fixture& cell, int host, const caller_record& record,
+                      std::chrono::milliseconds run_time) {
+    const nlohmann::json request{{"team", "tabua"},
+                                 {"key", record.id.substr(record.id.find('/') + 1)},
+                                 {"pool", "previews"},
+                                 {"service", "templates"},
+                                 {"body", nlohmann::json{{"run_ms", run_time.count()}}.dump()},
+                                 {"limit", "2s"},
+                                 {"idempotent", record.idempotent}};
+    return http("POST", cell.front_port(host), "/v1/quick", request.dump());
+}
+
 void quick_under(cell_fixture& cell, step_state& state, bool idempotent) {
     for (int number = 0; number < 8; ++number) {
         const auto key = key_of(state, number);
@@ -218,7 +237,7 @@
         {.name = "run",
          .before =
              [](auto& cell, auto& state) {
-                 submit_four(cell, state, 4000ms);
+                 submit_four(cell, state, 2500ms);
                  wait_for_starts(cell, state);
              },
          .under = nothing,
@@ -370,14 +389,142 @@
     }
 }
 
+/// Two faults at the same time.
+matrix_fault both(const matrix_fault& first, const matrix_fault& second) {
+    return {.name = first.name + "+" + second.name,
+            .begin =
+                [=](cell_fixture& cell) {
+                    first.begin(cell);
+                    second.begin(cell);
+                },
+            .end =
+                [=](cell_fixture& cell) {
+                    second.end(cell);
+                    first.end(cell);
+                },
+            .during_calls = first.during_calls || second.during_calls};
+}
+
+const matrix_fault& named(const std::vector<matrix_fault>& all, const std::string& name) {
+    return *std::ranges::find(all, name, &matrix_fault::name);
+}
+
+/// Ends a host gracefully while it runs jobs and serves requests, and starts it again.
+void shut_down_under(cell_fixture& cell, const matrix_fault& fault) {
+    step_state jobs{.prefix = "leave-" + fault.name};
+    step_state requests{.prefix = "quick-leave-" + fault.name};
+    submit_four(cell, jobs, 1500ms);
+    wait_for_starts(cell, jobs);
+    for (int number = 0; number < 6; ++number) {
+        requests.records.push_back({.id = "tabua/" + key_of(requests, number)});
+    }
+    fault.begin(cell);
+    std::vector<std::future<void>> calls;
+    for (auto& record : requests.records) {
+        calls.push_back(std::async(std::launch::async, [&cell, &record] {
+            const auto answer = quick_for(cell, faulty_host, record, 600ms);
+            record.completed = answer.text("result") == "completed";
+            record.answer = answer.text("body");
+        }));
+    }
+    CHECK(wait_until(
+        [&] {
+            const auto journal = cell.executor_journal();
+            return std::ranges::all_of(
+                requests.records, [&](const auto& record) { return requests_run(journal, record.id) > 0; });
+        },
+        10s));
+    cell.host(faulty_host).signal(SIGTERM);
+    CHECK(cell.host(faulty_host).wait() == 0);
+    calls.clear();
+    fault.end(cell);
+    for (const auto& record : requests.records) {
+        INFO(record.id);
+        CHECK(record.completed);
+    }
+    wait_for_ends(cell, jobs);
+    const auto workers = cell.worker_journal();
+    for (const auto& record : jobs.records) {
+        CHECK(starts_of(workers, record.id) == 1);
+    }
+    check_invariants(workers, cell.executor_journal());
+    check_records(jobs.records, workers, cell.executor_journal());
+    check_records(requests.records, workers, cell.executor_journal());
+    cell.start_host(faulty_host);
+    cell.wait_until_serving();
+}
+
+std::int64_t first_list_of(cell_fixture& cell, std::int64_t version) {
+    const auto journal = http("GET", cell.fleet_port(), "/journal?from=0").body.at("entries");
+    for (const auto& item : journal) {
+        if (item.at("kind") == "list" && item.value("value", std::int64_t{0}) >= version) {
+            return item.at("ms").get<std::int64_t>();
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 TEST_CASE("every step under every recoverable fault keeps what must always hold") {
     cell_fixture cell{{}};
     cell.wait_until_serving();
     cell.apply_first_note();
-    for (const auto& fault : faults()) {
+    const auto single = faults();
+    for (const auto& fault : single) {
         INFO(fault.name);
         run_fault(cell, fault);
     }
+    const auto together = both(named(single, "host-killed"), named(single, "log-answers-lost"));
+    INFO(together.name);
+    run_fault(cell, together);
+}
+
+TEST_CASE("a graceful shutdown under a fault cuts no request in flight and restarts no task") {
+    cell_fixture cell{{}};
+    cell.wait_until_serving();
+    cell.apply_first_note();
+    const auto all = faults();
+    for (const auto* name : {"log-slow", "log-answers-lost", "targets-silent", "fleet-lags"}) {
+        INFO(name);
+        shut_down_under(cell, named(all, name));
+    }
+}
+
+TEST_CASE("targets that the fleet list shows as leaving get no new work after 3 s, and theirs is finished") {
+    cell_fixture cell{{}};
+    cell.wait_until_serving();
+    cell.apply_first_note();
+    step_state jobs{.prefix = "before-leaving"};
+    submit_four(cell, jobs, 2000ms);
+    wait_for_starts(cell, jobs);
+
+    auto list = http("GET", cell.fleet_port(), "/fleet").body;
+    const auto version = list.at("version").get<std::int64_t>() + 1;
+    list["version"] = version;
+    for (const auto* kind : {"workers", "executors"}) {
+        for (auto& target : list.at(kind)) {
+            if (target.at("name") == "w11" || target.at("name") == "e11") {
+                target["state"] = "leaving";
+            }
+        }
+    }
+    REQUIRE(http("PUT", cell.fleet_port(), "/fleet", list.dump()).status / 100 == 2);
+    REQUIRE(wait_until([&] { return first_list_of(cell, version) > 0; }, 10s));
+    const auto shown = first_list_of(cell, version);
+    // Enough work after the 3 s that each target would get some.
+    for (int round = 0; round < 12; ++round) {
+        submit_four_more(cell, jobs, round);
+        for (int number = 0; number < 4; ++number) {
+            quick(cell, number % 3, "leaving-" + std::to_string(4 * round + number), true);
+        }
+        std::this_thread::sleep_for(400ms);
+    }
+    wait_for_ends(cell, jobs);
+    const auto workers = cell.worker_journal();
+    const auto executors = cell.executor_journal();
+    check_no_new_work(workers, "w11", shown);
+    check_no_new_work(executors, "e11", shown);
+    check_invariants(workers, executors);
+    check_records(jobs.records, workers, executors);
 }
--- a/tests/end_to_end/journal_checks.cpp
+++ b/tests/end_to_end/journal_checks.cpp
@@ -47,12 +47,6 @@
     }));
 }
 
-/// @return how many requests of the id the executors began.
-std::size_t requests_run(const std::vector<nlohmann::json>& journal, const std::string& id) {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        journal, [&](const auto& item) { return item.at("kind") == "start" && item.value("id", "") == id; }));
-}
-
 } // namespace
 
 std::size_t starts_of(const std::vector<nlohmann::json>& journal, const std::string& job) {
@@ -62,6 +56,11 @@
     }));
 }
 
+std::size_t requests_run(const std::vector<nlohmann::json>& journal, const std::string& id) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        journal, [&](const auto& item) { return item.at("kind") == "start" && item.value("id", "") == id; }));
+}
+
 void check_invariants(const std::vector<nlohmann::json>& workers,
                       const std::vector<nlohmann::json>& executors) {
     CHECK(violations(workers) == 0);
--- a/tests/end_to_end/journal_checks.h
+++ b/tests/end_to_end/journal_checks.h
@@ -25,6 +25,11 @@
 /// @return how many attempts of the job's tasks were started.
 std::size_t starts_of(const std::vector<nlohmann::json>& journal, const std::string& job);
 
+/// @param journal the entries of all executors.
+/// @param id "team/key".
+/// @return how many times an executor began the request.
+std::size_t requests_run(const std::vector<nlohmann::json>& journal, const std::string& id);
+
 /// Checks the promises that hold at all times, by the stand-ins' own journals: no capacity exceeded, no task
 /// in two places at once.
 void check_invariants(const std::vector<nlohmann::json>& workers,
