--- a/tests/end_to_end/fault_matrix_test.cpp
+++ b/tests/end_to_end/fault_matrix_test.cpp
@@ -402,7 +402,7 @@
 
 /// Two faults at the same time.
 matrix_fault both(const matrix_fault& first, const matrix_fault& second) {
-    return {.name = first.name + "+" + second.name,
+    return {.name = first.name + "-and-" + second.name,
             .begin =
                 [=](cell_fixture& cell) {
                     first.begin(cell);
