End the hosts of a simulated cell before what they tell of

Cause: a host that ends answers the calls that wait in it; the cell had destroyed its table of jobs by then. Two of four runs of bench_control_bench ended in a corrupted heap. Change: the cell's destructor ends the hosts first. Conclusion: the fault was in the test's cell, not in control.

--- a/tests/control/simulated_cell.cpp
+++ b/tests/control/simulated_cell.cpp
@@ -74,6 +74,13 @@
     }
 }
 
+simulated_cell::~simulated_cell() {
+    // A host that ends answers the calls that wait in it, which changes what was told of their jobs.
+    for (auto& state : this->hosts) {
+        state.control.reset();
+    }
+}
+
 core::data_centre_id simulated_cell::data_centre_of(int number) const {
     std::vector<core::data_centre_id> all;
     for (const auto& region : this->options.regions) {
--- a/tests/control/simulated_cell.h
+++ b/tests/control/simulated_cell.h
@@ -53,6 +53,9 @@
 class simulated_cell {
 public:
     explicit simulated_cell(simulated_cell_options options);
+    ~simulated_cell();
+    simulated_cell(const simulated_cell&) = delete;
+    simulated_cell& operator=(const simulated_cell&) = delete;
 
     /// Lets virtual time pass.
     void run_for(core::milliseconds time);
