--- a/src/app/control_orders.cpp
+++ b/src/app/control_orders.cpp
@@ -1,14 +1,31 @@
 #include "app/control_orders.h"
 
 #include "core/errors.h"
+#include "telemetry/logging.h"
 
-#include <cassert>
+#include <exception>
 #include <utility>
 
 namespace rattanmount::app {
 
 using control::host_control;
 
+namespace {
+
+/// Every order needs a reply, or the control thread would wait for it for good.
+/// @param otherwise the reply that claims nothing, for a call that ended with an error of its client.
+template <typename Reply, typename Call>
+Reply or_else(Reply otherwise, const Call& call) {
+    try {
+        return call();
+    } catch (const std::exception& error) {
+        telemetry::log_state("client_failed", {{"reason", error.what()}}, telemetry::log_level::error);
+        return otherwise;
+    }
+}
+
+} // namespace
+
 control_orders::control_orders(control_orders_options options)
     : options(std::move(options)), log_pool({.name = "log", .threads = this->options.log_threads}),
       lease_pool({.name = "lease", .threads = this->options.worker_threads}),
@@ -45,7 +62,9 @@
 
 void control_orders::append(const ledger::append_request& request) {
     this->log_pool.post([this, request] {
-        const auto reply = this->options.log.append(request.stream, request.bytes, this->options.log_timeout);
+        const auto reply = or_else<platform::append_reply>({.reason = "the client failed"}, [&] {
+            return this->options.log.append(request.stream, request.bytes, this->options.log_timeout);
+        });
         this->control.load()->reply([request, reply](host_control& state, core::steady_time now) {
             state.on_append(request.stream, request.sequence, reply, now);
         });
@@ -54,8 +73,10 @@
 
 void control_orders::read(const ledger::read_request& request) {
     this->log_pool.post([this, request] {
-        const auto reply = this->options.log.read(request.stream, request.from, this->options.read_bytes,
-                                                  this->options.log_timeout);
+        const auto reply = or_else<platform::read_reply>({.reason = "the client failed"}, [&] {
+            return this->options.log.read(request.stream, request.from, this->options.read_bytes,
+                                          this->options.log_timeout);
+        });
         this->control.load()->reply([request, reply](host_control& state, core::steady_time now) {
             state.on_read(request.stream, request.from, reply, now);
         });
@@ -64,8 +85,9 @@
 
 void control_orders::lease(const control::lease_order& order) {
     this->lease_pool.post([this, order] {
-        const auto reply =
-            this->options.workers.lease(order.address, order.request, this->options.worker_timeout);
+        const auto reply = or_else<platform::lease_reply>({}, [&] {
+            return this->options.workers.lease(order.address, order.request, this->options.worker_timeout);
+        });
         this->control.load()->reply([order, reply](host_control& state, core::steady_time now) {
             state.on_lease(order, reply, now);
         });
@@ -78,8 +100,10 @@
                                     .reason = "the lease lapsed before the start was sent"};
         // A process that was paused wakes in the past: the lease is checked just before the send.
         if (std::chrono::steady_clock::now() < order.not_after) {
-            reply = this->options.workers.start(order.address, order.lease, order.attempt, order.each,
-                                                order.payload, this->options.worker_timeout);
+            reply = or_else<platform::start_reply>({.reason = "the client failed"}, [&] {
+                return this->options.workers.start(order.address, order.lease, order.attempt, order.each,
+                                                   order.payload, this->options.worker_timeout);
+            });
         }
         this->control.load()->reply([order, reply](host_control& state, core::steady_time now) {
             state.on_start(order, reply, now);
--- a/tests/end_to_end/cell_fixture.cpp
+++ b/tests/end_to_end/cell_fixture.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/TemporaryFile.h>
@@ -27,9 +28,23 @@
     return "suva-" + std::to_string(number + 1);
 }
 
+/// A port below those that the system hands out to whoever asks for any, so that no other test takes it
+/// between this look and the start of the entry host. Runs of several processes begin at different ports.
 int free_port() {
-    const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{"127.0.0.1", 0}};
-    return socket.address().port();
+    constexpr int first = 10000;
+    constexpr int count = 20000;
+    static int next = static_cast<int>(Poco::Process::id()) * 97 % count;
+    while (true) {
+        const int port = first + next;
+        next = (next + 1) % count;
+        try {
+            const Poco::Net::ServerSocket socket{
+                Poco::Net::SocketAddress{"127.0.0.1", static_cast<Poco::UInt16>(port)}};
+            return port;
+        } catch (const Poco::Net::NetException&) {
+            continue;
+        }
+    }
 }
 
 std::string local(int port) {
