--- a/bench/quick_bench.cpp
+++ b/bench/quick_bench.cpp
@@ -56,6 +56,7 @@
     const auto count = static_cast<int>(std::chrono::nanoseconds{duration} / spacing);
     std::vector<measured> parts(threads);
     std::vector<std::thread> running;
+    running.reserve(static_cast<std::size_t>(threads));
     for (int number = 0; number < threads; ++number) {
         running.emplace_back([&, number] {
             auto& part = parts[static_cast<std::size_t>(number)];
--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -360,6 +360,7 @@
         found[view->host] = std::move(status);
     }
     std::vector<core::host_status> statuses;
+    statuses.reserve(found.size());
     for (auto& [name, status] : found) {
         statuses.push_back(std::move(status));
     }
@@ -460,14 +461,14 @@
 }
 
 void host_control::begin_payment(core::shard_id shard, const core::job_spec& spec, core::steady_time now,
-                                 owner_responder respond) {
+                                 const owner_responder& respond) {
     this->current_time = now;
     auto* keeper = this->owned_keeper(shard);
     if (keeper == nullptr) {
         respond({});
         return;
     }
-    keeper->begin_payment(spec, spec.service.value(), now, std::move(respond));
+    keeper->begin_payment(spec, spec.service.value(), now, respond);
 }
 
 void host_control::end_payment(core::shard_id shard, const core::job_id& job, core::outcome result,
--- a/src/control/host_control.h
+++ b/src/control/host_control.h
@@ -99,7 +99,7 @@
     void explain(core::shard_id shard, const core::job_id& job, core::steady_time now,
                  const owner_responder& respond) const;
     void begin_payment(core::shard_id shard, const core::job_spec& spec, core::steady_time now,
-                       owner_responder respond);
+                       const owner_responder& respond);
     void end_payment(core::shard_id shard, const core::job_id& job, core::outcome result,
                      const std::string& reason, std::function<void()> recorded);
 
--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -356,7 +356,7 @@
 }
 
 void shard_keeper::begin_payment(const core::job_spec& spec, const std::string& place, core::steady_time now,
-                                 owner_responder respond) {
+                                 const owner_responder& respond) {
     if (!this->run || this->current == shard_phase::releasing) {
         respond({});
         return;
--- a/src/control/shard_keeper.h
+++ b/src/control/shard_keeper.h
@@ -94,7 +94,7 @@
     /// @param respond called with `accepted` where this very call may send it, once; `ended` or `unsettled`
     ///        where an earlier call did.
     void begin_payment(const core::job_spec& spec, const std::string& place, core::steady_time now,
-                       owner_responder respond);
+                       const owner_responder& respond);
     /// Records how it ended.
     void end_payment(const core::job_id& job, core::outcome result, const std::string& reason,
                      std::function<void()> recorded);
--- a/tests/routing/slot_table_test.cpp
+++ b/tests/routing/slot_table_test.cpp
@@ -17,6 +17,7 @@
 
 std::vector<executor_info> executors(int count, std::uint32_t slots = 8) {
     std::vector<executor_info> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         made.push_back(
             {.name = core::executor_id{"x" + std::to_string(number)}, .service = templates, .slots = slots});
