Cut the fleet list by shard in a class of its own; answer a key conflict with 409

Cause: read as a newcomer, host_control held the questions about the fleet list beside everything else (877 lines) and found the owned keeper in five copies; a key used with another body was answered with 503. Change: fleet_map; one way to the keeper or the refusal; a conflict carries the job that stands. Conclusion: the decisions are the same ones, moved.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -8,6 +8,7 @@
 /// leave through host_hooks; the traffic threads that carry them out post the replies.
 
 #include "control/control_thread.h"
+#include "control/fleet_map.h"
 #include "control/host_control.h"
 #include "control/host_hooks.h"
 #include "control/job_runner.h"
--- a/src/control/host_control.cpp
+++ b/src/control/host_control.cpp
@@ -39,7 +39,7 @@
                .data_centre = this->options.data_centre,
                .suspect_after = this->options.suspect_after,
                .heartbeat_interval = this->options.heartbeat_interval}),
-      config_session([this] {
+      fleet(this->config, this->layout), config_session([this] {
           auto session = this->options.config_session;
           session.producer = this->options.incarnation;
           session.stream = config_stream(this->options.stream_prefix);
@@ -165,11 +165,9 @@
 
 void host_control::on_fleet(const platform::fleet_list& list, core::steady_time now) {
     this->current_time = now;
-    if (this->fleet_known && list.version < this->fleet.version) {
+    if (!this->fleet.take(list)) {
         return;
     }
-    this->fleet = list;
-    this->fleet_known = true;
     this->members.on_list(list.hosts);
     for (const auto& [shard, keeper] : this->keepers) {
         this->give_fleet_to(shard, *keeper, now);
@@ -177,25 +175,9 @@
 }
 
 void host_control::give_fleet_to(core::shard_id shard, shard_keeper& keeper, core::steady_time now) {
-    if (!this->fleet_known) {
-        return;
-    }
-    std::vector<platform::listed_worker> workers;
-    for (const auto& worker : this->fleet.workers) {
-        if (this->config.shard_of(worker.rack) == shard) {
-            workers.push_back(worker);
-        }
+    if (this->fleet.known()) {
+        keeper.set_fleet(this->fleet.workers_of(shard), this->fleet.executors_of(shard), now);
     }
-    std::vector<routing::executor_info> executors;
-    for (const auto& executor : this->fleet.executors) {
-        if (!executor.leaving && this->config.shard_of(executor.rack) == shard) {
-            executors.push_back({.name = executor.name,
-                                 .address = executor.address,
-                                 .service = executor.service,
-                                 .slots = executor.slots});
-        }
-    }
-    keeper.set_fleet(workers, executors, now);
 }
 
 void host_control::on_view(const cell::peer_view& view, core::steady_time now) {
@@ -275,38 +257,14 @@
 }
 
 void host_control::assign_racks() {
-    if (!this->fleet_known || !this->ready() || !this->config_session.log_available() ||
-        this->config_session.pending() > 0) {
+    if (!this->ready() || !this->config_session.log_available() || this->config_session.pending() > 0) {
         return;
     }
-    std::map<core::shard_id, std::size_t> load;
-    for (const auto& [rack, shard] : this->config.racks()) {
-        ++load[shard];
-    }
-    std::map<core::rack_id, core::data_centre_id> unknown;
-    const auto note = [&](const core::rack_id& rack, const core::data_centre_id& data_centre) {
-        if (!this->config.shard_of(rack)) {
-            unknown[rack] = data_centre;
-        }
-    };
-    for (const auto& worker : this->fleet.workers) {
-        note(worker.rack, worker.data_centre);
-    }
-    for (const auto& executor : this->fleet.executors) {
-        note(executor.rack, executor.data_centre);
-    }
-    for (const auto& [rack, data_centre] : unknown) {
-        const auto shards = this->layout.shards_in(data_centre);
-        if (shards.empty()) {
-            continue;
-        }
-        const auto least =
-            std::ranges::min(shards, {}, [&](const core::shard_id& shard) { return load[shard]; });
-        ++load[least];
-        this->config_session.add(ledger::rack_assigned{.rack = rack, .shard = least}, {.withdrawable = true},
+    for (const auto& [rack, shard] : this->fleet.racks_to_assign()) {
+        this->config_session.add(ledger::rack_assigned{.rack = rack, .shard = shard}, {.withdrawable = true},
                                  [this](ledger::settlement) {
-                                     for (const auto& [shard, keeper] : this->keepers) {
-                                         this->give_fleet_to(shard, *keeper, this->current_time);
+                                     for (const auto& [kept, keeper] : this->keepers) {
+                                         this->give_fleet_to(kept, *keeper, this->current_time);
                                      }
                                  });
     }
@@ -340,7 +298,7 @@
 
 std::vector<core::host_status> host_control::hosts(core::steady_time now) const {
     std::map<core::host_id, core::host_status> found;
-    for (const auto& listed : this->fleet.hosts) {
+    for (const auto& listed : this->fleet.hosts()) {
         found[listed.name] = {
             .host = listed.name, .data_centre = listed.data_centre, .leaving = listed.leaving};
     }
@@ -412,9 +370,8 @@
 void host_control::submit(core::shard_id shard, const core::job_spec& spec, core::system_time accepted_at,
                           bool moved, core::steady_time now, owner_responder respond) {
     this->current_time = now;
-    auto* keeper = this->owned_keeper(shard);
+    auto* keeper = this->keeper_or_refuse(shard, respond);
     if (keeper == nullptr) {
-        respond({});
         return;
     }
     const bool known = keeper->recorded().find(spec.id) != nullptr;
@@ -431,44 +388,32 @@
 
 void host_control::status(core::shard_id shard, const core::job_id& job, core::steady_time now,
                           const owner_responder& respond) const {
-    const auto* keeper = this->owned_keeper(shard);
-    if (keeper == nullptr) {
-        respond({});
-        return;
+    if (const auto* keeper = this->keeper_or_refuse(shard, respond)) {
+        keeper->status(job, now, respond);
     }
-    keeper->status(job, now, respond);
 }
 
 void host_control::cancel(core::shard_id shard, const core::job_id& job, core::steady_time now,
                           const owner_responder& respond) {
     this->current_time = now;
-    auto* keeper = this->owned_keeper(shard);
-    if (keeper == nullptr) {
-        respond({});
-        return;
+    if (auto* keeper = this->keeper_or_refuse(shard, respond)) {
+        keeper->cancel(job, now, respond);
     }
-    keeper->cancel(job, now, respond);
 }
 
 void host_control::explain(core::shard_id shard, const core::job_id& job, core::steady_time now,
                            const owner_responder& respond) const {
-    const auto* keeper = this->owned_keeper(shard);
-    if (keeper == nullptr) {
-        respond({});
-        return;
+    if (const auto* keeper = this->keeper_or_refuse(shard, respond)) {
+        keeper->explain(job, now, respond);
     }
-    keeper->explain(job, now, respond);
 }
 
 void host_control::begin_payment(core::shard_id shard, const core::job_spec& spec, core::steady_time now,
                                  const owner_responder& respond) {
     this->current_time = now;
-    auto* keeper = this->owned_keeper(shard);
-    if (keeper == nullptr) {
-        respond({});
-        return;
+    if (auto* keeper = this->keeper_or_refuse(shard, respond)) {
+        keeper->begin_payment(spec, spec.service.value(), now, respond);
     }
-    keeper->begin_payment(spec, spec.service.value(), now, respond);
 }
 
 void host_control::end_payment(core::shard_id shard, const core::job_id& job, core::outcome result,
@@ -703,44 +648,7 @@
 
 std::optional<std::string> host_control::never_fits(const core::job_spec& spec) const {
     const auto* team = this->config.policies().last_team(spec.id.team);
-    if (!this->fleet_known || this->fleet.workers.empty() || team == nullptr ||
-        spec.kind == core::work_kind::quick) {
-        return std::nullopt;
-    }
-    const auto& shards = this->layout.shards_of(team->region);
-    core::resources largest;
-    std::map<core::shard_id, core::resources> totals;
-    bool fits = false;
-    for (const auto& worker : this->fleet.workers) {
-        const auto shard = this->config.shard_of(worker.rack);
-        if (!shard || std::ranges::find(shards, *shard) == shards.end()) {
-            continue;
-        }
-        fits = fits || spec.each.fits_in(worker.capacity);
-        totals[*shard] += worker.capacity;
-        largest = {.millicores = std::max(largest.millicores, worker.capacity.millicores),
-                   .memory_mb = std::max(largest.memory_mb, worker.capacity.memory_mb),
-                   .accelerators = std::max(largest.accelerators, worker.capacity.accelerators)};
-    }
-    if (totals.empty()) {
-        return std::nullopt;
-    }
-    if (!fits) {
-        const auto excess = spec.each.first_excess(largest);
-        return "no worker can ever run a task of " + spec.each.text() + ": " +
-               (excess.empty() ? "no worker has all three amounts at once"
-                               : excess + " exceed the largest worker") +
-               " (" + largest.text() + ")";
-    }
-    if (spec.kind != core::work_kind::gang) {
-        return std::nullopt;
-    }
-    const auto all = spec.each * spec.tasks;
-    const bool room =
-        std::ranges::any_of(totals, [&](const auto& entry) { return all.fits_in(entry.second); });
-    return room ? std::nullopt
-                : std::optional<std::string>{"no shard has room for all " + std::to_string(spec.tasks) +
-                                             " tasks of the gang at once: " + all.text()};
+    return team == nullptr ? std::nullopt : this->fleet.never_fits(spec, team->region);
 }
 
 std::optional<core::shard_id> host_control::shard_with_room(const core::job_spec& spec) const {
@@ -866,6 +774,14 @@
     return keeper != nullptr && keeper->owned() ? keeper : nullptr;
 }
 
+shard_keeper* host_control::keeper_or_refuse(core::shard_id shard, const owner_responder& respond) const {
+    auto* keeper = this->owned_keeper(shard);
+    if (keeper == nullptr) {
+        respond({});
+    }
+    return keeper;
+}
+
 core::stream_id host_control::stream_of(core::shard_id shard) const {
     return core::stream_id{this->options.stream_prefix + "-shard-" + std::to_string(shard.value())};
 }
--- a/src/control/host_control.h
+++ b/src/control/host_control.h
@@ -3,6 +3,7 @@
 #include "cell/cell_layout.h"
 #include "cell/membership.h"
 #include "cell/peer_calls.h"
+#include "control/fleet_map.h"
 #include "control/host_hooks.h"
 #include "control/shard_keeper.h"
 #include "control/slot_broker.h"
@@ -151,6 +152,8 @@
 
     [[nodiscard]] shard_keeper* keeper_of(core::shard_id shard) const;
     [[nodiscard]] shard_keeper* owned_keeper(core::shard_id shard) const;
+    /// @return the keeper of a shard that this host owns; else nullptr, with the caller told so.
+    [[nodiscard]] shard_keeper* keeper_or_refuse(core::shard_id shard, const owner_responder& respond) const;
     [[nodiscard]] core::stream_id stream_of(core::shard_id shard) const;
     [[nodiscard]] shard_keeper_options options_for(core::shard_id shard);
     [[nodiscard]] slot_broker_options broker_options();
@@ -183,6 +186,7 @@
     cell::cell_layout layout;
     cell::membership members;
     ledger::config_fold config;
+    fleet_map fleet;
     ledger::stream_session config_session;
     std::map<core::shard_id, std::unique_ptr<shard_keeper>> keepers;
     /// Of the streams of shards that were kept before, since a producer's batches are numbered over its life.
@@ -192,8 +196,6 @@
     std::map<core::shard_id, core::steady_time> unlisted_since;
     slot_broker broker;
     std::vector<waiting_note> notes;
-    platform::fleet_list fleet;
-    bool fleet_known = false;
     bool config_read = false;
     bool leaving = false;
     bool log_was_available = false;
--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -15,6 +15,14 @@
     return answer_of(core::answer_state::refused, core::outcome::not_run, std::move(reason));
 }
 
+/// The refusal of a key that stands for another job; the job that stands goes along, so that the front end
+/// can tell it from other refusals.
+cell::owner_answer key_conflict(const core::job_spec& standing) {
+    auto answer = refused("key '" + standing.id.key.value() + "' was used before with another body");
+    answer.answer.status = core::job_status{.spec = standing};
+    return answer;
+}
+
 cell::owner_answer unsettled(std::string reason) {
     return answer_of(core::answer_state::unsettled, core::outcome::unknown, std::move(reason));
 }
@@ -272,7 +280,7 @@
     }
     const auto& known = entry != nullptr ? entry->spec : pending->second.spec;
     if (known.fingerprint() != spec.fingerprint()) {
-        respond(refused("key '" + spec.id.key.value() + "' was used before with another body"));
+        respond(key_conflict(known));
         return;
     }
     if (entry != nullptr) {
@@ -365,7 +373,7 @@
     if (entry != nullptr || this->accepting.contains(spec.id)) {
         const auto& known = entry != nullptr ? entry->spec : this->accepting[spec.id].spec;
         if (known.fingerprint() != spec.fingerprint()) {
-            respond(refused("key '" + spec.id.key.value() + "' was used before with another body"));
+            respond(key_conflict(known));
         } else if (entry != nullptr && entry->ended) {
             respond(this->answer_for(*entry, now));
         } else {
--- a/tests/end_to_end/path_test.cpp
+++ b/tests/end_to_end/path_test.cpp
@@ -29,6 +29,7 @@
     CHECK(repeated.text("state") != "refused");
     const auto other_body = cell.submit(1, "sheets-1", 300ms, 3);
     CHECK(other_body.text("state") == "refused");
+    CHECK(other_body.status == 409);
     const auto ended = cell.wait_for_end(2, "sheets-1", 10s);
     INFO(ended.dump());
     CHECK(text_of(ended, "result") == "completed");
