Let one piece of code serve twins: durations, deadlines; drop a parameter that nothing read

Cause: read once more, the stand-in had a parser of durations beside core's, the time left until a deadline stood in two files of app, and check_owner took a time that it did not use. Change: core::parse_duration in the stand-in, app/deadline.h, no parameter.

--- a/dev/stand_ins/main.cpp
+++ b/dev/stand_ins/main.cpp
@@ -1,5 +1,5 @@
+#include "core/duration_text.h"
 #include "core/errors.h"
-#include "core/time.h"
 #include "stand_ins/stand_ins.h"
 
 #include <cxxopts.hpp>
@@ -47,19 +47,6 @@
     return options;
 }
 
-core::milliseconds parse_duration(const std::string& text) {
-    std::size_t end = 0;
-    const auto number = std::stoll(text, &end);
-    const auto unit = text.substr(end);
-    if (unit == "ms") {
-        return core::milliseconds{number};
-    }
-    if (unit == "s") {
-        return std::chrono::seconds{number};
-    }
-    throw core::invalid_argument("not a time such as 60s or 500ms: '" + text + "'");
-}
-
 std::string read_file(const std::string& name) {
     std::ifstream file{name};
     if (!file) {
@@ -92,9 +79,10 @@
     stand_ins::fault_board faults;
     const auto name = arguments["role"].as<std::string>();
     if (name == "log") {
-        stand_ins::log_role role{{.retention_entries = arguments["retention-entries"].as<std::size_t>(),
-                                  .retention = parse_duration(arguments["retention"].as<std::string>())},
-                                 log};
+        stand_ins::log_role role{
+            {.retention_entries = arguments["retention-entries"].as<std::size_t>(),
+             .retention = core::parse_duration(arguments["retention"].as<std::string>())},
+            log};
         serve(arguments, role.hooks(), log, faults);
     } else if (name == "fleet") {
         stand_ins::fleet_role role{log, faults};
@@ -108,8 +96,8 @@
              .capacity = {.millicores = arguments["millicores"].as<std::int64_t>(),
                           .memory_mb = arguments["memory-mb"].as<std::int64_t>(),
                           .accelerators = arguments["accelerators"].as<std::int64_t>()},
-             .hold = parse_duration(arguments["hold"].as<std::string>()),
-             .usage_lag = parse_duration(arguments["usage-lag"].as<std::string>())},
+             .hold = core::parse_duration(arguments["hold"].as<std::string>()),
+             .usage_lag = core::parse_duration(arguments["usage-lag"].as<std::string>())},
             log,
             faults};
         serve(arguments, role.hooks(), log, faults);
--- a/src/app/job_calls.cpp
+++ b/src/app/job_calls.cpp
@@ -1,6 +1,7 @@
 #include "app/job_calls.h"
 
 #include "app/ask.h"
+#include "app/deadline.h"
 #include "core/errors.h"
 
 #include <algorithm>
@@ -17,10 +18,6 @@
     return {.owner = true, .answer = {.state = state, .result = result, .reason = reason}};
 }
 
-core::milliseconds left_until(core::steady_time deadline) {
-    return std::chrono::duration_cast<core::milliseconds>(deadline - std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 job_calls::job_calls(job_calls_options options, control::control_thread& control)
--- a/src/app/quick_calls.cpp
+++ b/src/app/quick_calls.cpp
@@ -1,6 +1,7 @@
 #include "app/quick_calls.h"
 
 #include "app/ask.h"
+#include "app/deadline.h"
 #include "core/errors.h"
 
 #include <algorithm>
@@ -22,10 +23,6 @@
     20};                                      ///< How far before its limit an attempt counts as abandoned.
 constexpr core::milliseconds owner_pause{50}; ///< Before the owner of a shard is looked for again.
 
-core::milliseconds left_until(core::steady_time deadline) {
-    return std::chrono::duration_cast<core::milliseconds>(deadline - std::chrono::steady_clock::now());
-}
-
 core::quick_answer not_run(std::string reason) {
     return {.result = core::outcome::not_run, .reason = std::move(reason)};
 }
--- a/src/control/shard_keeper.cpp
+++ b/src/control/shard_keeper.cpp
@@ -54,7 +54,7 @@
         this->slot_book.hold_until(now + this->options.longest_quick_limit);
         this->hold_begins = false;
     }
-    this->check_owner(now);
+    this->check_owner();
     if (this->current == shard_phase::reading && this->session.caught_up() && this->fold.anchored() &&
         this->session.log_available() && now >= this->next_claim) {
         const auto& owner = this->fold.owner();
@@ -149,8 +149,7 @@
     }
 }
 
-void shard_keeper::check_owner(core::steady_time now) {
-    static_cast<void>(now);
+void shard_keeper::check_owner() {
     const auto& owner = this->fold.owner();
     const bool mine = owner && owner->incarnation == this->options.incarnation;
     if (this->run && !mine && !this->release_recorded) {
@@ -197,12 +196,12 @@
 void shard_keeper::on_append(core::sequence_number sequence, const platform::append_reply& reply,
                              core::steady_time now) {
     this->session.on_append(sequence, reply, now);
-    this->check_owner(now);
+    this->check_owner();
 }
 
 void shard_keeper::on_read(core::log_offset from, const platform::read_reply& reply, core::steady_time now) {
     this->session.on_read(from, reply, now);
-    this->check_owner(now);
+    this->check_owner();
 }
 
 void shard_keeper::on_lease(const core::worker_id& worker, const platform::lease_reply& reply,
--- a/src/control/shard_keeper.h
+++ b/src/control/shard_keeper.h
@@ -120,7 +120,7 @@
     bool apply(core::log_offset offset, const ledger::record_batch& batch);
     void pump(core::steady_time now);
     void claim(core::steady_time now);
-    void check_owner(core::steady_time now);
+    void check_owner();
     void take(core::steady_time now);
     void lose();
     void finish_release(core::steady_time now);
