Make all calls to workers on one thread, and ask a worker once more before its runs are given up

Each call held a thread of the pool, some 400 of them.

Change: external/http_multiplexer makes many calls on one thread over non-blocking channels, with the pool's rules (nothing is sent twice, a silent connection closes its unproved siblings). The encoding of a request is shared with http_connection.

--- a/src/dispatch/hold_keeper.cpp
+++ b/src/dispatch/hold_keeper.cpp
@@ -27,7 +27,8 @@
 void hold_keeper::tick(core::steady_time now) {
     for (auto place = this->state.workers.begin(); place != this->state.workers.end();) {
         auto& worker = place->second;
-        if (worker.unanswered > 0 && !worker.given_up && this->lapsed(worker, now)) {
+        if (worker.unanswered > 0 && !worker.given_up && worker.asked_after_lapse &&
+            this->lapsed(worker, now)) {
             this->give_up_runs(worker, now);
         }
         if (!worker.listed && worker.runs.empty() && !worker.hold_out) {
@@ -64,6 +65,7 @@
     }
     worker.hold_out = true;
     worker.hold_sent = now;
+    worker.hold_after_lapse = this->lease_over(worker, now);
     this->state.options.hooks.hold(order);
 }
 
@@ -96,6 +98,7 @@
     }
     worker.hold_number++;
     worker.unanswered = 0;
+    worker.asked_after_lapse = false;
     worker.given_up = false;
     worker.held = true;
     worker.next_hold = now + shortest_hold_interval;
@@ -132,6 +135,7 @@
 
 void hold_keeper::unanswered(worker_state& worker, core::steady_time now) {
     worker.unanswered++;
+    worker.asked_after_lapse = worker.hold_after_lapse;
     // The first is repeated at once: one lost answer tells little, and nothing starts there meanwhile.
     const bool again = worker.unanswered > 1;
     worker.next_hold = now + (again ? this->state.options.hold_retry : shortest_hold_interval);
@@ -242,15 +246,18 @@
 }
 
 bool hold_keeper::lapsed(const worker_state& worker, core::steady_time now) const {
-    const auto margin = this->state.options.stop_time + lapse_margin;
+    return this->lease_over(worker, now - this->state.options.stop_time - lapse_margin);
+}
+
+bool hold_keeper::lease_over(const worker_state& worker, core::steady_time now) const {
     // A former leader may have extended the lease further than this host knows.
-    if (this->state.has_predecessor() && now <= this->state.inheritance_ends() + margin) {
+    if (this->state.has_predecessor() && now <= this->state.inheritance_ends()) {
         return false;
     }
-    if (now <= worker.lease_floor + margin) {
+    if (now <= worker.lease_floor) {
         return false;
     }
-    return !worker.clock.known() || now > worker.clock.surely_after(worker.lease_until) + margin;
+    return !worker.clock.known() || now > worker.clock.surely_after(worker.lease_until);
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/hold_keeper.h
+++ b/src/dispatch/hold_keeper.h
@@ -11,7 +11,8 @@
 ///
 /// Each worker has one hold out at a time, which waits at the worker for an end. A hold extends the lease
 /// only while the one before was answered, so that the lease of a worker that is cut off lapses in a known
-/// time. Owned by the dispatcher; the control thread only.
+/// time. Runs are given up only after a hold that was sent after that has failed too: an answer that was lost
+/// here, on a busy host, may have told of their ends. Owned by the dispatcher; the control thread only.
 class hold_keeper {
 public:
     hold_keeper(dispatch_state& state, run_book& runs, task_flow& flow)
@@ -37,7 +38,9 @@
     void take_missing(worker_state& worker, core::steady_time now);
     void give_up_runs(worker_state& worker, core::steady_time now);
     void forget_records_of(const core::worker_id& worker);
+    /// @return whether all that ran under the worker's lease has surely ended.
     [[nodiscard]] bool lapsed(const worker_state& worker, core::steady_time now) const;
+    [[nodiscard]] bool lease_over(const worker_state& worker, core::steady_time now) const;
 
     dispatch_state& state;
     run_book& runs;
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -49,6 +49,8 @@
     core::steady_time
         lease_floor;       ///< Before this its lease may hold on, by an order meant for an earlier life.
     bool hold_out = false; ///< A hold is on its way.
+    bool hold_after_lapse = false;     ///< The hold that is out was sent after the lease was over.
+    bool asked_after_lapse = false;    ///< Such a hold was not answered.
     std::uint64_t hold_number = 0;     ///< Counts the answers to holds.
     core::steady_time hold_sent;       ///< When the last hold was sent.
     core::steady_time next_hold;       ///< Not before.
--- a/src/external/external.h
+++ b/src/external/external.h
@@ -6,10 +6,11 @@
 ///
 /// One client for each service encodes its calls; http_caller makes them over a connection_pool of
 /// http_connection, and tells exactly what is known of each: not sent, answered, timed out or broken.
+/// http_multiplexer does the same for many calls at a time on one thread, over http_channel.
 ///
-/// Depends on: core; the clients also on Poco Net and nlohmann-json.
-/// Threads: traffic threads only; every call blocks up to its timeout. Each client's pool has one thread
-/// of its own, which closes idle connections.
+/// Depends on: core, telemetry; the clients also on Poco Net and nlohmann-json.
+/// Threads: traffic threads only; every call of http_caller blocks up to its timeout, and each client's pool
+/// has one thread of its own, which closes idle connections. A http_multiplexer has one thread for all.
 
 #include "external/executor_service.h"
 #include "external/fleet_service.h"
--- a/src/external/http_connection.cpp
+++ b/src/external/http_connection.cpp
@@ -1,24 +1,22 @@
 #include "external/http_connection.h"
 
 #include "core/errors.h"
+#include "external/http_encoding.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPHeaderStream.h>
-#include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
-#include <sstream>
+#include <utility>
 
 namespace rattanmount::external {
 
 namespace {
 
-constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
-
 bool is_timeout(const Poco::Exception* error) {
     return dynamic_cast<const Poco::TimeoutException*>(error) != nullptr;
 }
@@ -59,7 +57,8 @@
     ++this->exchanges;
     this->sent_at = std::chrono::steady_clock::now();
     try {
-        const auto bytes = this->encode(message, deadline);
+        const auto left = std::chrono::ceil<core::milliseconds>(time_left(deadline));
+        const auto bytes = encode_request(message, this->host, left);
         HTTPSession::write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
         return this->receive_answer(message);
     } catch (const Poco::Exception& error) {
@@ -76,47 +75,20 @@
     }
 }
 
-std::string http_connection::encode(const http_message& message, core::steady_time deadline) const {
-    Poco::Net::HTTPRequest head{message.method, message.target, Poco::Net::HTTPMessage::HTTP_1_1};
-    head.set(Poco::Net::HTTPRequest::HOST, message.host.empty() ? this->host : message.host);
-    if (!message.correlation.empty()) {
-        head.set(correlation_header, message.correlation);
-    }
-    for (const auto& header : message.headers) {
-        head.set(header.name, header.value);
-    }
-    if (message.send_limit) {
-        const auto left = std::chrono::ceil<core::milliseconds>(time_left(deadline));
-        head.set(limit_header, std::to_string(left.count()));
-    }
-    if (message.method != Poco::Net::HTTPRequest::HTTP_GET) {
-        head.setContentLength64(static_cast<Poco::Int64>(message.body.size()));
-    }
-    std::ostringstream bytes;
-    head.write(bytes);
-    bytes << message.body;
-    return bytes.str();
-}
-
 http_answer http_connection::receive_answer(const http_message& message) {
     Poco::Net::HTTPResponse head;
     Poco::Net::HTTPHeaderInputStream stream{*this};
     head.read(stream);
-    const bool bodiless = head.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
-    const auto length = bodiless ? 0 : head.getContentLength64();
-    if (length < 0 || static_cast<std::uint64_t>(length) > max_answer_bytes) {
+    const auto length = body_length(head);
+    if (!length) {
         return this->failure("the answer has no content length that can be taken", false);
     }
-    auto body = this->receive_body(static_cast<std::size_t>(length));
+    auto body = this->receive_body(*length);
     if (!message.correlation.empty() && head.get(correlation_header, "") != message.correlation) {
         return this->failure("the answer belongs to another call", false);
     }
     this->proved_at = std::chrono::steady_clock::now();
-    return http_answer{.fate = exchange_fate::answered,
-                       .status = static_cast<std::uint16_t>(head.getStatus()),
-                       .body = std::move(body),
-                       .version = head.get("ETag", ""),
-                       .keep_alive = head.getKeepAlive()};
+    return make_answer(head, std::move(body));
 }
 
 std::string http_connection::receive_body(std::size_t length) {
--- a/src/external/http_connection.h
+++ b/src/external/http_connection.h
@@ -51,7 +51,6 @@
                     const Poco::AutoPtr<deadline_socket>& impl, traffic_counters& counters);
 
     void connect_to(const core::endpoint& peer, core::steady_time deadline);
-    [[nodiscard]] std::string encode(const http_message& message, core::steady_time deadline) const;
     [[nodiscard]] http_answer receive_answer(const http_message& message);
     [[nodiscard]] std::string receive_body(std::size_t length);
     [[nodiscard]] http_answer failure(const std::string& reason, bool timed_out) const;
--- /dev/null
+++ b/src/external/http_multiplexer.cpp
@@ -0,0 +1,260 @@
+#include "external/http_multiplexer.h"
+
+#include "external/http_encoding.h"
+#include "telemetry/logging.h"
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <exception>
+#include <iterator>
+#include <utility>
+
+namespace rattanmount::external {
+
+namespace {
+
+/// How long the thread waits at most, and how often idle connections and queues are looked through.
+constexpr core::milliseconds longest_wait{500};
+
+} // namespace
+
+http_multiplexer::http_multiplexer(http_multiplexer_options options)
+    : options(options), thread([this](const std::stop_token& stop) { this->run(stop); }) {}
+
+http_multiplexer::~http_multiplexer() {
+    this->thread.request_stop();
+    this->waker.wake();
+    this->thread.join();
+}
+
+void http_multiplexer::post(std::function<void()> work) {
+    bool first = false;
+    {
+        const std::lock_guard guard{this->mutex};
+        first = this->posted.empty();
+        this->posted.push_back(std::move(work));
+    }
+    if (first) {
+        this->waker.wake();
+    }
+}
+
+void http_multiplexer::call(const core::endpoint& peer, const http_message& message,
+                            core::steady_time deadline, answered done) {
+    ++this->traffic.calls;
+    auto& state = this->peers.try_emplace(peer, peer, this->options.max_connections).first->second;
+    const auto left = std::chrono::ceil<core::milliseconds>(deadline - std::chrono::steady_clock::now());
+    this->start(state,
+                {.bytes = encode_request(message, peer.address + ":" + std::to_string(peer.port), left),
+                 .deadline = deadline,
+                 .done = std::move(done)});
+}
+
+void http_multiplexer::run(const std::stop_token& stop) {
+    this->polled.add(this->waker.socket(), Poco::Net::PollSet::POLL_READ);
+    while (!stop.stop_requested()) {
+        const auto wait = this->next_wait(std::chrono::steady_clock::now());
+        for (const auto& [socket, mode] :
+             this->polled.poll(Poco::Timespan{std::chrono::microseconds{wait}.count()})) {
+            if (socket == this->waker.socket()) {
+                this->waker.drain();
+            } else {
+                this->on_ready(socket);
+            }
+        }
+        this->run_posted();
+        const auto now = std::chrono::steady_clock::now();
+        this->expire(now);
+        this->sweep(now);
+    }
+}
+
+void http_multiplexer::run_posted() {
+    std::vector<std::function<void()>> work;
+    {
+        const std::lock_guard guard{this->mutex};
+        work.swap(this->posted);
+    }
+    for (const auto& one : work) {
+        try {
+            one();
+        } catch (const std::exception& error) {
+            telemetry::log_state("a call could not be made", {{"reason", error.what()}},
+                                 telemetry::log_level::error);
+        }
+    }
+}
+
+core::milliseconds http_multiplexer::next_wait(core::steady_time now) const {
+    if (this->deadlines.empty()) {
+        return longest_wait;
+    }
+    const auto left = std::chrono::ceil<core::milliseconds>(this->deadlines.begin()->first - now);
+    return std::clamp(left, core::milliseconds{0}, longest_wait);
+}
+
+void http_multiplexer::on_ready(const Poco::Net::Socket& socket) {
+    const auto found = this->lines.find(socket);
+    if (found == this->lines.end()) {
+        return;
+    }
+    auto& line = *found->second;
+    if (!line.done) {
+        // An idle connection has ended, or carries bytes that nobody asked for.
+        std::erase(line.peer.idle, &line);
+        this->close(line, false);
+        return;
+    }
+    if (auto answer = line.channel.proceed(std::chrono::steady_clock::now())) {
+        this->finish(line, std::move(*answer));
+    } else {
+        this->poll_for(line);
+    }
+}
+
+void http_multiplexer::start(peer_state& peer, pending_call call) {
+    if (!peer.idle.empty()) {
+        auto* const line = peer.idle.back();
+        peer.idle.pop_back();
+        this->use(*line, std::move(call));
+    } else if (peer.budget.take(std::chrono::steady_clock::now())) {
+        this->open_line(peer, std::move(call));
+    } else {
+        peer.waiting.push_back(std::move(call));
+    }
+}
+
+void http_multiplexer::open_line(peer_state& peer, pending_call call) {
+    try {
+        auto opened = std::make_unique<line>(peer, http_channel{peer.at, this->traffic});
+        auto& line = *opened;
+        this->polled.add(line.channel.socket(), Poco::Net::PollSet::POLL_READ);
+        this->lines.emplace(line.channel.socket(), std::move(opened));
+        this->use(line, std::move(call));
+    } catch (const Poco::Exception& error) {
+        peer.budget.give_back();
+        ++this->traffic.failures;
+        call.done(
+            {.fate = exchange_fate::not_sent, .body = "", .version = "", .reason = error.displayText()});
+    }
+}
+
+void http_multiplexer::use(line& line, pending_call call) {
+    line.done = std::move(call.done);
+    line.due = this->deadlines.emplace(call.deadline, &line);
+    if (auto answer = line.channel.begin(std::move(call.bytes), std::chrono::steady_clock::now())) {
+        this->finish(line, std::move(*answer));
+    } else {
+        this->poll_for(line);
+    }
+}
+
+void http_multiplexer::poll_for(line& line) {
+    const bool send = line.channel.wants_to_send();
+    if (send != line.polled_for_send) {
+        line.polled_for_send = send;
+        this->polled.update(line.channel.socket(),
+                            Poco::Net::PollSet::POLL_READ | (send ? Poco::Net::PollSet::POLL_WRITE : 0));
+    }
+}
+
+void http_multiplexer::finish(line& line, http_answer answer) {
+    this->deadlines.erase(line.due);
+    const auto done = std::exchange(line.done, nullptr);
+    auto& peer = line.peer;
+    if (answer.fate == exchange_fate::answered && answer.keep_alive &&
+        peer.idle.size() < this->options.max_idle) {
+        this->poll_for(line);
+        peer.idle.push_back(&line);
+    } else {
+        const bool failed = answer.fate != exchange_fate::answered;
+        this->traffic.failures += failed ? 1 : 0;
+        const bool reused = line.channel.reused();
+        const auto begun_at = line.channel.last_begin();
+        this->close(line, failed);
+        if (failed && reused) {
+            this->close_unproved(peer, begun_at);
+        }
+    }
+    done(std::move(answer));
+    this->start_waiting(peer);
+}
+
+void http_multiplexer::close(line& line, bool linger) {
+    if (linger && this->options.linger.count() > 0) {
+        line.peer.budget.linger(std::chrono::steady_clock::now() + this->options.linger);
+    } else {
+        line.peer.budget.give_back();
+    }
+    const auto socket = line.channel.socket();
+    this->polled.remove(socket);
+    this->lines.erase(socket);
+}
+
+void http_multiplexer::close_unproved(peer_state& peer, core::steady_time since) {
+    const auto idle = std::exchange(peer.idle, {});
+    for (auto* const line : idle) {
+        if (line->channel.last_good() >= since) {
+            peer.idle.push_back(line);
+        } else {
+            this->close(*line, true);
+        }
+    }
+}
+
+void http_multiplexer::start_waiting(peer_state& peer) {
+    while (!peer.waiting.empty()) {
+        if (peer.idle.empty() && !peer.budget.take(std::chrono::steady_clock::now())) {
+            return;
+        }
+        auto call = std::move(peer.waiting.front());
+        peer.waiting.pop_front();
+        if (peer.idle.empty()) {
+            this->open_line(peer, std::move(call));
+        } else {
+            this->start(peer, std::move(call));
+        }
+    }
+}
+
+void http_multiplexer::expire(core::steady_time now) {
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+        auto& line = *this->deadlines.begin()->second;
+        this->finish(line, line.channel.give_up());
+    }
+}
+
+void http_multiplexer::sweep(core::steady_time now) {
+    if (now < this->swept_at + longest_wait) {
+        return;
+    }
+    this->swept_at = now;
+    for (auto place = this->peers.begin(); place != this->peers.end();) {
+        auto& peer = place->second;
+        while (!peer.idle.empty() &&
+               peer.idle.front()->channel.last_good() + this->options.idle_limit <= now) {
+            auto* const line = peer.idle.front();
+            peer.idle.erase(peer.idle.begin());
+            this->close(*line, false);
+        }
+        this->refuse_late(peer, now);
+        this->start_waiting(peer);
+        const bool used = peer.budget.used(now) > 0 || !peer.waiting.empty();
+        place = used ? std::next(place) : this->peers.erase(place);
+    }
+}
+
+void http_multiplexer::refuse_late(peer_state& peer, core::steady_time now) {
+    while (!peer.waiting.empty() && peer.waiting.front().deadline <= now) {
+        const auto done = std::move(peer.waiting.front().done);
+        peer.waiting.pop_front();
+        ++this->traffic.failures;
+        done({.fate = exchange_fate::not_sent,
+              .body = "",
+              .version = "",
+              .reason = "all connections to " + peer.at.text() + " are in use"});
+    }
+}
+
+} // namespace rattanmount::external
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -92,6 +92,7 @@
     this->leader_writer.reset();
     this->own_writer.reset();
     this->traffic.stop();
+    this->options.workers = {}; // Ends the calls that are out, which would tell this host of their replies.
 }
 
 request_answer host_process::submit(workflow::job_request request, const workflow::queue_policy& policy,
@@ -231,32 +232,31 @@
 dispatch::dispatch_options host_process::make_dispatch_options() {
     auto made = this->options.dispatch;
     made.hooks.start = [this](const dispatch::start_order& order) {
-        this->traffic.post([this, order] {
-            const auto reply = this->options.workers.start(order);
-            this->post([order, reply](cell_control& control, core::steady_time now) {
-                control.work().on_start_reply(order, reply, now);
+        auto known = order;
+        known.payload.clear(); // The reply is told of the run alone.
+        this->options.workers.start(order, [this, known = std::move(known)](dispatch::order_reply reply) {
+            this->post([known, reply](cell_control& control, core::steady_time now) {
+                control.work().on_start_reply(known, reply, now);
             });
         });
     };
     made.hooks.stop = [this](const dispatch::stop_order& order) {
-        this->traffic.post([this, order] {
-            const auto reply = this->options.workers.stop(order);
+        this->options.workers.stop(order, [this, order](dispatch::order_reply reply) {
             this->post([order, reply](cell_control& control, core::steady_time now) {
                 control.work().on_stop_reply(order, reply, now);
             });
         });
     };
     made.hooks.hold = [this](const dispatch::hold_order& order) {
-        this->traffic.post([this, order] {
-            auto reply = this->options.workers.hold(order);
+        this->options.workers.hold(order, [this, order](dispatch::hold_reply reply) {
             reply.received_at = this->options.clock.steady();
-            this->post([order, reply](cell_control& control, core::steady_time now) {
+            this->post([order, reply = std::move(reply)](cell_control& control, core::steady_time now) {
                 control.work().on_hold_reply(order, reply, now);
             });
         });
     };
     made.hooks.pace = [this](const dispatch::pace_order& order) {
-        this->traffic.post([this, order] { this->options.workers.pace(order); });
+        this->options.workers.pace(order, [](dispatch::order_reply) {});
     };
     made.hooks.advise = [this](const dispatch::advice_order& order) {
         this->traffic.post([this, order] {
--- a/src/runtime/host_process.h
+++ b/src/runtime/host_process.h
@@ -23,13 +23,18 @@
 
 namespace rattanmount::runtime {
 
-/// Blocking calls that reach workers and the advisory service; any traffic thread may make them.
+/// Calls that reach workers and the advisory service; any thread may make them.
+///
+/// Those with a second argument return at once and tell the reply once, on a traffic thread. They hold what
+/// makes them, and tell nothing any more once they are gone.
 struct worker_calls {
-    std::function<dispatch::order_reply(const dispatch::start_order&)> start;
-    std::function<dispatch::order_reply(const dispatch::stop_order&)> stop;
-    std::function<dispatch::hold_reply(const dispatch::hold_order&)> hold;
-    std::function<dispatch::order_reply(const dispatch::pace_order&)> pace;
-    std::function<dispatch::advice_reply(const dispatch::advice_order&)> advise;
+    using told = std::function<void(dispatch::order_reply)>;
+
+    std::function<void(const dispatch::start_order&, told)> start;
+    std::function<void(const dispatch::stop_order&, told)> stop;
+    std::function<void(const dispatch::pace_order&, told)> pace;
+    std::function<void(const dispatch::hold_order&, std::function<void(dispatch::hold_reply)>)> hold;
+    std::function<dispatch::advice_reply(const dispatch::advice_order&)> advise; ///< Blocks.
 };
 
 /// The streams of the platform that a host reads, and how their entries are decoded.
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -62,6 +62,10 @@
     /// A worker and the hosts no longer reach each other; it runs on.
     void cut_worker(std::uint32_t index, bool cut);
 
+    /// Holds that are sent to a worker from now on are kept back at the leader, and told as not answered.
+    /// @param time how long each is kept back.
+    void stall_holds(std::uint32_t index, core::milliseconds time);
+
     /// A worker asks that nothing more be started on it.
     void drain_worker(std::uint32_t index);
 
@@ -124,6 +128,7 @@
         std::uint64_t next_end = 1;
         core::resources taken;
         bool cut = false;
+        core::milliseconds stall{0}; ///< Of holds to it; 0: none.
         bool listed = true;
         std::uint64_t life_number = 0;
         struct waiting_hold {
@@ -163,6 +168,7 @@
     core::steady_time time;
     std::multimap<core::steady_time, std::function<void()>> events;
     std::vector<sim_worker> workers;
+    std::map<core::worker_id, std::uint32_t> indexes;
     workflow::job_book book;
     std::unique_ptr<dispatch::dispatcher> dispatcher;
     std::uint64_t leader_number = 0;
--- /dev/null
+++ b/tests/external/http_multiplexer_test.cpp
@@ -0,0 +1,136 @@
+#include "external/http_multiplexer.h"
+#include "tests/external/scripted_server.h"
+#include "tests/external/stand_in_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <filesystem>
+#include <iterator>
+#include <mutex>
+#include <vector>
+
+using namespace platform_test;
+using external::exchange_fate;
+
+namespace {
+
+/// Collects the answers of a multiplexer.
+class answers {
+public:
+    external::http_multiplexer::answered taker() {
+        return [this](external::http_answer answer) {
+            const std::lock_guard guard{this->mutex};
+            this->got.push_back(std::move(answer));
+            this->changed.notify_all();
+        };
+    }
+
+    std::vector<external::http_answer> wait_for(std::size_t count, core::milliseconds limit) {
+        std::unique_lock lock{this->mutex};
+        this->changed.wait_for(lock, limit, [&] { return this->got.size() >= count; });
+        return this->got;
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<external::http_answer> got;
+};
+
+const external::http_message read_message{.method = "GET", .target = "/streams/a"};
+
+void call(external::http_multiplexer& calls, const core::endpoint& peer, core::milliseconds limit,
+          answers& told) {
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    calls.post(
+        [&calls, peer, deadline, taker = told.taker()] { calls.call(peer, read_message, deadline, taker); });
+}
+
+std::size_t threads_of_process() {
+    const std::filesystem::directory_iterator tasks{"/proc/self/task"};
+    return static_cast<std::size_t>(std::distance(begin(tasks), end(tasks)));
+}
+
+} // namespace
+
+TEST_CASE("calls that wait at their servers cost no thread") {
+    log_fixture log;
+    constexpr std::size_t count = 20;
+    log.server.order({.kind = stand_ins::fault_kind::slow, .count = count, .length = 200ms});
+    external::http_multiplexer calls{{}};
+    const auto before = threads_of_process();
+    answers told;
+    for (std::size_t i = 0; i < count; i++) {
+        call(calls, log.at(), 2s, told);
+    }
+    std::this_thread::sleep_for(50ms);
+    // The stand-in has a thread a connection, in the same process.
+    CHECK(threads_of_process() <= before + count);
+    const auto got = told.wait_for(count, 3s);
+    REQUIRE(got.size() == count);
+    for (const auto& answer : got) {
+        CHECK(answer.fate == exchange_fate::answered);
+    }
+}
+
+TEST_CASE("a connection is used again, and one that timed out is not") {
+    log_fixture log;
+    external::http_multiplexer calls{{}};
+    answers told;
+    call(calls, log.at(), 1s, told);
+    REQUIRE(told.wait_for(1, 2s).size() == 1);
+    call(calls, log.at(), 1s, told);
+    REQUIRE(told.wait_for(2, 2s).size() == 2);
+    CHECK(calls.counters().connections == 1);
+    log.server.order({.kind = stand_ins::fault_kind::silent_connections, .count = 1});
+    call(calls, log.at(), 100ms, told);
+    REQUIRE(told.wait_for(3, 2s).size() == 3);
+    CHECK(told.wait_for(3, 0ms).back().fate == exchange_fate::timed_out);
+    call(calls, log.at(), 1s, told);
+    REQUIRE(told.wait_for(4, 2s).size() == 4);
+    CHECK(told.wait_for(4, 0ms).back().fate == exchange_fate::answered);
+    CHECK(calls.counters().connections == 2);
+}
+
+TEST_CASE("a call to nobody is known not to have been sent") {
+    external::http_multiplexer calls{{}};
+    answers told;
+    call(calls, nobody(), 1s, told);
+    const auto got = told.wait_for(1, 2s);
+    REQUIRE(got.size() == 1);
+    CHECK(got.front().fate == exchange_fate::not_sent);
+}
+
+TEST_CASE("an answer may arrive in any pieces, and one that is cut short is told as broken") {
+    const bool whole = GENERATE(true, false);
+    const std::string body = "abc";
+    const auto length = std::to_string(body.size() + (whole ? 0 : 1));
+    scripted_server server{"", "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + body};
+    external::http_multiplexer calls{{}};
+    answers told;
+    call(calls, server.at(), 3s, told);
+    const auto got = told.wait_for(1, 4s);
+    REQUIRE(got.size() == 1);
+    CHECK(got.front().fate == (whole ? exchange_fate::answered : exchange_fate::broken));
+    CHECK(got.front().body == (whole ? body : ""));
+}
+
+TEST_CASE("calls beyond the connections of an endpoint wait for one, up to their deadline") {
+    log_fixture log;
+    log.server.order({.kind = stand_ins::fault_kind::slow, .count = 1, .length = 300ms});
+    external::http_multiplexer calls{{.max_connections = 1}};
+    answers told;
+    call(calls, log.at(), 2s, told);
+    call(calls, log.at(), 2s, told);
+    const auto got = told.wait_for(2, 3s);
+    REQUIRE(got.size() == 2);
+    CHECK(got.back().fate == exchange_fate::answered);
+    CHECK(calls.counters().connections == 1);
+    log.server.order({.kind = stand_ins::fault_kind::freeze, .length = 2s});
+    call(calls, log.at(), 2s, told);
+    call(calls, log.at(), 50ms, told);
+    const auto late = told.wait_for(3, 3s);
+    REQUIRE(late.size() >= 3);
+    CHECK(late[2].fate == exchange_fate::not_sent);
+}
