Prefer hosts that may use more of a processor as leaders

Cause: on the grown deployments most hosts have 0.12 of a core and 10 Mbit/s, six have 0.5. Change: members announce their share of a processor (setting processor_share). A host that is outranked by a factor of two waits 0.4 s longer with a claim, and a host that outranks the leader replaces it after 3 s. Seen and left: while the store is slow the lead changes twice within 2 s, since signs of life come late.

--- a/src/cell/leader_election.cpp
+++ b/src/cell/leader_election.cpp
@@ -17,6 +17,7 @@
     if (news) {
         this->claimed_at.reset();
         this->leader_gone = false;
+        this->epoch_seen_at = now;
         this->draw_spread();
     }
     const bool own = record.leader == this->options.self && !record.resigned;
@@ -43,24 +44,38 @@
     this->sign_at = now;
 }
 
-std::optional<workflow::leader_record> leader_election::claim(core::steady_time now) {
+std::optional<workflow::leader_record> leader_election::claim(core::steady_time now,
+                                                              claim_standing standing) {
     if (this->leading || this->resigning || !this->sign_at || !this->caught_up_at) {
         return std::nullopt;
     }
     if (this->claimed_at && now < *this->claimed_at + this->options.claim_retry) {
         return std::nullopt;
     }
-    const auto patience = this->last.resigned ? core::milliseconds{0}
-                          : this->leader_gone ? this->options.heir_delay
-                                              : this->options.suspect_after;
-    const auto suspected_at = *this->sign_at + patience + this->spread;
-    if (now < suspected_at || *this->caught_up_at < *this->sign_at + patience) {
+    if (!this->may_replace(now, standing) && !this->suspects(now, standing)) {
         return std::nullopt;
     }
     this->claimed_at = now;
     return workflow::leader_record{.epoch = this->last.epoch.next(), .leader = this->options.self};
 }
 
+bool leader_election::may_replace(core::steady_time now, claim_standing standing) const {
+    const bool reads = now - *this->caught_up_at < this->options.suspect_after;
+    return standing == claim_standing::outranks_leader && reads && this->epoch_seen_at &&
+           now >= *this->epoch_seen_at + this->options.outrank_after + this->spread;
+}
+
+bool leader_election::suspects(core::steady_time now, claim_standing standing) const {
+    auto patience = this->last.resigned ? core::milliseconds{0}
+                    : this->leader_gone ? this->options.heir_delay
+                                        : this->options.suspect_after;
+    if (standing == claim_standing::outranked) {
+        patience += this->options.outranked_delay;
+    }
+    return now >= *this->sign_at + patience + this->spread &&
+           *this->caught_up_at >= *this->sign_at + patience;
+}
+
 std::optional<workflow::leader_record> leader_election::heartbeat(core::steady_time now) {
     if (!this->leading || now < this->appended_at + this->options.heartbeat_interval) {
         return std::nullopt;
--- a/src/cell/leader_election.h
+++ b/src/cell/leader_election.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 #include "workflow/records.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 
@@ -18,10 +19,21 @@
     core::milliseconds claim_retry{1000};       ///< After which a claim that had no effect is made again.
     core::milliseconds read_gap{1500}; ///< Without answered reads; the leader is then given new time.
     core::milliseconds heir_delay{60}; ///< A leader whose process has surely ended is followed after this.
+    /// How much longer a host waits with a claim that others are better fitted to make.
+    core::milliseconds outranked_delay{400};
+    /// A leader that is outranked is replaced once it has led for so long.
+    core::milliseconds outrank_after{3000};
     /// Gives a number from 0 up to, but without, 1.
     std::function<double()> random;
 };
 
+/// How a host stands among those that could lead, by what it may use of a processor.
+enum class claim_standing : std::uint8_t {
+    equal,           ///< As good as any.
+    outranked,       ///< There are hosts that are fitter by far.
+    outranks_leader, ///< This host is fitter by far than the one that leads.
+};
+
 /// Decides when this host claims the lead of the cell, and whether it holds it.
 ///
 /// The log decides who leads: a claim names an epoch, the log refuses all appends under lower ones, and the
@@ -46,8 +58,10 @@
     void on_fenced(core::steady_time now);
 
     /// @param now the time.
+    /// @param standing of this host.
     /// @return the claim to append, where it is time for one.
-    [[nodiscard]] std::optional<workflow::leader_record> claim(core::steady_time now);
+    [[nodiscard]] std::optional<workflow::leader_record>
+    claim(core::steady_time now, claim_standing standing = claim_standing::equal);
 
     /// @param now the time.
     /// @return the sign of life to append, where this host leads and it is time for one.
@@ -68,8 +82,13 @@
     /// @return the epoch that is in force.
     [[nodiscard]] core::epoch_id epoch() const { return this->last.epoch; }
 
+    /// @return the last record on the lead.
+    [[nodiscard]] const workflow::leader_record& record() const { return this->last; }
+
 private:
     void draw_spread();
+    [[nodiscard]] bool may_replace(core::steady_time now, claim_standing standing) const;
+    [[nodiscard]] bool suspects(core::steady_time now, claim_standing standing) const;
 
     leader_election_options options;
     workflow::leader_record last;
@@ -79,6 +98,7 @@
     core::epoch_id fenced_epoch;              ///< The highest epoch that this host has lost.
     std::optional<core::steady_time> sign_at; ///< Of the last sign of life; empty before the first look.
     std::optional<core::steady_time> caught_up_at;
+    std::optional<core::steady_time> epoch_seen_at; ///< When the first record of the epoch was read.
     core::steady_time appended_at;
     std::optional<core::steady_time> claimed_at;
     core::milliseconds spread{0};
--- a/src/inner/gen/workflow_types.cpp
+++ b/src/inner/gen/workflow_types.cpp
@@ -2063,6 +2063,11 @@
   this->left = val;
 __isset.left = true;
 }
+
+void wf_member::__set_processor_share(const double val) {
+  this->processor_share = val;
+__isset.processor_share = true;
+}
 std::ostream& operator<<(std::ostream& out, const wf_member& obj)
 {
   obj.printTo(out);
@@ -2131,6 +2136,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->processor_share);
+          this->__isset.processor_share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2169,6 +2182,11 @@
     xfer += oprot->writeBool(this->left);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.processor_share) {
+    xfer += oprot->writeFieldBegin("processor_share", ::apache::thrift::protocol::T_DOUBLE, 6);
+    xfer += oprot->writeDouble(this->processor_share);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2181,6 +2199,7 @@
   swap(a.port, b.port);
   swap(a.data_centre, b.data_centre);
   swap(a.left, b.left);
+  swap(a.processor_share, b.processor_share);
   swap(a.__isset, b.__isset);
 }
 
@@ -2190,6 +2209,7 @@
   port = other66.port;
   data_centre = other66.data_centre;
   left = other66.left;
+  processor_share = other66.processor_share;
   __isset = other66.__isset;
 }
 wf_member::wf_member(wf_member&& other67) noexcept {
@@ -2198,6 +2218,7 @@
   port = other67.port;
   data_centre = std::move(other67.data_centre);
   left = other67.left;
+  processor_share = other67.processor_share;
   __isset = other67.__isset;
 }
 wf_member& wf_member::operator=(const wf_member& other68) {
@@ -2206,6 +2227,7 @@
   port = other68.port;
   data_centre = other68.data_centre;
   left = other68.left;
+  processor_share = other68.processor_share;
   __isset = other68.__isset;
   return *this;
 }
@@ -2215,6 +2237,7 @@
   port = other69.port;
   data_centre = std::move(other69.data_centre);
   left = other69.left;
+  processor_share = other69.processor_share;
   __isset = other69.__isset;
   return *this;
 }
@@ -2226,6 +2249,7 @@
   out << ", " << "port=" << to_string(port);
   out << ", " << "data_centre=" << to_string(data_centre);
   out << ", " << "left="; (__isset.left ? (out << to_string(left)) : (out << "<null>"));
+  out << ", " << "processor_share="; (__isset.processor_share ? (out << to_string(processor_share)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/inner/gen/workflow_types.h
+++ b/src/inner/gen/workflow_types.h
@@ -795,12 +795,13 @@
 std::ostream& operator<<(std::ostream& out, const wf_leader& obj);
 
 typedef struct _wf_member__isset {
-  _wf_member__isset() : incarnation(false), address(false), port(false), data_centre(false), left(false) {}
+  _wf_member__isset() : incarnation(false), address(false), port(false), data_centre(false), left(false), processor_share(false) {}
   bool incarnation :1;
   bool address :1;
   bool port :1;
   bool data_centre :1;
   bool left :1;
+  bool processor_share :1;
 } _wf_member__isset;
 
 class wf_member : public virtual ::apache::thrift::TBase {
@@ -815,7 +816,8 @@
               address(),
               port(0),
               data_centre(),
-              left(0) {
+              left(0),
+              processor_share(0) {
   }
 
   virtual ~wf_member() noexcept;
@@ -824,6 +826,7 @@
   int32_t port;
   std::string data_centre;
   bool left;
+  double processor_share;
 
   _wf_member__isset __isset;
 
@@ -837,6 +840,8 @@
 
   void __set_left(const bool val);
 
+  void __set_processor_share(const double val);
+
   bool operator == (const wf_member & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -851,6 +856,10 @@
       return false;
     else if (__isset.left && !(left == rhs.left))
       return false;
+    if (__isset.processor_share != rhs.__isset.processor_share)
+      return false;
+    else if (__isset.processor_share && !(processor_share == rhs.processor_share))
+      return false;
     return true;
   }
   bool operator != (const wf_member &rhs) const {
--- a/src/inner/workflow.thrift
+++ b/src/inner/workflow.thrift
@@ -93,4 +93,5 @@
   3: i32 port
   4: string data_centre
   5: optional bool left
+  6: optional double processor_share
 }
--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -249,6 +249,9 @@
     if (record.left) {
         to.__set_left(true);
     }
+    if (record.processor_share > 0) {
+        to.__set_processor_share(record.processor_share);
+    }
     return {.key = key_of(member_key, record.host.value()), .value = ledger::to_bytes(to)};
 }
 
@@ -290,7 +293,8 @@
         .incarnation = core::incarnation_id{from.incarnation},
         .inner = {.address = from.address, .port = static_cast<std::uint16_t>(from.port), .path = ""},
         .data_centre = core::data_centre_id{from.data_centre},
-        .left = from.left};
+        .left = from.left,
+        .processor_share = from.processor_share};
 }
 
 cell_record decode_leader(const std::string& value) {
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -12,6 +12,8 @@
 constexpr core::milliseconds forget_interval{5000};
 /// How often a host that leads or follows looks for what is due.
 constexpr core::milliseconds tick_interval{100};
+/// A host outranks another that may use so many times less of a processor.
+constexpr double outranking_factor = 2;
 
 } // namespace
 
@@ -142,7 +144,7 @@
         this->election.on_fenced(now);
     }
     this->follow_lead(now);
-    if (const auto claim = this->election.claim(now)) {
+    if (const auto claim = this->election.claim(now, this->standing())) {
         telemetry::log_state("claim the lead", {{"epoch", std::to_string(claim->epoch.value())}});
         this->store_lead(*claim);
     }
@@ -154,6 +156,23 @@
     this->forget_old_jobs(now);
 }
 
+cell::claim_standing cell_control::standing() const {
+    const auto own = this->options.self.processor_share;
+    double best = 0;
+    double leading = 0;
+    for (const auto& [host, member] : this->book.members()) {
+        best = std::max(best, member.processor_share);
+        if (member.incarnation == this->election.record().leader) {
+            leading = member.processor_share;
+        }
+    }
+    if (leading > 0 && own >= leading * outranking_factor) {
+        return cell::claim_standing::outranks_leader;
+    }
+    return own > 0 && best >= own * outranking_factor ? cell::claim_standing::outranked
+                                                      : cell::claim_standing::equal;
+}
+
 core::steady_time cell_control::next_due(core::steady_time now) const {
     return std::min(now + tick_interval, this->dispatcher.next_due(now));
 }
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -127,6 +127,7 @@
 
 private:
     void on_change(const workflow::book_change& change, core::steady_time now);
+    [[nodiscard]] cell::claim_standing standing() const;
     void follow_lead(core::steady_time now);
     void store_lead(const workflow::leader_record& record);
     void lead_written(const workflow::leader_record& record, write_fate fate, core::steady_time now);
--- a/src/settings/cell_host_settings.cpp
+++ b/src/settings/cell_host_settings.cpp
@@ -59,6 +59,18 @@
         return this->time(key, fallback, unit);
     }
 
+    [[nodiscard]] double number(const std::string& key, double fallback) {
+        this->known.insert(key);
+        const auto found = this->object.find(key);
+        if (found == this->object.end()) {
+            return fallback;
+        }
+        if (!found->is_number() || found->get<double>() < 0) {
+            throw core::invalid_argument(this->name_of(key) + ": must be a number, 0 or more");
+        }
+        return found->get<double>();
+    }
+
     [[nodiscard]] object_view object_at(const std::string& key) {
         return {this->required(key), this->name_of(key)};
     }
@@ -84,10 +96,7 @@
         if (found == this->object.end()) {
             return fallback;
         }
-        if (!found->is_number() || found->get<double>() < 0) {
-            throw core::invalid_argument(this->name_of(key) + ": must be a time, 0 or more");
-        }
-        return core::milliseconds{std::llround(found->get<double>() * unit)};
+        return core::milliseconds{std::llround(this->number(key, 0) * unit)};
     }
 
     [[nodiscard]] std::string name_of(const std::string& key) const {
@@ -138,6 +147,7 @@
                             .stop_time = workers->milliseconds("stop_time_ms", settings.workers.stop_time)};
         workers->refuse_unknown();
     }
+    settings.processor_share = root.number("processor_share", settings.processor_share);
     settings.shutdown_grace = root.seconds("shutdown_grace_s", settings.shutdown_grace);
     if (auto logs = root.optional_object("logs")) {
         settings.logs = {.level = telemetry::parse_log_level(logs->text("level")),
--- a/src/settings/cell_host_settings.h
+++ b/src/settings/cell_host_settings.h
@@ -30,6 +30,7 @@
         core::milliseconds longest_lease{10000}; ///< Workers shorten longer ones.
         core::milliseconds stop_time{200};       ///< A worker takes at most so long to end a run.
     } workers;
+    double processor_share = 0;              ///< Of one core, that this host may use; 0: not known.
     core::milliseconds shutdown_grace{6000}; ///< Between a request to stop and a kill.
     telemetry::logging_options logs;
 };
--- a/src/workflow/records.h
+++ b/src/workflow/records.h
@@ -87,6 +87,7 @@
     core::endpoint inner; ///< Where it takes calls of the inner protocol.
     core::data_centre_id data_centre;
     bool left = false;
+    double processor_share = 0; ///< Of one core, that the host may use; 0: not known.
 };
 
 /// One entry of the cell's log.
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -18,10 +18,12 @@
     std::uint64_t offset = 0;
     std::unique_ptr<cell_control> control;
 
-    host_fixture() {
+    explicit host_fixture(double processor_share = 0) {
         cell_control_options options;
         options.election = {.self = core::incarnation_id{"me"}, .random = [] { return 0.5; }};
-        options.self = {.host = core::host_id{"host"}, .incarnation = core::incarnation_id{"me"}};
+        options.self = {.host = core::host_id{"host"},
+                        .incarnation = core::incarnation_id{"me"},
+                        .processor_share = processor_share};
         options.hooks.store = [this](const auto& records, log_writer::settled done) {
             this->stored.push_back(records);
             this->last_settled = std::move(done);
@@ -176,4 +178,47 @@
     CHECK_FALSE(host.control->leads());
 }
 
+TEST_CASE("of hosts of unlike size a large one claims the lead first, and replaces a small one") {
+    const auto member = [](const std::string& name, double share) {
+        return workflow::member_record{
+            .host = core::host_id{name}, .incarnation = core::incarnation_id{name}, .processor_share = share};
+    };
+    SECTION("a small host waits for the large ones") {
+        host_fixture host{0.12};
+        host.read({lead(1, "large"), member("large", 0.5)});
+        host.pass(1200ms);
+        host.read({});
+        host.pass(1ms);
+        CHECK(host.last_claim() == nullptr);
+        host.pass(400ms);
+        host.read({});
+        host.pass(1ms);
+        REQUIRE(host.last_claim() != nullptr);
+        CHECK(host.last_claim()->epoch == core::epoch_id{2});
+    }
+    SECTION("a large host replaces a small one that leads, after a while") {
+        host_fixture host{0.5};
+        host.read({lead(1, "small"), member("small", 0.12)});
+        for (int i = 0; i < 14; i++) {
+            host.pass(200ms);
+            host.read({lead(1, "small")});
+        }
+        CHECK(host.last_claim() == nullptr);
+        host.pass(300ms);
+        host.read({lead(1, "small")});
+        host.pass(100ms);
+        REQUIRE(host.last_claim() != nullptr);
+        CHECK(host.last_claim()->epoch == core::epoch_id{2});
+    }
+    SECTION("hosts of one size leave a leader alone") {
+        host_fixture host{0.5};
+        host.read({lead(1, "other"), member("other", 0.4)});
+        for (int i = 0; i < 30; i++) {
+            host.pass(200ms);
+            host.read({lead(1, "other")});
+        }
+        CHECK(host.last_claim() == nullptr);
+    }
+}
+
 } // namespace rattanmount::tests
