Record the workers in use, and see at the first look that a leader's host began another life

Change: the leader records the workers that it may start tasks on before the first start there; a successor goes on as soon as none of them is missing. The record of the lead names the host, so that a member record after it tells of the leader's end.

--- a/src/cell/leader_election.cpp
+++ b/src/cell/leader_election.cpp
@@ -24,8 +24,9 @@
     this->leading = own && !this->resigning && record.epoch > this->fenced_epoch;
 }
 
-void leader_election::on_incarnation_gone(const core::incarnation_id& gone) {
-    this->leader_gone = this->leader_gone || gone == this->last.leader;
+void leader_election::on_member(const core::host_id& host, const core::incarnation_id& incarnation) {
+    const bool another_life = host == this->last.host && incarnation != this->last.leader;
+    this->leader_gone = this->leader_gone || another_life;
 }
 
 void leader_election::on_caught_up(core::steady_time now) {
@@ -56,7 +57,8 @@
         return std::nullopt;
     }
     this->claimed_at = now;
-    return workflow::leader_record{.epoch = this->last.epoch.next(), .leader = this->options.self};
+    return workflow::leader_record{
+        .epoch = this->last.epoch.next(), .host = this->options.host, .leader = this->options.self};
 }
 
 bool leader_election::may_replace(core::steady_time now, claim_standing standing) const {
--- a/src/cell/leader_election.h
+++ b/src/cell/leader_election.h
@@ -12,7 +12,8 @@
 
 /// What a leader_election is made of.
 struct leader_election_options {
-    core::incarnation_id self;
+    core::host_id host;
+    core::incarnation_id self; ///< The life of the host.
     core::milliseconds heartbeat_interval{250}; ///< Between two signs of life of the leader in the log.
     core::milliseconds suspect_after{1000};     ///< Silence of the leader after which its lead is claimed.
     core::milliseconds claim_spread{150};       ///< Claims of several hosts are spread over this time.
@@ -46,9 +47,10 @@
     /// Takes a record on the lead, in the order of the log.
     void on_record(const workflow::leader_record& record, core::steady_time now);
 
-    /// A host of the cell has begun another life, so that the process with its former incarnation is gone.
-    /// @param gone the former incarnation.
-    void on_incarnation_gone(const core::incarnation_id& gone);
+    /// A host of the cell was read to live, in the order of the log.
+    /// @param host the host.
+    /// @param incarnation its life. Where the leader led in an earlier one, its process has ended.
+    void on_member(const core::host_id& host, const core::incarnation_id& incarnation);
 
     /// The log has answered a read that gave everything up to its end.
     void on_caught_up(core::steady_time now);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -15,6 +15,8 @@
 constexpr core::milliseconds retry_check_interval{100};
 /// Tasks are placed at most so often, so that many ends in a row are weighed together.
 constexpr core::milliseconds place_interval{4};
+/// Workers that are gone are taken out of the roster at most so often.
+constexpr core::milliseconds roster_removal_interval{5000};
 /// A former leader may have started a task so many times unrecorded in one epoch.
 constexpr std::uint32_t runs_per_epoch = 64;
 
@@ -35,6 +37,12 @@
     this->seen_fence = false;
     this->settled = false;
     this->inheritance_over = false;
+    this->inherited_roster = book.roster();
+    this->recorded_roster = book.roster();
+    this->roster_out = false;
+    for (auto& [id, worker] : this->state.workers) {
+        worker.rostered = this->recorded_roster.contains(id);
+    }
     for (const auto& [key, entry] : book.jobs()) {
         if (!workflow::over(entry->phase())) {
             this->open_job(*entry);
@@ -68,6 +76,7 @@
     worker.listed = true;
     if (added) {
         worker.entry = entry;
+        worker.rostered = this->state.leading && this->recorded_roster.contains(entry.worker);
         return;
     }
     if (entry.life < worker.entry.life) {
@@ -280,6 +289,37 @@
     }
 }
 
+std::optional<workflow::roster_record> dispatcher::roster(core::steady_time now) {
+    if (!this->state.leading || this->roster_out || !this->state.workers_known) {
+        return std::nullopt;
+    }
+    const bool added = std::any_of(this->state.workers.begin(), this->state.workers.end(), [](const auto& place) {
+        return place.second.listed && !place.second.rostered;
+    });
+    const bool removed = this->recorded_roster.size() > this->state.workers.size();
+    if (!added && !(removed && now >= this->rostered_at + roster_removal_interval)) {
+        return std::nullopt;
+    }
+    workflow::roster_record record;
+    for (const auto& [id, worker] : this->state.workers) {
+        record.workers.insert(id);
+    }
+    this->roster_out = true;
+    this->rostered_at = now;
+    return record;
+}
+
+void dispatcher::roster_recorded(core::epoch_id epoch, const workflow::roster_record& record) {
+    if (!this->state.leading || epoch != this->state.token) {
+        return;
+    }
+    this->roster_out = false;
+    this->recorded_roster = record.workers;
+    for (auto& [id, worker] : this->state.workers) {
+        worker.rostered = worker.rostered || record.workers.contains(id);
+    }
+}
+
 void dispatcher::open_due_occurrences(live_job& job, core::steady_time now, core::system_time system) {
     const auto& request = job.entry->accepted.request;
     while (!job.cancelled && job.next_occurrence < request.occurrences()) {
@@ -389,7 +429,7 @@
     if (now >= this->state.inheritance_ends()) {
         return true;
     }
-    if (now < this->state.list_complete_at) {
+    if (!this->list_complete(now)) {
         return false;
     }
     return std::all_of(this->state.workers.begin(), this->state.workers.end(), [](const auto& place) {
@@ -397,6 +437,17 @@
     });
 }
 
+bool dispatcher::list_complete(core::steady_time now) const {
+    if (now >= this->state.list_complete_at) {
+        return true;
+    }
+    const auto& roster = this->inherited_roster;
+    return !roster.empty() && std::all_of(roster.begin(), roster.end(), [this](const core::worker_id& id) {
+        const auto place = this->state.workers.find(id);
+        return place != this->state.workers.end() && place->second.listed;
+    });
+}
+
 void dispatcher::retry_orders(core::steady_time now) {
     if (now < this->retried_at + retry_check_interval) {
         return;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -94,6 +94,16 @@
     /// A batch of progress is in the log.
     void recorded(const progress_batch& batch);
 
+    /// @param now the time.
+    /// @return the workers on which tasks may be started, where they are to be recorded; one record is out at
+    /// a time.
+    [[nodiscard]] std::optional<workflow::roster_record> roster(core::steady_time now);
+
+    /// A roster is in the log.
+    /// @param epoch in which it was given.
+    /// @param record the roster.
+    void roster_recorded(core::epoch_id epoch, const workflow::roster_record& record);
+
     /// @return whether a worker has refused an order for a higher token since lead().
     [[nodiscard]] bool fenced() const { return this->seen_fence; }
 
@@ -105,6 +115,7 @@
     void place_gang(live_step& step, core::steady_time now);
     [[nodiscard]] bool may_start(const live_step& step, const live_task& task, core::steady_time now) const;
     [[nodiscard]] bool inheritance_settled(core::steady_time now) const;
+    [[nodiscard]] bool list_complete(core::steady_time now) const;
     void retry_orders(core::steady_time now);
     void retry_order(live_step& step, std::uint32_t index, live_run& run, core::steady_time now);
     void forget_over_jobs();
@@ -117,6 +128,10 @@
     advice_keeper advice;
     bool seen_fence = false;
     bool recording = false;
+    bool roster_out = false;
+    std::set<core::worker_id> recorded_roster;
+    std::set<core::worker_id> inherited_roster; ///< As the log had it at lead().
+    core::steady_time rostered_at;
     bool settled = false;          ///< All workers of the time of lead() have answered or lost their leases.
     bool inheritance_over = false; ///< What a former leader may have started has surely ended.
     core::steady_time recorded_at;
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -43,6 +43,7 @@
 struct worker_state {
     worker_entry entry;
     bool listed = true; ///< In the platform's list.
+    bool rostered = false; ///< The log has it among the workers on which tasks may have been started.
     bool held = false;  ///< It has answered a hold under the token in force.
     worker_clock clock;
     worker_time lease_until{0}; ///< The latest end of its lease that was sent to it.
@@ -71,7 +72,7 @@
 
     /// @return whether tasks may be started on it as far as the worker itself goes.
     [[nodiscard]] bool accepts(core::steady_time now) const {
-        return this->listed && this->held && !this->foreign_runs && !this->entry.draining &&
+        return this->listed && this->rostered && this->held && !this->foreign_runs && !this->entry.draining &&
                this->unanswered == 0 && now >= this->avoid_until;
     }
 
--- a/src/inner/gen/workflow_types.cpp
+++ b/src/inner/gen/workflow_types.cpp
@@ -1908,6 +1908,11 @@
   this->resigned = val;
 __isset.resigned = true;
 }
+
+void wf_leader::__set_host(const std::string& val) {
+  this->host = val;
+__isset.host = true;
+}
 std::ostream& operator<<(std::ostream& out, const wf_leader& obj)
 {
   obj.printTo(out);
@@ -1960,6 +1965,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1990,6 +2003,11 @@
     xfer += oprot->writeBool(this->resigned);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.host) {
+    xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->host);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2000,6 +2018,7 @@
   swap(a.epoch, b.epoch);
   swap(a.leader, b.leader);
   swap(a.resigned, b.resigned);
+  swap(a.host, b.host);
   swap(a.__isset, b.__isset);
 }
 
@@ -2007,18 +2026,21 @@
   epoch = other62.epoch;
   leader = other62.leader;
   resigned = other62.resigned;
+  host = other62.host;
   __isset = other62.__isset;
 }
 wf_leader::wf_leader(wf_leader&& other63) noexcept {
   epoch = other63.epoch;
   leader = std::move(other63.leader);
   resigned = other63.resigned;
+  host = std::move(other63.host);
   __isset = other63.__isset;
 }
 wf_leader& wf_leader::operator=(const wf_leader& other64) {
   epoch = other64.epoch;
   leader = other64.leader;
   resigned = other64.resigned;
+  host = other64.host;
   __isset = other64.__isset;
   return *this;
 }
@@ -2026,6 +2048,7 @@
   epoch = other65.epoch;
   leader = std::move(other65.leader);
   resigned = other65.resigned;
+  host = std::move(other65.host);
   __isset = other65.__isset;
   return *this;
 }
@@ -2035,6 +2058,128 @@
   out << "epoch=" << to_string(epoch);
   out << ", " << "leader=" << to_string(leader);
   out << ", " << "resigned="; (__isset.resigned ? (out << to_string(resigned)) : (out << "<null>"));
+  out << ", " << "host="; (__isset.host ? (out << to_string(host)) : (out << "<null>"));
+  out << ")";
+}
+
+
+wf_roster::~wf_roster() noexcept {
+}
+
+
+void wf_roster::__set_workers(const std::vector<std::string> & val) {
+  this->workers = val;
+}
+std::ostream& operator<<(std::ostream& out, const wf_roster& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t wf_roster::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->workers.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->workers.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += iprot->readString(this->workers[_i70]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.workers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t wf_roster::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("wf_roster");
+
+  xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
+    std::vector<std::string> ::const_iterator _iter71;
+    for (_iter71 = this->workers.begin(); _iter71 != this->workers.end(); ++_iter71)
+    {
+      xfer += oprot->writeString((*_iter71));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(wf_roster &a, wf_roster &b) {
+  using ::std::swap;
+  swap(a.workers, b.workers);
+  swap(a.__isset, b.__isset);
+}
+
+wf_roster::wf_roster(const wf_roster& other72) {
+  workers = other72.workers;
+  __isset = other72.__isset;
+}
+wf_roster::wf_roster(wf_roster&& other73) noexcept {
+  workers = std::move(other73.workers);
+  __isset = other73.__isset;
+}
+wf_roster& wf_roster::operator=(const wf_roster& other74) {
+  workers = other74.workers;
+  __isset = other74.__isset;
+  return *this;
+}
+wf_roster& wf_roster::operator=(wf_roster&& other75) noexcept {
+  workers = std::move(other75.workers);
+  __isset = other75.__isset;
+  return *this;
+}
+void wf_roster::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "wf_roster(";
+  out << "workers=" << to_string(workers);
   out << ")";
 }
 
@@ -2203,42 +2348,42 @@
   swap(a.__isset, b.__isset);
 }
 
-wf_member::wf_member(const wf_member& other66) {
-  incarnation = other66.incarnation;
-  address = other66.address;
-  port = other66.port;
-  data_centre = other66.data_centre;
-  left = other66.left;
-  processor_share = other66.processor_share;
-  __isset = other66.__isset;
-}
-wf_member::wf_member(wf_member&& other67) noexcept {
-  incarnation = std::move(other67.incarnation);
-  address = std::move(other67.address);
-  port = other67.port;
-  data_centre = std::move(other67.data_centre);
-  left = other67.left;
-  processor_share = other67.processor_share;
-  __isset = other67.__isset;
-}
-wf_member& wf_member::operator=(const wf_member& other68) {
-  incarnation = other68.incarnation;
-  address = other68.address;
-  port = other68.port;
-  data_centre = other68.data_centre;
-  left = other68.left;
-  processor_share = other68.processor_share;
-  __isset = other68.__isset;
+wf_member::wf_member(const wf_member& other76) {
+  incarnation = other76.incarnation;
+  address = other76.address;
+  port = other76.port;
+  data_centre = other76.data_centre;
+  left = other76.left;
+  processor_share = other76.processor_share;
+  __isset = other76.__isset;
+}
+wf_member::wf_member(wf_member&& other77) noexcept {
+  incarnation = std::move(other77.incarnation);
+  address = std::move(other77.address);
+  port = other77.port;
+  data_centre = std::move(other77.data_centre);
+  left = other77.left;
+  processor_share = other77.processor_share;
+  __isset = other77.__isset;
+}
+wf_member& wf_member::operator=(const wf_member& other78) {
+  incarnation = other78.incarnation;
+  address = other78.address;
+  port = other78.port;
+  data_centre = other78.data_centre;
+  left = other78.left;
+  processor_share = other78.processor_share;
+  __isset = other78.__isset;
   return *this;
 }
-wf_member& wf_member::operator=(wf_member&& other69) noexcept {
-  incarnation = std::move(other69.incarnation);
-  address = std::move(other69.address);
-  port = other69.port;
-  data_centre = std::move(other69.data_centre);
-  left = other69.left;
-  processor_share = other69.processor_share;
-  __isset = other69.__isset;
+wf_member& wf_member::operator=(wf_member&& other79) noexcept {
+  incarnation = std::move(other79.incarnation);
+  address = std::move(other79.address);
+  port = other79.port;
+  data_centre = std::move(other79.data_centre);
+  left = other79.left;
+  processor_share = other79.processor_share;
+  __isset = other79.__isset;
   return *this;
 }
 void wf_member::printTo(std::ostream& out) const {
--- a/src/inner/gen/workflow_types.h
+++ b/src/inner/gen/workflow_types.h
@@ -39,6 +39,8 @@
 
 class wf_leader;
 
+class wf_roster;
+
 class wf_member;
 
 typedef struct _wf_step__isset {
@@ -734,10 +736,11 @@
 std::ostream& operator<<(std::ostream& out, const wf_progress& obj);
 
 typedef struct _wf_leader__isset {
-  _wf_leader__isset() : epoch(false), leader(false), resigned(false) {}
+  _wf_leader__isset() : epoch(false), leader(false), resigned(false), host(false) {}
   bool epoch :1;
   bool leader :1;
   bool resigned :1;
+  bool host :1;
 } _wf_leader__isset;
 
 class wf_leader : public virtual ::apache::thrift::TBase {
@@ -750,13 +753,15 @@
   wf_leader() noexcept
             : epoch(0),
               leader(),
-              resigned(0) {
+              resigned(0),
+              host() {
   }
 
   virtual ~wf_leader() noexcept;
   int64_t epoch;
   std::string leader;
   bool resigned;
+  std::string host;
 
   _wf_leader__isset __isset;
 
@@ -766,6 +771,8 @@
 
   void __set_resigned(const bool val);
 
+  void __set_host(const std::string& val);
+
   bool operator == (const wf_leader & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -776,6 +783,10 @@
       return false;
     else if (__isset.resigned && !(resigned == rhs.resigned))
       return false;
+    if (__isset.host != rhs.__isset.host)
+      return false;
+    else if (__isset.host && !(host == rhs.host))
+      return false;
     return true;
   }
   bool operator != (const wf_leader &rhs) const {
@@ -794,6 +805,50 @@
 
 std::ostream& operator<<(std::ostream& out, const wf_leader& obj);
 
+typedef struct _wf_roster__isset {
+  _wf_roster__isset() : workers(false) {}
+  bool workers :1;
+} _wf_roster__isset;
+
+class wf_roster : public virtual ::apache::thrift::TBase {
+ public:
+
+  wf_roster(const wf_roster&);
+  wf_roster(wf_roster&&) noexcept;
+  wf_roster& operator=(const wf_roster&);
+  wf_roster& operator=(wf_roster&&) noexcept;
+  wf_roster() noexcept {
+  }
+
+  virtual ~wf_roster() noexcept;
+  std::vector<std::string>  workers;
+
+  _wf_roster__isset __isset;
+
+  void __set_workers(const std::vector<std::string> & val);
+
+  bool operator == (const wf_roster & rhs) const
+  {
+    if (!(workers == rhs.workers))
+      return false;
+    return true;
+  }
+  bool operator != (const wf_roster &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const wf_roster & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(wf_roster &a, wf_roster &b);
+
+std::ostream& operator<<(std::ostream& out, const wf_roster& obj);
+
 typedef struct _wf_member__isset {
   _wf_member__isset() : incarnation(false), address(false), port(false), data_centre(false), left(false), processor_share(false) {}
   bool incarnation :1;
--- a/src/inner/workflow.thrift
+++ b/src/inner/workflow.thrift
@@ -85,6 +85,11 @@
   1: i64 epoch
   2: string leader
   3: optional bool resigned
+  4: optional string host
+}
+
+struct wf_roster {
+  1: list<string> workers
 }
 
 struct wf_member {
--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -20,6 +20,7 @@
 constexpr char progress_key = 'p';
 constexpr char leader_key = 'l';
 constexpr char member_key = 'm';
+constexpr char roster_key = 'w';
 constexpr std::size_t bits_per_byte = 8;
 
 std::string key_of(char kind, const std::string& name) {
@@ -234,6 +235,7 @@
     gen::wf_leader to;
     to.epoch = static_cast<std::int64_t>(record.epoch.value());
     to.leader = record.leader.value();
+    to.__set_host(record.host.value());
     if (record.resigned) {
         to.__set_resigned(true);
     }
@@ -255,6 +257,14 @@
     return {.key = key_of(member_key, record.host.value()), .value = ledger::to_bytes(to)};
 }
 
+keyed_bytes encode_one(const roster_record& record) {
+    gen::wf_roster to;
+    for (const auto& worker : record.workers) {
+        to.workers.push_back(worker.value());
+    }
+    return {.key = key_of(roster_key, ""), .value = ledger::to_bytes(to)};
+}
+
 cell_record decode_accepted(const keyed_bytes& bytes) {
     const auto from = ledger::from_bytes<gen::wf_accepted>(bytes.value);
     job_accepted record;
@@ -297,9 +307,19 @@
         .processor_share = from.processor_share};
 }
 
+cell_record decode_roster(const std::string& value) {
+    const auto from = ledger::from_bytes<gen::wf_roster>(value);
+    roster_record record;
+    for (const auto& worker : from.workers) {
+        record.workers.emplace(worker);
+    }
+    return record;
+}
+
 cell_record decode_leader(const std::string& value) {
     const auto from = ledger::from_bytes<gen::wf_leader>(value);
     return leader_record{.epoch = core::epoch_id{static_cast<std::uint64_t>(from.epoch)},
+                         .host = core::host_id{from.host},
                          .leader = core::incarnation_id{from.leader},
                          .resigned = from.resigned};
 }
@@ -342,6 +362,8 @@
         return decode_leader(bytes.value);
     case member_key:
         return decode_member(name, bytes.value);
+    case roster_key:
+        return decode_roster(bytes.value);
     default:
         throw core::invalid_argument("a record of the cell has the unknown key '" + bytes.key + "'");
     }
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -28,10 +28,7 @@
             this->election.on_leader_active(now);
         }
         if (const auto* member = std::get_if<workflow::member_record>(&record)) {
-            const auto known = this->book.members().find(member->host);
-            if (known != this->book.members().end() && known->second.incarnation != member->incarnation) {
-                this->election.on_incarnation_gone(known->second.incarnation);
-            }
+            this->election.on_member(member->host, member->incarnation);
         }
         this->on_change(this->book.apply(record, offset, now), now);
     }
@@ -152,6 +149,7 @@
         this->store_lead(*heartbeat);
     }
     this->dispatcher.run(now, system);
+    this->record_roster(now);
     this->record_progress(now);
     this->forget_old_jobs(now);
 }
@@ -223,6 +221,21 @@
     }
 }
 
+void cell_control::record_roster(core::steady_time now) {
+    const auto roster = this->dispatcher.roster(now);
+    if (!roster) {
+        return;
+    }
+    const auto epoch = this->election.epoch();
+    this->options.hooks.store_as_leader(epoch, {*roster}, [this, epoch, roster](write_fate fate) {
+        this->options.hooks.post([this, epoch, roster, fate](core::steady_time) {
+            if (fate == write_fate::stored) {
+                this->dispatcher.roster_recorded(epoch, *roster);
+            }
+        });
+    });
+}
+
 void cell_control::record_progress(core::steady_time now) {
     const auto batch = this->dispatcher.progress(now);
     if (!batch) {
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -132,6 +132,7 @@
     void store_lead(const workflow::leader_record& record);
     void lead_written(const workflow::leader_record& record, write_fate fate, core::steady_time now);
     void record_progress(core::steady_time now);
+    void record_roster(core::steady_time now);
     void forget_old_jobs(core::steady_time now);
     void announce();
 
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -199,7 +199,7 @@
 
 cell_control_options host_process::make_control_options() {
     cell_control_options made;
-    made.election = {.self = this->options.self.incarnation, .random = random_share};
+    made.election = {.host = this->options.self.host, .self = this->options.self.incarnation, .random = random_share};
     made.dispatch = this->make_dispatch_options();
     made.self = this->options.self;
     made.hooks.store_as_leader = [this](core::epoch_id epoch,
--- a/src/workflow/job_book.cpp
+++ b/src/workflow/job_book.cpp
@@ -120,4 +120,10 @@
     return {.what = book_change::kind::member};
 }
 
+book_change job_book::apply_one(const roster_record& record, core::log_offset /*offset*/,
+                                core::steady_time /*now*/) {
+    this->used_workers = record.workers;
+    return {};
+}
+
 } // namespace rattanmount::workflow
--- a/src/workflow/job_book.h
+++ b/src/workflow/job_book.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -70,6 +71,9 @@
     /// @return the last record on the lead.
     [[nodiscard]] const leader_record& leader() const { return this->lead; }
 
+    /// @return the workers on which a leader may have started tasks.
+    [[nodiscard]] const std::set<core::worker_id>& roster() const { return this->used_workers; }
+
     /// @return the hosts that have not left, by name.
     [[nodiscard]] const std::map<core::host_id, member_record>& members() const { return this->hosts; }
 
@@ -85,6 +89,7 @@
     book_change apply_one(const job_forgotten& record, core::log_offset offset, core::steady_time now);
     book_change apply_one(const leader_record& record, core::log_offset offset, core::steady_time now);
     book_change apply_one(const member_record& record, core::log_offset offset, core::steady_time now);
+    book_change apply_one(const roster_record& record, core::log_offset offset, core::steady_time now);
 
     jobs_by_key entries;
     struct early_cancellation {
@@ -94,6 +99,7 @@
     std::map<job_key, job_progress> early_progress;            ///< As above.
     leader_record lead;
     std::map<core::host_id, member_record> hosts;
+    std::set<core::worker_id> used_workers;
 };
 
 } // namespace rattanmount::workflow
--- a/src/workflow/records.h
+++ b/src/workflow/records.h
@@ -74,7 +74,8 @@
 /// A host leads the cell, or gives the lead up.
 struct leader_record {
     core::epoch_id epoch;
-    core::incarnation_id leader;
+    core::host_id host;          ///< That leads.
+    core::incarnation_id leader; ///< The life of that host.
     bool resigned = false;
 
     friend bool operator==(const leader_record&, const leader_record&) = default;
@@ -90,9 +91,14 @@
     double processor_share = 0; ///< Of one core, that the host may use; 0: not known.
 };
 
+/// The workers on which tasks may have been started. A worker is in it before the first start there.
+struct roster_record {
+    std::set<core::worker_id> workers;
+};
+
 /// One entry of the cell's log.
-using cell_record =
-    std::variant<job_accepted, job_cancelled, job_progress, job_forgotten, leader_record, member_record>;
+using cell_record = std::variant<job_accepted, job_cancelled, job_progress, job_forgotten, leader_record,
+                                 member_record, roster_record>;
 
 /// @param phase a phase.
 /// @return its name as in the source.
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -86,6 +86,7 @@
     cell.fails = [](const workflow::run_name&, std::uint32_t) { return true; };
     auto policy = plain_queue();
     policy.max_attempts = 3;
+    cell.run_for(100ms);
     cell.set_log_down(true);
     cell.submit(job("a", {small_step(1, 400ms)}), policy);
     cell.run_for(1s); // Two runs have failed, each on another worker, and a third is at work.
@@ -103,6 +104,7 @@
 
 TEST_CASE("a new leader waits for workers whose entries lapsed with the log") {
     simulated_cell cell{{.workers = 3}};
+    cell.run_for(100ms);
     cell.set_log_down(true);
     cell.submit(job("a", {small_step(1, 400ms), small_step(1, 60s)}), plain_queue());
     cell.run_for(1s); // The first step is done, which is not recorded.
@@ -120,6 +122,16 @@
     CHECK(cell.breaches().empty());
 }
 
+TEST_CASE("a new leader that has just met the log goes on at once where no worker is missing") {
+    simulated_cell cell{{.workers = 3}};
+    cell.submit(two_steps("a"), plain_queue());
+    cell.run_for(100ms);
+    cell.change_leader(2500ms);
+    cell.run_for(1200ms);
+    CHECK(cell.phase_of("a") == workflow::job_phase::completed);
+    CHECK(cell.breaches().empty());
+}
+
 TEST_CASE("tasks on a worker that is cut off are started elsewhere once its lease has lapsed") {
     simulated_cell cell{{.workers = 2}};
     cell.submit(job("a", {small_step(20, 6s)}), plain_queue());
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -278,6 +278,21 @@
         this->dispatcher->confirmed(this->time);
     }
     this->dispatcher->run(this->time, core::system_time{this->time.time_since_epoch()});
+    if (const auto roster = this->dispatcher->roster(this->time)) {
+        this->at(this->time + this->options.record_time, [this, roster, leader = this->leader_number] {
+            const auto store = [this, roster, leader] {
+                if (leader == this->leader_number) {
+                    this->book.apply(*roster, core::log_offset{++this->offset}, this->time);
+                    this->dispatcher->roster_recorded(core::epoch_id{leader}, *roster);
+                }
+            };
+            if (this->log_down) {
+                this->held_records.push_back(store);
+            } else {
+                store();
+            }
+        });
+    }
     const auto batch = this->dispatcher->progress(this->time);
     if (!batch) {
         return;
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -69,7 +69,9 @@
 }
 
 workflow::leader_record lead(std::uint64_t epoch, const std::string& who) {
-    return {.epoch = core::epoch_id{epoch}, .leader = core::incarnation_id{who}};
+    return {.epoch = core::epoch_id{epoch},
+            .host = core::host_id{"host of " + who},
+            .leader = core::incarnation_id{who}};
 }
 
 } // namespace
@@ -144,17 +146,34 @@
 TEST_CASE("the lead of a leader whose host has begun another life is claimed soon") {
     host_fixture host;
     const auto member = [](const std::string& incarnation) {
-        return workflow::member_record{.host = core::host_id{"its-host"},
+        return workflow::member_record{.host = core::host_id{"host of other"},
                                        .incarnation = core::incarnation_id{incarnation}};
     };
-    host.read({member("other"), lead(3, "other")});
-    host.read({member("another")});
+    const bool met_at_once = GENERATE(false, true);
+    if (met_at_once) {
+        // A host that starts reads only the newest record of each kind.
+        host.read({lead(3, "other"), member("another")});
+    } else {
+        host.read({member("other"), lead(3, "other")});
+        host.read({member("another")});
+    }
     host.pass(250ms);
     host.read({});
     host.pass(10ms);
     CHECK(host.last_claim() != nullptr);
 }
 
+TEST_CASE("a leader is not taken as gone for an earlier life of its host") {
+    host_fixture host;
+    host.read({workflow::member_record{.host = core::host_id{"host of other"},
+                                       .incarnation = core::incarnation_id{"earlier"}},
+               lead(3, "other")});
+    host.pass(250ms);
+    host.read({});
+    host.pass(10ms);
+    CHECK(host.last_claim() == nullptr);
+}
+
 TEST_CASE("the lead of a leader that resigned is claimed at once") {
     host_fixture host;
     host.read({lead(3, "other")});
