Keep only the end of jobs that are over, in the log and in memory

Cause: a host that starts loads the newest record of each key, base64 in JSON. Change: once nothing of an ended job runs, the leader records its end and drops what was handed in. A host that reads only the end knows the job, and takes a repeat of it as the same one. The stand-in cell of tests/dispatch keeps what was handed in by itself, since the book no longer does.

--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -50,10 +50,11 @@
     std::set<workflow::job_key> dirty;      ///< Jobs whose progress is to be recorded.
     std::set<workflow::job_key> undue;      ///< Jobs with occurrences that are not due yet.
     std::set<workflow::job_key> closing;    ///< Jobs that are over; forgotten once all their runs are.
-    bool place_wanted = false;              ///< Something changed that may let a task start.
-    std::set<core::worker_id> freed;        ///< Workers that can take more than when tasks were last placed.
-    bool urgent_record = false;             ///< A dirty job has changed its phase.
-    std::uint64_t ends_unrecorded = 0;      ///< Ends that wait to be recorded.
+    std::map<workflow::job_key, workflow::job_phase> closed; ///< Ended jobs to be recorded as closed.
+    bool place_wanted = false;                               ///< Something changed that may let a task start.
+    std::set<core::worker_id> freed;   ///< Workers that can take more than when tasks were last placed.
+    bool urgent_record = false;        ///< A dirty job has changed its phase.
+    std::uint64_t ends_unrecorded = 0; ///< Ends that wait to be recorded.
 
     /// @param now the time.
     /// @return whether orders may be given: this host leads and a rival cannot have taken over unseen.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -47,6 +47,8 @@
         if (!workflow::over(entry->phase())) {
             this->open_job(*entry);
             this->state.jobs.at(key)->inherited = true;
+        } else if (!entry->accepted.request.steps.empty()) {
+            this->state.closed.emplace(key, entry->phase());
         }
     }
     telemetry::log_state("lead taken", {{"epoch", std::to_string(epoch.value())},
@@ -61,6 +63,7 @@
     this->state.dirty.clear();
     this->state.undue.clear();
     this->state.closing.clear();
+    this->state.closed.clear();
     this->state.freed.clear();
     this->state.urgent_record = false;
     this->recording = false;
@@ -252,7 +255,7 @@
 std::optional<progress_batch> dispatcher::progress(core::steady_time now) {
     const bool due = this->state.urgent_record || now >= this->recorded_at + record_interval;
     if (!this->state.leading || this->recording || !due ||
-        (this->state.dirty.empty() && this->state.ends_unrecorded == 0)) {
+        (this->state.dirty.empty() && this->state.closed.empty() && this->state.ends_unrecorded == 0)) {
         return std::nullopt;
     }
     progress_batch batch{.epoch = this->state.token};
@@ -263,6 +266,10 @@
             batch.jobs.push_back(progress_of(*job->second));
         }
     }
+    for (const auto& [key, phase] : std::exchange(this->state.closed, {})) {
+        batch.jobs.push_back({.key = key, .phase = phase});
+        batch.closed.push_back(key);
+    }
     for (const auto& [id, worker] : this->state.workers) {
         if (worker.ends_seen > worker.ends_stored) {
             batch.ends.emplace(id, std::pair{worker.entry.life, worker.ends_seen});
@@ -293,9 +300,9 @@
     if (!this->state.leading || this->roster_out || !this->state.workers_known) {
         return std::nullopt;
     }
-    const bool added = std::any_of(this->state.workers.begin(), this->state.workers.end(), [](const auto& place) {
-        return place.second.listed && !place.second.rostered;
-    });
+    const bool added =
+        std::any_of(this->state.workers.begin(), this->state.workers.end(),
+                    [](const auto& place) { return place.second.listed && !place.second.rostered; });
     const bool removed = this->recorded_roster.size() > this->state.workers.size();
     if (!added && !(removed && now >= this->rostered_at + roster_removal_interval)) {
         return std::nullopt;
@@ -501,6 +508,8 @@
                 }
             }
         }
+        this->state.closed.emplace(key,
+                                   workflow::over(job.phase) ? job.phase : workflow::job_phase::cancelled);
         this->state.jobs.erase(place);
         return true;
     });
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -20,6 +20,7 @@
 struct progress_batch {
     core::epoch_id epoch; ///< In which it was decided.
     std::vector<workflow::job_progress> jobs;
+    std::vector<workflow::job_key> closed; ///< Of whose ended jobs only the end is kept from now on.
     std::map<core::worker_id, std::pair<life_id, std::uint64_t>> ends; ///< What each worker may forget.
 };
 
--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -335,7 +335,9 @@
     }
     return {std::visit(
         [](const auto& one) -> keyed_bytes {
-            if constexpr (std::is_same_v<std::decay_t<decltype(one)>, job_forgotten>) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(one)>, job_closed>) {
+                return {.key = key_of(accepted_key, one.key.value()), .value = ""};
+            } else if constexpr (std::is_same_v<std::decay_t<decltype(one)>, job_forgotten>) {
                 return {};
             } else {
                 return encode_one(one);
@@ -348,7 +350,10 @@
     const auto kind = bytes.key.empty() ? '\0' : bytes.key.front();
     const auto name = bytes.key.empty() ? "" : bytes.key.substr(1);
     const bool dropped = bytes.value.empty();
-    if (dropped && (kind == accepted_key || kind == cancelled_key || kind == progress_key)) {
+    if (dropped && kind == accepted_key) {
+        return job_closed{job_key{name}};
+    }
+    if (dropped && (kind == cancelled_key || kind == progress_key)) {
         return job_forgotten{job_key{name}};
     }
     switch (kind) {
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -242,6 +242,9 @@
         return;
     }
     std::vector<workflow::cell_record> records{batch->jobs.begin(), batch->jobs.end()};
+    for (const auto& key : batch->closed) {
+        records.emplace_back(workflow::job_closed{key});
+    }
     if (records.empty()) {
         this->dispatcher.recorded(*batch);
         return;
--- a/src/workflow/job_book.cpp
+++ b/src/workflow/job_book.cpp
@@ -77,13 +77,22 @@
     return {.what = book_change::kind::cancelled, .job = record.key};
 }
 
-book_change job_book::apply_one(const job_progress& record, core::log_offset /*offset*/,
-                                core::steady_time now) {
+book_change job_book::apply_one(const job_progress& record, core::log_offset offset, core::steady_time now) {
     const auto found = this->entries.find(record.key);
-    if (found == this->entries.end()) {
+    if (found == this->entries.end() && !over(record.phase)) {
         this->early_progress.insert_or_assign(record.key, record);
         return {};
     }
+    if (found == this->entries.end()) {
+        // All that is kept of a job that was closed before this host read of it.
+        this->entries.emplace(
+            record.key, std::make_unique<job_entry>(job_entry{.accepted = {.request = {.key = record.key}},
+                                                              .offset = offset,
+                                                              .epoch = this->lead.epoch,
+                                                              .progress = record,
+                                                              .over_since = now}));
+        return {.what = book_change::kind::progress, .job = record.key};
+    }
     auto& job = *found->second;
     const bool ends = over(record.phase) && !over(job.phase());
     job.progress = record;
@@ -93,6 +102,17 @@
     return {.what = book_change::kind::progress, .job = record.key};
 }
 
+book_change job_book::apply_one(const job_closed& record, core::log_offset /*offset*/,
+                                core::steady_time /*now*/) {
+    const auto found = this->entries.find(record.key);
+    if (found != this->entries.end() && over(found->second->phase())) {
+        auto& request = found->second->accepted.request;
+        request = {.key = request.key, .queue = request.queue};
+        found->second->progress.steps = {};
+    }
+    return {};
+}
+
 book_change job_book::apply_one(const job_forgotten& record, core::log_offset /*offset*/,
                                 core::steady_time /*now*/) {
     this->entries.erase(record.key);
--- a/src/workflow/job_book.h
+++ b/src/workflow/job_book.h
@@ -86,6 +86,7 @@
     book_change apply_one(const job_accepted& record, core::log_offset offset, core::steady_time now);
     book_change apply_one(const job_cancelled& record, core::log_offset offset, core::steady_time now);
     book_change apply_one(const job_progress& record, core::log_offset offset, core::steady_time now);
+    book_change apply_one(const job_closed& record, core::log_offset offset, core::steady_time now);
     book_change apply_one(const job_forgotten& record, core::log_offset offset, core::steady_time now);
     book_change apply_one(const leader_record& record, core::log_offset offset, core::steady_time now);
     book_change apply_one(const member_record& record, core::log_offset offset, core::steady_time now);
--- a/src/workflow/records.h
+++ b/src/workflow/records.h
@@ -66,6 +66,11 @@
     friend bool operator==(const job_progress&, const job_progress&) = default;
 };
 
+/// Nothing of an ended job runs any more, so that only its end is kept: not what it consisted of.
+struct job_closed {
+    job_key key;
+};
+
 /// A job that ended long ago is forgotten.
 struct job_forgotten {
     job_key key;
@@ -97,8 +102,8 @@
 };
 
 /// One entry of the cell's log.
-using cell_record = std::variant<job_accepted, job_cancelled, job_progress, job_forgotten, leader_record,
-                                 member_record, roster_record>;
+using cell_record = std::variant<job_accepted, job_cancelled, job_progress, job_closed, job_forgotten,
+                                 leader_record, member_record, roster_record>;
 
 /// @param phase a phase.
 /// @return its name as in the source.
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -48,6 +48,7 @@
 void simulated_cell::submit(workflow::job_request request, workflow::queue_policy policy) {
     const auto key = request.key;
     this->records[key].submitted = this->time;
+    this->accepted.emplace(key, request);
     const auto change =
         this->book.apply(workflow::job_accepted{.request = std::move(request), .policy = std::move(policy)},
                          core::log_offset{++this->offset}, this->time);
@@ -304,10 +305,14 @@
         }
         for (const auto& progress : batch.jobs) {
             this->book.apply(progress, core::log_offset{++this->offset}, this->time);
-            if (workflow::over(progress.phase)) {
-                this->records[progress.key].over = this->time;
+            auto& record = this->records[progress.key];
+            if (workflow::over(progress.phase) && record.over == core::steady_time{}) {
+                record.over = this->time;
             }
         }
+        for (const auto& key : batch.closed) {
+            this->book.apply(workflow::job_closed{key}, core::log_offset{++this->offset}, this->time);
+        }
         this->dispatcher->recorded(batch);
     };
     this->at(this->time + this->options.record_time, [this, store] {
@@ -529,13 +534,13 @@
     if (this->noted_tasks.contains(run.task) && !step.allows_copies) {
         this->breach("task " + run.text() + " starts again after it was done");
     }
-    const auto* job = this->book.find(run.task.step.job);
+    const auto& steps = this->accepted.at(run.task.step.job).steps;
     for (const auto earlier : step.after) {
-        for (std::uint32_t i = 0; i < job->accepted.request.steps[earlier].tasks; i++) {
+        for (std::uint32_t i = 0; i < steps[earlier].tasks; i++) {
             auto before = run.task;
             before.step.step = earlier;
             before.index = i;
-            if (!this->done_tasks.contains(before) && !job->accepted.request.steps[earlier].gang) {
+            if (!this->done_tasks.contains(before) && !steps[earlier].gang) {
                 this->breach("task " + run.text() + " starts before " + before.text() + " is done");
             }
         }
@@ -543,7 +548,7 @@
 }
 
 const workflow::step_request* simulated_cell::step_of(const workflow::task_name& task) const {
-    return &this->book.find(task.step.job)->accepted.request.steps.at(task.step.step);
+    return &this->accepted.at(task.step.job).steps.at(task.step.step);
 }
 
 void simulated_cell::breach(const std::string& text) {
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -176,7 +176,8 @@
     bool log_down = false;
     std::vector<std::function<void()>> held_records;
     std::map<workflow::job_key, job_record> records;
-    std::set<workflow::task_name> done_tasks;  ///< Some run of which has ended well.
+    std::map<workflow::job_key, workflow::job_request> accepted; ///< As handed in.
+    std::set<workflow::task_name> done_tasks;                    ///< Some run of which has ended well.
     std::set<workflow::task_name> noted_tasks; ///< Whose good end the leader has taken note of.
     std::map<workflow::task_name, core::steady_time> last_start;
     std::map<workflow::task_name, std::vector<core::steady_time>> noted_failures; ///< When they ended.
--- a/tests/inner/workflow_codec_test.cpp
+++ b/tests/inner/workflow_codec_test.cpp
@@ -70,13 +70,23 @@
 
 TEST_CASE("a job that is forgotten takes all its keys out of the log") {
     const auto items = inner::encode_record(job_forgotten{job_key{"a"}});
-    CHECK(items.size() == 3);
+    REQUIRE(items.size() == 3);
     for (const auto& item : items) {
         CHECK(item.value.empty());
-        CHECK(std::holds_alternative<job_forgotten>(inner::decode_record(item)));
+        // What was handed in is also dropped from a job that is only closed.
+        const auto record = inner::decode_record(item);
+        CHECK((item.key == "ja" ? std::holds_alternative<job_closed>(record)
+                                : std::holds_alternative<job_forgotten>(record)));
     }
 }
 
+TEST_CASE("a job that is closed takes only what was handed in out of the log") {
+    const auto items = inner::encode_record(job_closed{job_key{"a"}});
+    REQUIRE(items.size() == 1);
+    CHECK(items.front().key == inner::encode_record(full_job()).front().key);
+    CHECK(items.front().value.empty());
+}
+
 TEST_CASE("records that cannot be read are refused") {
     CHECK_THROWS_AS(inner::decode_record({.key = "", .value = "x"}), core::invalid_argument);
     CHECK_THROWS_AS(inner::decode_record({.key = "?a", .value = "x"}), core::invalid_argument);
--- a/tests/workflow/job_book_test.cpp
+++ b/tests/workflow/job_book_test.cpp
@@ -82,4 +82,29 @@
     CHECK(book.leader().leader == core::incarnation_id{"x"});
 }
 
+TEST_CASE("of a job that is closed only its end is kept, and it stays the same job") {
+    job_book book;
+    book.apply(accepted("a"), core::log_offset{1}, start);
+    book.apply(progress("a", job_phase::completed), core::log_offset{2}, start);
+    book.apply(job_closed{job_key{"a"}}, core::log_offset{3}, start);
+    CHECK(book.find(job_key{"a"})->phase() == job_phase::completed);
+    CHECK(book.find(job_key{"a"})->accepted.request.steps.empty());
+}
+
+TEST_CASE("a host that reads only a closed job's end takes a repeat of it as the same job") {
+    job_book book;
+    book.apply(progress("a", job_phase::completed), core::log_offset{2}, start);
+    REQUIRE(book.find(job_key{"a"}) != nullptr);
+    CHECK(book.apply(accepted("a"), core::log_offset{4}, start).what == book_change::kind::nothing);
+    CHECK(book.find(job_key{"a"})->phase() == job_phase::completed);
+    CHECK(book.expired(start + 11s, 10s) == std::vector{job_key{"a"}});
+}
+
+TEST_CASE("a job that is not over is not closed") {
+    job_book book;
+    book.apply(accepted("a"), core::log_offset{1}, start);
+    book.apply(job_closed{job_key{"a"}}, core::log_offset{2}, start);
+    CHECK(book.find(job_key{"a"})->accepted.request.steps.size() == 1);
+}
+
 } // namespace rattanmount::tests
