Store acceptances and cancellations through the leader

Cause: the log takes the appends of a stream one after the other. Ruled out: several partitions (each host would read all of them; reads are the largest price already). Change: runtime/record_store hands records to the leader, which puts those of all hosts into one append; a host whose leader fails appends by itself, and tells a refusal only where no try is in doubt.

--- a/src/cell/peer_calls.h
+++ b/src/cell/peer_calls.h
@@ -87,6 +87,9 @@
                                   core::milliseconds limit)>
         read_log;
     std::function<log_newest_answer(const std::string& stream, core::milliseconds limit)> newest_log;
+    /// Stores records of the cell's log together with those of other hosts, where the callee leads.
+    /// Gives whether they are stored; else they never will be.
+    std::function<bool(const std::vector<keyed_bytes>&, core::milliseconds limit)> store_items;
     /// Asks the advisory service from the callee's machine, since it serves each machine one call at a time.
     std::function<dispatch::advice_reply(const dispatch::advice_order&)> advise;
 };
--- a/src/inner/gen/peer_service.cpp
+++ b/src/inner/gen/peer_service.cpp
@@ -3287,6 +3287,257 @@
 }
 
 
+peer_service_store_items_args::~peer_service_store_items_args() noexcept {
+}
+
+
+uint32_t peer_service_store_items_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->items.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
+            {
+              xfer += this->items[_i150].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limit_ms);
+          this->__isset.limit_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t peer_service_store_items_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("peer_service_store_items_args");
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<log_item> ::const_iterator _iter151;
+    for (_iter151 = this->items.begin(); _iter151 != this->items.end(); ++_iter151)
+    {
+      xfer += (*_iter151).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->limit_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+peer_service_store_items_pargs::~peer_service_store_items_pargs() noexcept {
+}
+
+
+uint32_t peer_service_store_items_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("peer_service_store_items_pargs");
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->items)).size()));
+    std::vector<log_item> ::const_iterator _iter152;
+    for (_iter152 = (*(this->items)).begin(); _iter152 != (*(this->items)).end(); ++_iter152)
+    {
+      xfer += (*_iter152).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64((*(this->limit_ms)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+peer_service_store_items_result::~peer_service_store_items_result() noexcept {
+}
+
+
+uint32_t peer_service_store_items_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->success);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t peer_service_store_items_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("peer_service_store_items_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 0);
+    xfer += oprot->writeBool(this->success);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.error) {
+    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->error.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+peer_service_store_items_presult::~peer_service_store_items_presult() noexcept {
+}
+
+
+uint32_t peer_service_store_items_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool((*(this->success)));
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 peer_service_advise_args::~peer_service_advise_args() noexcept {
 }
 
@@ -4383,6 +4634,68 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "newest_log failed: unknown result");
 }
 
+bool peer_serviceClient::store_items(const std::vector<log_item> & items, const int64_t limit_ms)
+{
+  send_store_items(items, limit_ms);
+  return recv_store_items();
+}
+
+void peer_serviceClient::send_store_items(const std::vector<log_item> & items, const int64_t limit_ms)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("store_items", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  peer_service_store_items_pargs args;
+  args.items = &items;
+  args.limit_ms = &limit_ms;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+bool peer_serviceClient::recv_store_items()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("store_items") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  bool _return;
+  peer_service_store_items_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    return _return;
+  }
+  if (result.__isset.error) {
+    throw result.error;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "store_items failed: unknown result");
+}
+
 void peer_serviceClient::advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms)
 {
   send_advise(request, limit_ms);
@@ -5261,6 +5574,63 @@
   }
 }
 
+void peer_serviceProcessor::process_store_items(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("peer_service.store_items", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "peer_service.store_items");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "peer_service.store_items");
+  }
+
+  peer_service_store_items_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "peer_service.store_items", bytes);
+  }
+
+  peer_service_store_items_result result;
+  try {
+    result.success = iface_->store_items(args.items, args.limit_ms);
+    result.__isset.success = true;
+  } catch (call_error &error) {
+    result.error = std::move(error);
+    result.__isset.error = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "peer_service.store_items");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("store_items", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "peer_service.store_items");
+  }
+
+  oprot->writeMessageBegin("store_items", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "peer_service.store_items", bytes);
+  }
+}
+
 void peer_serviceProcessor::process_advise(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -6576,6 +6946,95 @@
   } // end while(true)
 }
 
+bool peer_serviceConcurrentClient::store_items(const std::vector<log_item> & items, const int64_t limit_ms)
+{
+  int32_t seqid = send_store_items(items, limit_ms);
+  return recv_store_items(seqid);
+}
+
+int32_t peer_serviceConcurrentClient::send_store_items(const std::vector<log_item> & items, const int64_t limit_ms)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("store_items", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  peer_service_store_items_pargs args;
+  args.items = &items;
+  args.limit_ms = &limit_ms;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+bool peer_serviceConcurrentClient::recv_store_items(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("store_items") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      bool _return;
+      peer_service_store_items_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        sentry.commit();
+        return _return;
+      }
+      if (result.__isset.error) {
+        sentry.commit();
+        throw result.error;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "store_items failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void peer_serviceConcurrentClient::advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms)
 {
   int32_t seqid = send_advise(request, limit_ms);
--- a/src/inner/gen/peer_service.h
+++ b/src/inner/gen/peer_service.h
@@ -36,6 +36,14 @@
   virtual void append_log(log_answer& _return, const log_append_request& request, const int64_t limit_ms) = 0;
   virtual void read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms) = 0;
   virtual void newest_log(log_answer& _return, const std::string& stream, const int64_t limit_ms) = 0;
+
+  /**
+   * true: stored; false: not stored and never will be. Only the leader of the cell takes it.
+   * 
+   * @param items
+   * @param limit_ms
+   */
+  virtual bool store_items(const std::vector<log_item> & items, const int64_t limit_ms) = 0;
   virtual void advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms) = 0;
 };
 
@@ -108,6 +116,10 @@
   void newest_log(log_answer& /* _return */, const std::string& /* stream */, const int64_t /* limit_ms */) override {
     return;
   }
+  bool store_items(const std::vector<log_item> & /* items */, const int64_t /* limit_ms */) override {
+    bool _return = false;
+    return _return;
+  }
   void advise(advice_answer& /* _return */, const advice_request& /* request */, const int64_t /* limit_ms */) override {
     return;
   }
@@ -1936,6 +1948,131 @@
 
 };
 
+typedef struct _peer_service_store_items_args__isset {
+  _peer_service_store_items_args__isset() : items(false), limit_ms(false) {}
+  bool items :1;
+  bool limit_ms :1;
+} _peer_service_store_items_args__isset;
+
+class peer_service_store_items_args {
+ public:
+
+  peer_service_store_items_args(const peer_service_store_items_args&);
+  peer_service_store_items_args(peer_service_store_items_args&&) noexcept;
+  peer_service_store_items_args& operator=(const peer_service_store_items_args&);
+  peer_service_store_items_args& operator=(peer_service_store_items_args&&) noexcept;
+  peer_service_store_items_args() noexcept
+                                : limit_ms(0) {
+  }
+
+  virtual ~peer_service_store_items_args() noexcept;
+  std::vector<log_item>  items;
+  int64_t limit_ms;
+
+  _peer_service_store_items_args__isset __isset;
+
+  void __set_items(const std::vector<log_item> & val);
+
+  void __set_limit_ms(const int64_t val);
+
+  bool operator == (const peer_service_store_items_args & rhs) const
+  {
+    if (!(items == rhs.items))
+      return false;
+    if (!(limit_ms == rhs.limit_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const peer_service_store_items_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const peer_service_store_items_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class peer_service_store_items_pargs {
+ public:
+
+
+  virtual ~peer_service_store_items_pargs() noexcept;
+  const std::vector<log_item> * items;
+  const int64_t* limit_ms;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _peer_service_store_items_result__isset {
+  _peer_service_store_items_result__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _peer_service_store_items_result__isset;
+
+class peer_service_store_items_result {
+ public:
+
+  peer_service_store_items_result(const peer_service_store_items_result&);
+  peer_service_store_items_result(peer_service_store_items_result&&) noexcept;
+  peer_service_store_items_result& operator=(const peer_service_store_items_result&);
+  peer_service_store_items_result& operator=(peer_service_store_items_result&&) noexcept;
+  peer_service_store_items_result() noexcept
+                                  : success(0) {
+  }
+
+  virtual ~peer_service_store_items_result() noexcept;
+  bool success;
+  call_error error;
+
+  _peer_service_store_items_result__isset __isset;
+
+  void __set_success(const bool val);
+
+  void __set_error(const call_error& val);
+
+  bool operator == (const peer_service_store_items_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(error == rhs.error))
+      return false;
+    return true;
+  }
+  bool operator != (const peer_service_store_items_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const peer_service_store_items_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _peer_service_store_items_presult__isset {
+  _peer_service_store_items_presult__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _peer_service_store_items_presult__isset;
+
+class peer_service_store_items_presult {
+ public:
+
+
+  virtual ~peer_service_store_items_presult() noexcept;
+  bool* success;
+  call_error error;
+
+  _peer_service_store_items_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _peer_service_advise_args__isset {
   _peer_service_advise_args__isset() : request(false), limit_ms(false) {}
   bool request :1;
@@ -2127,6 +2264,15 @@
   void newest_log(log_answer& _return, const std::string& stream, const int64_t limit_ms) override;
   void send_newest_log(const std::string& stream, const int64_t limit_ms);
   void recv_newest_log(log_answer& _return);
+  /**
+   * true: stored; false: not stored and never will be. Only the leader of the cell takes it.
+   * 
+   * @param items
+   * @param limit_ms
+   */
+  bool store_items(const std::vector<log_item> & items, const int64_t limit_ms) override;
+  void send_store_items(const std::vector<log_item> & items, const int64_t limit_ms);
+  bool recv_store_items();
   void advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms) override;
   void send_advise(const advice_request& request, const int64_t limit_ms);
   void recv_advise(advice_answer& _return);
@@ -2159,6 +2305,7 @@
   void process_append_log(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_read_log(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_newest_log(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_store_items(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_advise(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   peer_serviceProcessor(::std::shared_ptr<peer_serviceIf> iface) :
@@ -2177,6 +2324,7 @@
     processMap_["append_log"] = &peer_serviceProcessor::process_append_log;
     processMap_["read_log"] = &peer_serviceProcessor::process_read_log;
     processMap_["newest_log"] = &peer_serviceProcessor::process_newest_log;
+    processMap_["store_items"] = &peer_serviceProcessor::process_store_items;
     processMap_["advise"] = &peer_serviceProcessor::process_advise;
   }
 
@@ -2345,6 +2493,21 @@
     return;
   }
 
+  /**
+   * true: stored; false: not stored and never will be. Only the leader of the cell takes it.
+   * 
+   * @param items
+   * @param limit_ms
+   */
+  bool store_items(const std::vector<log_item> & items, const int64_t limit_ms) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->store_items(items, limit_ms);
+    }
+    return ifaces_[i]->store_items(items, limit_ms);
+  }
+
   void advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -2429,6 +2592,15 @@
   void newest_log(log_answer& _return, const std::string& stream, const int64_t limit_ms) override;
   int32_t send_newest_log(const std::string& stream, const int64_t limit_ms);
   void recv_newest_log(log_answer& _return, const int32_t seqid);
+  /**
+   * true: stored; false: not stored and never will be. Only the leader of the cell takes it.
+   * 
+   * @param items
+   * @param limit_ms
+   */
+  bool store_items(const std::vector<log_item> & items, const int64_t limit_ms) override;
+  int32_t send_store_items(const std::vector<log_item> & items, const int64_t limit_ms);
+  bool recv_store_items(const int32_t seqid);
   void advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms) override;
   int32_t send_advise(const advice_request& request, const int64_t limit_ms);
   void recv_advise(advice_answer& _return, const int32_t seqid);
--- a/src/inner/inner_client.cpp
+++ b/src/inner/inner_client.cpp
@@ -187,6 +187,17 @@
             },
             &thrift_client::recv_read_log));
     };
+    hooks.store_items = [runner = this->calls](const std::vector<cell::keyed_bytes>& items,
+                                               milliseconds limit) {
+        const auto request = to_wire(items);
+        bool stored = false;
+        const call_halves call{
+            .send = [&](thrift_client& client,
+                        milliseconds left) { client.send_store_items(request, left.count()); },
+            .receive = [&stored](thrift_client& client) { stored = client.recv_store_items(); }};
+        runner->run(call, repeat_rule::once, limit);
+        return stored;
+    };
     hooks.newest_log = [runner = this->calls](const std::string& stream, milliseconds limit) {
         return newest_answer_from_wire(ask(
             *runner, repeat_rule::once, limit,
--- a/src/inner/log_conversion.cpp
+++ b/src/inner/log_conversion.cpp
@@ -48,17 +48,31 @@
 
 } // namespace
 
+std::vector<gen::log_item> to_wire(const std::vector<cell::keyed_bytes>& items) {
+    std::vector<gen::log_item> messages;
+    messages.reserve(items.size());
+    for (const auto& bytes : items) {
+        gen::log_item message;
+        message.__set_key(bytes.key);
+        message.__set_value(bytes.value);
+        messages.push_back(std::move(message));
+    }
+    return messages;
+}
+
+std::vector<cell::keyed_bytes> from_wire(const std::vector<gen::log_item>& messages) {
+    std::vector<cell::keyed_bytes> items;
+    items.reserve(messages.size());
+    for (const auto& message : messages) {
+        items.push_back({.key = message.key, .value = message.value});
+    }
+    return items;
+}
+
 gen::log_append_request to_wire(const peer_append& value) {
     gen::log_append_request message;
     message.__set_stream(value.stream);
-    std::vector<gen::log_item> items;
-    for (const auto& bytes : value.items) {
-        gen::log_item item;
-        item.__set_key(bytes.key);
-        item.__set_value(bytes.value);
-        items.push_back(std::move(item));
-    }
-    message.__set_items(items);
+    message.__set_items(to_wire(value.items));
     message.__set_producer(value.stamp.producer);
     message.__set_epoch(static_cast<std::int64_t>(value.stamp.epoch.value()));
     message.__set_sequence(static_cast<std::int64_t>(value.stamp.sequence.value()));
@@ -69,15 +83,12 @@
     if (message.epoch < 0 || message.sequence < 0) {
         throw core::invalid_argument("log_append_request: a number is negative");
     }
-    peer_append value{
+    return peer_append{
         .stream = message.stream,
+        .items = from_wire(message.items),
         .stamp = {.producer = message.producer,
                   .epoch = core::epoch_id{static_cast<std::uint64_t>(message.epoch)},
                   .sequence = core::sequence_number{static_cast<std::uint64_t>(message.sequence)}}};
-    for (const auto& item : message.items) {
-        value.items.push_back({.key = item.key, .value = item.value});
-    }
-    return value;
 }
 
 gen::log_answer to_wire(const cell::log_append_answer& value) {
--- a/src/inner/log_conversion.h
+++ b/src/inner/log_conversion.h
@@ -22,6 +22,9 @@
 [[nodiscard]] gen::log_append_request to_wire(const peer_append& value);
 [[nodiscard]] peer_append from_wire(const gen::log_append_request& message);
 
+[[nodiscard]] std::vector<gen::log_item> to_wire(const std::vector<cell::keyed_bytes>& items);
+[[nodiscard]] std::vector<cell::keyed_bytes> from_wire(const std::vector<gen::log_item>& messages);
+
 [[nodiscard]] gen::log_answer to_wire(const cell::log_append_answer& value);
 [[nodiscard]] gen::log_answer to_wire(const cell::log_read_answer& value);
 [[nodiscard]] gen::log_answer to_wire(const cell::log_newest_answer& value);
--- a/src/inner/service_handler.cpp
+++ b/src/inner/service_handler.cpp
@@ -154,6 +154,13 @@
                     [&] { answer = to_wire(this->calls.newest_log(stream, limit_from(limit_ms))); });
 }
 
+bool service_handler::store_items(const std::vector<gen::log_item>& items, std::int64_t limit_ms) {
+    bool stored = false;
+    this->carry_out(this->calls.store_items,
+                    [&] { stored = this->calls.store_items(from_wire(items), limit_from(limit_ms)); });
+    return stored;
+}
+
 void service_handler::advise(gen::advice_answer& answer, const gen::advice_request& request,
                              std::int64_t limit_ms) {
     this->carry_out(this->calls.advise, [&] {
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -15,6 +15,19 @@
 /// A host outranks another that may use so many times less of a processor.
 constexpr double outranking_factor = 2;
 
+request_fate fate_of(write_fate fate) {
+    switch (fate) {
+    case write_fate::stored:
+        return request_fate::stored;
+    case write_fate::unknown:
+        return request_fate::unsettled;
+    case write_fate::refused:
+    case write_fate::fenced:
+        break;
+    }
+    return request_fate::refused;
+}
+
 } // namespace
 
 cell_control::cell_control(cell_control_options options)
@@ -45,9 +58,19 @@
             this->announce();
         }
     }
+    this->tell_leader();
     this->follow_lead(now);
 }
 
+void cell_control::tell_leader() {
+    const auto& record = this->election.record();
+    const auto leader = record.resigned ? core::incarnation_id{} : record.leader;
+    if (leader != this->told_leader) {
+        this->told_leader = leader;
+        this->options.hooks.leader_known(leader);
+    }
+}
+
 void cell_control::on_change(const workflow::book_change& change, core::steady_time now) {
     using kind = workflow::book_change::kind;
     switch (change.what) {
@@ -95,7 +118,7 @@
         .request = std::move(request), .policy = policy, .accepted_at = accepted_at};
     this->options.hooks.store({std::move(record)}, [this, key, done = std::move(done)](write_fate fate) {
         if (fate != write_fate::stored) {
-            done(request_fate::refused);
+            done(fate_of(fate));
             return;
         }
         this->options.hooks.post([this, key, done](core::steady_time) {
@@ -115,9 +138,8 @@
         done(request_fate::stored);
         return;
     }
-    this->options.hooks.store({workflow::job_cancelled{key}}, [done = std::move(done)](write_fate fate) {
-        done(fate == write_fate::stored ? request_fate::stored : request_fate::refused);
-    });
+    this->options.hooks.store({workflow::job_cancelled{key}},
+                              [done = std::move(done)](write_fate fate) { done(fate_of(fate)); });
 }
 
 std::optional<workflow::job_phase> cell_control::phase_of(const workflow::job_key& key) const {
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -26,8 +26,9 @@
 
 /// What became of a submission or a cancellation.
 enum class request_fate : std::uint8_t {
-    stored,  ///< It holds for good.
-    refused, ///< It has no effect and never will.
+    stored,    ///< It holds for good.
+    refused,   ///< It has no effect and never will.
+    unsettled, ///< It may or may not hold; a repeat finds out.
 };
 
 /// What the control state stores and follows, and whom it tells. Each hook returns at once.
@@ -40,6 +41,8 @@
     std::function<void(const std::vector<workflow::cell_record>&, settled)> store;
     /// Told that this host begins or ends to lead.
     std::function<void(bool)> lead_changed;
+    /// Told who leads, whenever that changes; empty: nobody, or it is not known.
+    std::function<void(const core::incarnation_id&)> leader_known;
     /// Runs a function later on the control thread, from any thread.
     std::function<void(std::function<void(core::steady_time)>)> post;
     /// Told of each configuration that comes in force.
@@ -125,6 +128,9 @@
     [[nodiscard]] dispatch::dispatcher& work() { return this->dispatcher; }
     [[nodiscard]] bool leads() const { return this->election.leads(); }
 
+    /// @return the life of the host that leads, as last read; empty where nobody does.
+    [[nodiscard]] const core::incarnation_id& leader() const { return this->told_leader; }
+
 private:
     void on_change(const workflow::book_change& change, core::steady_time now);
     [[nodiscard]] cell::claim_standing standing() const;
@@ -135,6 +141,7 @@
     void record_roster(core::steady_time now);
     void forget_old_jobs(core::steady_time now);
     void announce();
+    void tell_leader();
 
     cell_control_options options;
     workflow::job_book book;
@@ -145,6 +152,7 @@
     std::optional<core::steady_time> caught_up_at;
     core::steady_time log_returned_at; ///< When the log answered first, or again after a while without.
     core::steady_time forgot_at;
+    core::incarnation_id told_leader;
     bool announced = false;
     bool leaving = false;
 };
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -41,6 +41,18 @@
     return items;
 }
 
+request_answer answer_of(request_fate fate) {
+    switch (fate) {
+    case request_fate::stored:
+        return request_answer::stored;
+    case request_fate::refused:
+        return request_answer::unavailable;
+    case request_fate::unsettled:
+        break;
+    }
+    return request_answer::unsettled;
+}
+
 double random_share() {
     static thread_local std::mt19937 numbers{std::random_device{}()};
     return std::uniform_real_distribution<double>{0, 1}(numbers);
@@ -55,7 +67,7 @@
       cell_log(this->relay_options(cell_stream, this->options.streams.cell)),
       configuration_log(this->relay_options(configuration_stream, this->options.streams.configuration)),
       worker_log(this->relay_options(worker_stream, this->options.streams.workers)),
-      advice(this->make_advice_options()) {}
+      advice(this->make_advice_options()), records(this->make_store_options()) {}
 
 host_process::~host_process() {
     this->stop();
@@ -158,6 +170,12 @@
 cell::peer_calls host_process::peer_calls() {
     cell::peer_calls calls;
     calls.advise = this->options.workers.advise;
+    calls.store_items = [this](const std::vector<cell::keyed_bytes>& items, core::milliseconds limit) {
+        if (!this->leading) {
+            throw core::unavailable("this host does not lead");
+        }
+        return this->records.store_for_peer(items, limit);
+    };
     calls.append_log = [this](const std::string& stream, const std::vector<cell::keyed_bytes>& items,
                               const cell::producer_stamp& stamp, core::milliseconds limit) {
         return this->log_named(stream).for_peers().append(items, stamp, limit);
@@ -189,6 +207,15 @@
     throw core::invalid_argument("there is no stream '" + stream + "'");
 }
 
+record_store_options host_process::make_store_options() {
+    return {.append_here =
+                [this](std::vector<cell::keyed_bytes> items, log_writer::settled done) {
+                    constexpr core::epoch_id only_epoch{1}; // An incarnation has one.
+                    this->own_writer->write(only_epoch, std::move(items), std::move(done));
+                },
+            .run_blocking = [this](std::function<void()> work) { this->traffic.post(std::move(work)); }};
+}
+
 advice_lines_options host_process::make_advice_options() {
     return {.ask_here = this->options.workers.advise, .count_changed = [this](std::uint32_t count) {
                 this->post([count](cell_control& control, core::steady_time) {
@@ -199,7 +226,8 @@
 
 cell_control_options host_process::make_control_options() {
     cell_control_options made;
-    made.election = {.host = this->options.self.host, .self = this->options.self.incarnation, .random = random_share};
+    made.election = {
+        .host = this->options.self.host, .self = this->options.self.incarnation, .random = random_share};
     made.dispatch = this->make_dispatch_options();
     made.self = this->options.self;
     made.hooks.store_as_leader = [this](core::epoch_id epoch,
@@ -208,10 +236,13 @@
         this->leader_writer->write(epoch, encode(records), std::move(done));
     };
     made.hooks.store = [this](const std::vector<workflow::cell_record>& records, log_writer::settled done) {
-        constexpr core::epoch_id only_epoch{1}; // An incarnation has one.
-        this->own_writer->write(only_epoch, encode(records), std::move(done));
+        this->records.store(encode(records), std::move(done));
+    };
+    made.hooks.leader_known = [this](const core::incarnation_id& leader) {
+        this->records.set_leader(this->peers.find(leader));
     };
     made.hooks.lead_changed = [this](bool leads) {
+        this->leading = leads;
         this->worker_follower->set_enabled(leads);
         this->cell_follower->set_spacing(leads ? core::milliseconds{0} : follower_spacing);
     };
@@ -224,6 +255,7 @@
     };
     made.hooks.members_changed = [this](const std::vector<workflow::member_record>& members) {
         this->peers.set_members(members);
+        this->records.set_leader(this->peers.find(this->control->leader()));
         this->advice.set_peers(this->peers.peers());
     };
     return made;
@@ -313,10 +345,7 @@
             promise->set_value(request_answer::not_ready);
             return;
         }
-        request(control, [promise](request_fate fate) {
-            promise->set_value(fate == request_fate::stored ? request_answer::stored
-                                                            : request_answer::unavailable);
-        });
+        request(control, [promise](request_fate fate) { promise->set_value(answer_of(fate)); });
     });
     if (answer.wait_for(limit) != std::future_status::ready) {
         return request_answer::unsettled;
--- a/src/runtime/host_process.h
+++ b/src/runtime/host_process.h
@@ -9,6 +9,7 @@
 #include "runtime/keyed_follower.h"
 #include "runtime/log_writer.h"
 #include "runtime/peer_directory.h"
+#include "runtime/record_store.h"
 #include "runtime/relayed_log.h"
 #include "workflow/queue_policy.h"
 
@@ -125,6 +126,7 @@
     [[nodiscard]] relayed_log_options relay_options(const char* stream, const cell::keyed_log& direct);
     [[nodiscard]] relayed_log& log_named(const std::string& stream);
     [[nodiscard]] advice_lines_options make_advice_options();
+    [[nodiscard]] record_store_options make_store_options();
     [[nodiscard]] cell_control_options make_control_options();
     [[nodiscard]] dispatch::dispatch_options make_dispatch_options();
     void run_control();
@@ -150,6 +152,8 @@
     relayed_log configuration_log;
     relayed_log worker_log;
     advice_lines advice;
+    record_store records;
+    std::atomic<bool> leading = false; ///< As the control thread last told.
     std::unique_ptr<log_writer> own_writer;
     std::unique_ptr<log_writer> leader_writer;
     std::unique_ptr<cell_control> control;
--- a/src/runtime/log_writer.h
+++ b/src/runtime/log_writer.h
@@ -19,6 +19,7 @@
     stored,
     refused, ///< They are not in the log and never will be.
     fenced,  ///< As refused, since another host has taken the lead.
+    unknown, ///< They may or may not be stored; told by a record_store alone.
 };
 
 struct log_writer_options {
--- a/src/runtime/peer_directory.cpp
+++ b/src/runtime/peer_directory.cpp
@@ -19,6 +19,14 @@
     std::erase_if(this->known, [&](const auto& entry) { return !named.contains(entry.first); });
 }
 
+std::optional<peer_directory::peer> peer_directory::find(const core::incarnation_id& incarnation) {
+    const std::lock_guard guard{this->mutex};
+    const auto found = this->known.find(incarnation);
+    return found == this->known.end()
+               ? std::nullopt
+               : std::optional{peer{.incarnation = incarnation, .calls = found->second}};
+}
+
 std::vector<peer_directory::peer> peer_directory::peers() {
     const std::lock_guard guard{this->mutex};
     std::vector<peer> all;
--- a/src/runtime/peer_directory.h
+++ b/src/runtime/peer_directory.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace rattanmount::runtime {
@@ -30,6 +31,10 @@
     /// @param members the hosts of the cell.
     void set_members(const std::vector<workflow::member_record>& members);
 
+    /// @param incarnation of a host.
+    /// @return the peer, or nothing where it is this host or not known.
+    [[nodiscard]] std::optional<peer> find(const core::incarnation_id& incarnation);
+
     /// @return the peers, in the order of their incarnations.
     [[nodiscard]] std::vector<peer> peers();
 
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -34,6 +34,7 @@
             this->last_settled = done;
         };
         options.hooks.lead_changed = [](bool) {};
+        options.hooks.leader_known = [](const auto&) {};
         options.hooks.post = [this](const std::function<void(core::steady_time)>& later) {
             later(this->now);
         };
