Know records as soon as they are stored, and notice lost answers of workers sooner

A lost start was noticed after 320 ms and sent again up to 100 ms later; a lost hold hid a worker's ends for 1.1 s. Change: acceptances and cancellations that a host stored, or had stored, are applied at once. The first try of a start waits 140 ms, each further one twice as long, and the next goes out at once; while answers get lost, holds wait 250 ms. Jobs have an arrival number: several may become known at one offset, which at first lost steps from the queue (tests/platform, a killed leader; a test of the book now pins it).

--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -22,11 +22,16 @@
     core::milliseconds outage_lease_term{9000};
     core::milliseconds longest_lease{10000}; ///< The worker shortens longer ones.
     core::milliseconds hold_wait{800};       ///< How long a worker may wait for an end before it answers.
-    core::milliseconds hold_retry{250};      ///< Between two holds that got no answer.
-    core::milliseconds stop_time{200};       ///< A worker takes at most so long to end a run.
+    /// As above while answers get lost, so that a lost one hides the ends of a worker for less time.
+    core::milliseconds short_hold_wait{250};
+    core::milliseconds lossy_time{4000}; ///< After an answer that did not come, others may get lost too.
+    core::milliseconds hold_retry{250};  ///< Between two holds that got no answer.
+    core::milliseconds stop_time{200};   ///< A worker takes at most so long to end a run.
     /// Without a sign that this host still leads, it goes on for so long; a rival may act thereafter.
     core::milliseconds unconfirmed_limit{6000};
-    core::milliseconds order_retry{250};   ///< Until an order without an answer is sent again.
+    core::milliseconds order_retry{250}; ///< Until an order without an answer is sent again.
+    /// For the answer to the first try of a start; each further try is given twice as long.
+    core::milliseconds start_limit{140};
     core::milliseconds avoid_time{600};    ///< A worker that refused a start gets no other for so long.
     core::milliseconds ticket_margin{300}; ///< Tickets are used up to so long before they expire.
     core::milliseconds advice_retry{250};  ///< After a question for advice that was not answered.
@@ -43,6 +48,7 @@
     core::steady_time lead_since;
     core::steady_time list_complete_at; ///< Until then workers that are alive may be missing from the list.
     core::steady_time confirmed_at;     ///< When the log last showed that this host leads.
+    core::steady_time lossy_until;      ///< Before this, answers of workers may get lost.
     bool workers_known = false;         ///< The platform's list has been read in full.
     std::map<core::worker_id, worker_state> workers;
     std::unordered_map<workflow::job_key, std::unique_ptr<live_job>> jobs;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -179,7 +179,10 @@
         run->retry_at = now;
         if (reply.fate != order_fate::unknown) {
             run->start_tries = this->state.options.max_start_tries;
+        } else {
+            this->state.lossy_until = now + this->state.options.lossy_time;
         }
+        this->retry_order(*step, index, *run, now);
         return;
     }
     this->seen_fence = this->seen_fence || reply.fate == order_fate::fenced;
--- a/src/dispatch/hold_keeper.cpp
+++ b/src/dispatch/hold_keeper.cpp
@@ -61,7 +61,9 @@
         worker.lease_until = std::max(worker.lease_until, *order.lease_until);
     }
     if (answering) {
-        order.wait = worker.runs.empty() ? idle_hold_wait : this->state.options.hold_wait;
+        const bool lossy = now < this->state.lossy_until;
+        const auto wait = lossy ? this->state.options.short_hold_wait : this->state.options.hold_wait;
+        order.wait = worker.runs.empty() ? idle_hold_wait : wait;
     }
     worker.hold_out = true;
     worker.hold_sent = now;
@@ -135,6 +137,7 @@
 
 void hold_keeper::unanswered(worker_state& worker, core::steady_time now) {
     worker.unanswered++;
+    this->state.lossy_until = now + this->state.options.lossy_time;
     worker.asked_after_lapse = worker.hold_after_lapse;
     // The first is repeated at once: one lost answer tells little, and nothing starts there meanwhile.
     const bool again = worker.unanswered > 1;
--- a/src/dispatch/live_job.cpp
+++ b/src/dispatch/live_job.cpp
@@ -113,8 +113,7 @@
 }
 
 step_order order_of(const live_step& step) {
-    return {step.job->policy().priority, step.job->entry->offset.value(), step.name.occurrence,
-            step.name.step};
+    return {step.job->policy().priority, step.job->entry->arrival, step.name.occurrence, step.name.step};
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -81,7 +81,7 @@
     [[nodiscard]] bool complete() const { return this->done == this->tasks.size(); }
 };
 
-/// Where a step stands among those that may start: priority, then the job's place in the log.
+/// Where a step stands among those that may start: priority, then the job's place in the order of arrival.
 using step_order = std::tuple<std::uint32_t, std::uint64_t, std::uint32_t, std::uint32_t>;
 
 /// One occurrence of a job's steps.
--- a/src/dispatch/orders.h
+++ b/src/dispatch/orders.h
@@ -52,6 +52,7 @@
     worker_time lease_until{0};
     workflow::checkpoint_id checkpoint;
     ticket_id ticket;
+    core::milliseconds limit{0}; ///< For the answer.
 };
 
 /// Stop one run of a task; also keeps it from starting where it has not begun.
--- a/src/dispatch/run_book.cpp
+++ b/src/dispatch/run_book.cpp
@@ -60,12 +60,14 @@
                                    {"run", std::to_string(run.run)},
                                    {"worker", run.worker.value()},
                                    {"try", std::to_string(run.start_tries)}});
-    this->state.options.hooks.start({.target = this->state.target_of(worker),
-                                     .run = name,
-                                     .payload = step.job->entry->accepted.request.payload,
-                                     .lease_until = lease_until,
-                                     .checkpoint = run.checkpoint,
-                                     .ticket = run.ticket});
+    this->state.options.hooks.start(
+        {.target = this->state.target_of(worker),
+         .run = name,
+         .payload = step.job->entry->accepted.request.payload,
+         .lease_until = lease_until,
+         .checkpoint = run.checkpoint,
+         .ticket = run.ticket,
+         .limit = this->state.options.start_limit * (1U << (run.start_tries - 1))});
 }
 
 void run_book::stop(live_step& step, std::uint32_t index, live_run& run, core::steady_time now) {
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -42,9 +42,9 @@
 /// A worker as the dispatcher knows it.
 struct worker_state {
     worker_entry entry;
-    bool listed = true; ///< In the platform's list.
+    bool listed = true;    ///< In the platform's list.
     bool rostered = false; ///< The log has it among the workers on which tasks may have been started.
-    bool held = false;  ///< It has answered a hold under the token in force.
+    bool held = false;     ///< It has answered a hold under the token in force.
     worker_clock clock;
     worker_time lease_until{0}; ///< The latest end of its lease that was sent to it.
     core::steady_time
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -35,6 +35,7 @@
 
 void cell_control::on_records(const record_group& group, core::steady_time now) {
     for (const auto& [offset, record] : group.records) {
+        this->last_offset = std::max(this->last_offset, offset);
         if (const auto* lead = std::get_if<workflow::leader_record>(&record)) {
             this->election.on_record(*lead, now);
         } else if (std::holds_alternative<workflow::job_progress>(record)) {
@@ -62,6 +63,16 @@
     this->follow_lead(now);
 }
 
+void cell_control::on_stored(const std::vector<workflow::cell_record>& records, core::steady_time now) {
+    for (const auto& record : records) {
+        if (std::holds_alternative<workflow::job_accepted>(record) ||
+            std::holds_alternative<workflow::job_cancelled>(record)) {
+            // Their place in the log is not told; it is after all that was read.
+            this->on_change(this->book.apply(record, this->last_offset.next(), now), now);
+        }
+    }
+}
+
 void cell_control::tell_leader() {
     const auto& record = this->election.record();
     const auto leader = record.resigned ? core::incarnation_id{} : record.leader;
@@ -75,7 +86,6 @@
     using kind = workflow::book_change::kind;
     switch (change.what) {
     case kind::accepted:
-        this->just_accepted.erase(change.job);
         this->dispatcher.add_job(*this->book.find(change.job));
         break;
     case kind::cancelled:
@@ -113,20 +123,11 @@
         done(request_fate::stored);
         return;
     }
-    const auto key = request.key;
     workflow::job_accepted record{
         .request = std::move(request), .policy = policy, .accepted_at = accepted_at};
-    this->options.hooks.store({std::move(record)}, [this, key, done = std::move(done)](write_fate fate) {
-        if (fate != write_fate::stored) {
-            done(fate_of(fate));
-            return;
-        }
-        this->options.hooks.post([this, key, done](core::steady_time) {
-            if (this->book.find(key) == nullptr) {
-                this->just_accepted.insert(key);
-            }
-            done(request_fate::stored);
-        });
+    this->options.hooks.store({std::move(record)}, [this, done = std::move(done)](write_fate fate) {
+        // Told in its turn by the control thread, which has then heard that the record is stored.
+        this->options.hooks.post([fate, done](core::steady_time) { done(fate_of(fate)); });
     });
 }
 
@@ -146,7 +147,7 @@
     if (const auto* job = this->book.find(key)) {
         return job->phase();
     }
-    return this->just_accepted.contains(key) ? std::optional{workflow::job_phase::queued} : std::nullopt;
+    return std::nullopt;
 }
 
 std::uint32_t cell_control::pending(const workflow::queue_id& queue) const {
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -74,6 +74,9 @@
     /// Takes records that were read from the cell's log.
     void on_records(const record_group& group, core::steady_time now);
 
+    /// Takes acceptances and cancellations that are surely in the log, ahead of reading them there.
+    void on_stored(const std::vector<workflow::cell_record>& records, core::steady_time now);
+
     /// Takes a version of the configuration; an older one than is in force changes nothing.
     void on_configuration(workflow::configuration version);
 
@@ -148,7 +151,7 @@
     cell::leader_election election;
     dispatch::dispatcher dispatcher;
     std::shared_ptr<const workflow::configuration> config;
-    std::set<workflow::job_key> just_accepted; ///< Stored by this host and not read back yet.
+    core::log_offset last_offset; ///< The highest that was read.
     std::optional<core::steady_time> caught_up_at;
     core::steady_time log_returned_at; ///< When the log answered first, or again after a while without.
     core::steady_time forgot_at;
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -213,6 +213,7 @@
                     constexpr core::epoch_id only_epoch{1}; // An incarnation has one.
                     this->own_writer->write(only_epoch, std::move(items), std::move(done));
                 },
+            .stored = [this](const std::vector<cell::keyed_bytes>& items) { this->take_stored(items); },
             .run_blocking = [this](std::function<void()> work) { this->traffic.post(std::move(work)); }};
 }
 
@@ -368,6 +369,16 @@
     this->post([group](cell_control& control, core::steady_time now) { control.on_records(*group, now); });
 }
 
+void host_process::take_stored(const std::vector<cell::keyed_bytes>& items) {
+    std::vector<workflow::cell_record> records;
+    for (const auto& item : items) {
+        records.push_back(inner::decode_record(item));
+    }
+    this->post([records = std::move(records)](cell_control& control, core::steady_time now) {
+        control.on_stored(records, now);
+    });
+}
+
 void host_process::take_configuration_part(const followed_part& part) {
     for (const auto& item : part.items) {
         if (auto version = this->options.streams.decode_configuration(item.bytes)) {
--- a/src/runtime/host_process.h
+++ b/src/runtime/host_process.h
@@ -137,6 +137,7 @@
     [[nodiscard]] request_answer
     await(std::function<void(cell_control&, std::function<void(request_fate)>)> request,
           core::milliseconds limit);
+    void take_stored(const std::vector<cell::keyed_bytes>& items);
     void take_cell_part(const followed_part& part);
     void take_configuration_part(const followed_part& part);
     void take_worker_part(const followed_part& part);
--- a/src/runtime/record_store.cpp
+++ b/src/runtime/record_store.cpp
@@ -24,7 +24,7 @@
         }
     }
     if (!through || !through->calls.store_items) {
-        this->options.append_here(std::move(items), std::move(done));
+        this->append(std::move(items), std::move(done));
         return;
     }
     this->options.run_blocking(
@@ -36,8 +36,7 @@
 bool record_store::store_for_peer(std::vector<cell::keyed_bytes> items, core::milliseconds limit) {
     const auto promise = std::make_shared<std::promise<write_fate>>();
     auto fate = promise->get_future();
-    this->options.append_here(std::move(items),
-                              [promise](write_fate settled) { promise->set_value(settled); });
+    this->append(std::move(items), [promise](write_fate settled) { promise->set_value(settled); });
     if (fate.wait_for(limit) != std::future_status::ready) {
         throw core::fate_unknown("the log has not settled the records in time");
     }
@@ -48,11 +47,12 @@
                                  log_writer::settled done) {
     const auto fate = this->ask(through, items);
     if (fate == write_fate::stored) {
+        this->options.stored(items);
         done(*fate);
         return;
     }
     const bool in_doubt = fate.has_value();
-    this->options.append_here(std::move(items), [in_doubt, done = std::move(done)](write_fate here) {
+    this->append(std::move(items), [in_doubt, done = std::move(done)](write_fate here) {
         done(in_doubt && here != write_fate::stored ? write_fate::unknown : here);
     });
 }
@@ -76,6 +76,17 @@
     }
 }
 
+void record_store::append(std::vector<cell::keyed_bytes> items, log_writer::settled done) {
+    auto kept = items;
+    this->options.append_here(std::move(items),
+                              [this, kept = std::move(kept), done = std::move(done)](write_fate fate) {
+                                  if (fate == write_fate::stored) {
+                                      this->options.stored(kept);
+                                  }
+                                  done(fate);
+                              });
+}
+
 void record_store::pause_leader() {
     const std::lock_guard guard{this->mutex};
     this->paused_until = std::chrono::steady_clock::now() + this->options.leader_pause;
--- a/src/runtime/record_store.h
+++ b/src/runtime/record_store.h
@@ -15,6 +15,8 @@
 struct record_store_options {
     /// Appends from this host; returns at once.
     std::function<void(std::vector<cell::keyed_bytes>, log_writer::settled)> append_here;
+    /// Told of records that are surely in the log, before whoever handed them in is; by any thread.
+    std::function<void(const std::vector<cell::keyed_bytes>&)> stored;
     /// Runs work that blocks on a traffic thread.
     std::function<void(std::function<void()>)> run_blocking;
     core::milliseconds leader_limit{900};  ///< For the leader to store.
@@ -52,6 +54,8 @@
     [[nodiscard]] std::optional<write_fate> ask(const peer_directory::peer& leader,
                                                 const std::vector<cell::keyed_bytes>& items);
     void pause_leader();
+    /// Appends from this host and tells of what is stored.
+    void append(std::vector<cell::keyed_bytes> items, log_writer::settled done);
 
     record_store_options options;
     std::mutex mutex;
--- a/src/workflow/job_book.cpp
+++ b/src/workflow/job_book.cpp
@@ -50,8 +50,11 @@
     if (!added) {
         return {};
     }
-    place->second = std::make_unique<job_entry>(
-        job_entry{.accepted = record, .offset = offset, .epoch = this->lead.epoch, .progress = {.key = key}});
+    place->second = std::make_unique<job_entry>(job_entry{.accepted = record,
+                                                          .offset = offset,
+                                                          .arrival = ++this->arrivals,
+                                                          .epoch = this->lead.epoch,
+                                                          .progress = {.key = key}});
     if (this->early_cancellations.erase(key) > 0) {
         this->apply_one(job_cancelled{key}, offset, now);
     }
--- a/src/workflow/job_book.h
+++ b/src/workflow/job_book.h
@@ -17,8 +17,9 @@
 /// A job as the log has it.
 struct job_entry {
     job_accepted accepted;
-    core::log_offset offset; ///< Of the acceptance.
-    core::epoch_id epoch;    ///< That was in force when it was accepted.
+    core::log_offset offset;   ///< Of the acceptance, or one before it where it was known ahead of reading.
+    std::uint64_t arrival = 0; ///< Its place among the jobs that this host came to know, from 1.
+    core::epoch_id epoch;      ///< That was in force when it was accepted.
     job_progress progress;
     bool cancelled = false;
     core::steady_time over_since; ///< When it was first seen to be over; meaningful where it is.
@@ -93,6 +94,7 @@
     book_change apply_one(const roster_record& record, core::log_offset offset, core::steady_time now);
 
     jobs_by_key entries;
+    std::uint64_t arrivals = 0;
     struct early_cancellation {
         core::steady_time read_at;
     };
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -51,6 +51,12 @@
         this->control->on_records(group, this->now);
     }
 
+    /// The last records that need no lead are stored: the host is told of them, then whoever waits.
+    void settle_stored() {
+        this->control->on_stored(this->stored.back(), this->now);
+        this->last_settled(write_fate::stored);
+    }
+
     void pass(core::milliseconds time) {
         this->now += time;
         this->control->run(this->now, core::system_time{});
@@ -101,7 +107,7 @@
     host_fixture host;
     host.read({});
     host.control->submit(accepted("a").request, {}, core::system_time{}, [](request_fate) {});
-    host.last_settled(write_fate::stored);
+    host.settle_stored();
     CHECK(host.control->phase_of(workflow::job_key{"a"}) == workflow::job_phase::queued);
 }
 
--- a/tests/runtime/record_store_test.cpp
+++ b/tests/runtime/record_store_test.cpp
@@ -17,6 +17,7 @@
     write_fate here = write_fate::stored;
     int appended_here = 0;
     int asked_leader = 0;
+    int known = 0; ///< Records that were told of as stored.
     std::function<bool()> leader_answer = [] { return true; };
     std::optional<write_fate> fate;
     record_store store{{.append_here =
@@ -24,6 +25,7 @@
                                 this->appended_here++;
                                 done(this->here);
                             },
+                        .stored = [this](const auto& what) { this->known += static_cast<int>(what.size()); },
                         .run_blocking = [](const std::function<void()>& work) { work(); }}};
 
     void meet_leader() {
@@ -53,6 +55,7 @@
     CHECK(one.put() == write_fate::stored);
     CHECK(one.appended_here == 1);
     CHECK(one.asked_leader == 1);
+    CHECK(one.known == 2);
 }
 
 TEST_CASE("a leader that is not reached is left alone for a while") {
@@ -82,6 +85,7 @@
 
 TEST_CASE("a host that stores for another says nothing where the log does not settle the records") {
     record_store store{{.append_here = [](const auto&, const auto&) {},
+                        .stored = [](const auto&) {},
                         .run_blocking = [](const std::function<void()>& work) { work(); }}};
     CHECK_THROWS_AS(store.store_for_peer(items, 10ms), core::fate_unknown);
 }
--- a/tests/workflow/job_book_test.cpp
+++ b/tests/workflow/job_book_test.cpp
@@ -30,6 +30,13 @@
     CHECK(book.find(job_key{"a"})->offset == core::log_offset{1});
 }
 
+TEST_CASE("jobs that became known at one offset keep places of their own") {
+    job_book book;
+    book.apply(accepted("a"), core::log_offset{1}, start);
+    book.apply(accepted("b"), core::log_offset{1}, start);
+    CHECK(book.find(job_key{"a"})->arrival < book.find(job_key{"b"})->arrival);
+}
+
 TEST_CASE("a cancellation that is read before its job holds") {
     job_book book;
     book.apply(job_cancelled{job_key{"a"}}, core::log_offset{1}, start);
