Hand the lead on where the log turns the leader away

Change: a leader that has reached the log through peers alone for 0.6 s steps down, and claims no lead while that lasts. An outage for all hosts changes nothing, since no peer helps then.

--- a/src/cell/leader_election.cpp
+++ b/src/cell/leader_election.cpp
@@ -47,7 +47,7 @@
 
 std::optional<workflow::leader_record> leader_election::claim(core::steady_time now,
                                                               claim_standing standing) {
-    if (this->leading || this->resigning || !this->sign_at || !this->caught_up_at) {
+    if (this->leading || this->resigning || !this->eligible || !this->sign_at || !this->caught_up_at) {
         return std::nullopt;
     }
     if (this->claimed_at && now < *this->claimed_at + this->options.claim_retry) {
@@ -88,10 +88,15 @@
 
 std::optional<workflow::leader_record> leader_election::resign() {
     this->resigning = true;
+    return this->step_down();
+}
+
+std::optional<workflow::leader_record> leader_election::step_down() {
     if (!this->leading) {
         return std::nullopt;
     }
     this->leading = false;
+    this->fenced_epoch = std::max(this->fenced_epoch, this->last.epoch);
     auto record = this->last;
     record.resigned = true;
     return record;
--- a/src/cell/leader_election.h
+++ b/src/cell/leader_election.h
@@ -13,7 +13,7 @@
 /// What a leader_election is made of.
 struct leader_election_options {
     core::host_id host;
-    core::incarnation_id self; ///< The life of the host.
+    core::incarnation_id self;                  ///< The life of the host.
     core::milliseconds heartbeat_interval{250}; ///< Between two signs of life of the leader in the log.
     core::milliseconds suspect_after{1000};     ///< Silence of the leader after which its lead is claimed.
     core::milliseconds claim_spread{150};       ///< Claims of several hosts are spread over this time.
@@ -72,6 +72,13 @@
     /// @return the record that gives up the lead, where this host leads.
     [[nodiscard]] std::optional<workflow::leader_record> resign();
 
+    /// Gives up the lead for now; this host may claim it again later.
+    /// @return the record that tells so, where this host leads.
+    [[nodiscard]] std::optional<workflow::leader_record> step_down();
+
+    /// @param value whether this host may claim the lead; it keeps one that it has.
+    void set_eligible(bool value) { this->eligible = value; }
+
     /// Something was appended under the epoch of this host, which is a sign of life too.
     void on_appended(core::steady_time now);
 
@@ -96,6 +103,7 @@
     workflow::leader_record last;
     bool leading = false;
     bool resigning = false;
+    bool eligible = true;
     bool leader_gone = false;                 ///< Its process has surely ended.
     core::epoch_id fenced_epoch;              ///< The highest epoch that this host has lost.
     std::optional<core::steady_time> sign_at; ///< Of the last sign of life; empty before the first look.
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -73,6 +73,24 @@
     }
 }
 
+void cell_control::on_log_relayed(bool relayed, core::steady_time now) {
+    this->relayed_since = relayed ? std::optional{now} : std::nullopt;
+    this->election.set_eligible(!relayed);
+}
+
+void cell_control::hand_over_if_relayed(core::steady_time now) {
+    const bool due = this->relayed_since && now >= *this->relayed_since + this->options.hand_over_after;
+    if (!due || !this->election.leads()) {
+        return;
+    }
+    telemetry::log_state("hand the lead on, since the log turns this host away",
+                         {{"epoch", std::to_string(this->election.epoch().value())}});
+    if (const auto record = this->election.step_down()) {
+        this->store_lead(*record);
+    }
+    this->follow_lead(now);
+}
+
 void cell_control::tell_leader() {
     const auto& record = this->election.record();
     const auto leader = record.resigned ? core::incarnation_id{} : record.leader;
@@ -163,6 +181,7 @@
         telemetry::log_state("a worker has seen a later epoch", {});
         this->election.on_fenced(now);
     }
+    this->hand_over_if_relayed(now);
     this->follow_lead(now);
     if (const auto claim = this->election.claim(now, this->standing())) {
         telemetry::log_state("claim the lead", {{"epoch", std::to_string(claim->epoch.value())}});
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -62,6 +62,8 @@
     core::milliseconds reachable_limit{1500};
     /// Entries of workers that lapsed while the log was away are back so long after its return.
     core::milliseconds relist_time{2500};
+    /// A leader that the log has turned away for so long, while peers reach it, hands the lead on.
+    core::milliseconds hand_over_after{600};
 };
 
 /// The control state of one host of the cell: the job book, the election and, while it leads, the dispatcher.
@@ -77,6 +79,10 @@
     /// Takes acceptances and cancellations that are surely in the log, ahead of reading them there.
     void on_stored(const std::vector<workflow::cell_record>& records, core::steady_time now);
 
+    /// The log turns this host away while peers reach it, or does so no more. A host that is turned away
+    /// claims no lead, and hands the one it has on.
+    void on_log_relayed(bool relayed, core::steady_time now);
+
     /// Takes a version of the configuration; an older one than is in force changes nothing.
     void on_configuration(workflow::configuration version);
 
@@ -145,6 +151,7 @@
     void forget_old_jobs(core::steady_time now);
     void announce();
     void tell_leader();
+    void hand_over_if_relayed(core::steady_time now);
 
     cell_control_options options;
     workflow::job_book book;
@@ -156,6 +163,7 @@
     core::steady_time log_returned_at; ///< When the log answered first, or again after a while without.
     core::steady_time forgot_at;
     core::incarnation_id told_leader;
+    std::optional<core::steady_time> relayed_since; ///< The log turns this host away, and peers help.
     bool announced = false;
     bool leaving = false;
 };
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -191,7 +191,16 @@
 }
 
 relayed_log_options host_process::relay_options(const char* stream, const cell::keyed_log& direct) {
-    return {.stream = stream, .direct = direct, .peers = [this] { return this->peers.peers(); }};
+    relayed_log_options made{
+        .stream = stream, .direct = direct, .peers = [this] { return this->peers.peers(); }};
+    if (stream == std::string{cell_stream}) {
+        made.relayed_changed = [this](bool relayed) {
+            this->post([relayed](cell_control& control, core::steady_time now) {
+                control.on_log_relayed(relayed, now);
+            });
+        };
+    }
+    return made;
 }
 
 relayed_log& host_process::log_named(const std::string& stream) {
--- a/src/runtime/relayed_log.cpp
+++ b/src/runtime/relayed_log.cpp
@@ -79,6 +79,7 @@
         answer = direct(failed);
         this->note(answered(answer.fate));
         if (answered(answer.fate)) {
+            this->tell_relayed();
             return answer;
         }
     }
@@ -88,6 +89,7 @@
         const std::lock_guard guard{this->mutex};
         this->peers_help = relayed.has_value();
     }
+    this->tell_relayed();
     if (relayed) {
         return *relayed;
     }
@@ -155,6 +157,21 @@
     }
 }
 
+void relayed_log::tell_relayed() {
+    bool relayed = false;
+    {
+        const std::lock_guard guard{this->mutex};
+        relayed = this->failed_since.has_value() && this->peers_help;
+        if (relayed == this->told_relayed) {
+            return;
+        }
+        this->told_relayed = relayed;
+    }
+    if (this->options.relayed_changed) {
+        this->options.relayed_changed(relayed);
+    }
+}
+
 void relayed_log::require_direct() {
     if (this->failing()) {
         throw core::unavailable("this host does not reach the log either");
--- a/src/runtime/relayed_log.h
+++ b/src/runtime/relayed_log.h
@@ -18,6 +18,8 @@
     cell::keyed_log direct;
     /// Gives the hosts that may be asked in place of the log.
     std::function<std::vector<peer_directory::peer>()> peers;
+    /// Told when calls begin or end to go through peers alone; by any thread.
+    std::function<void(bool relayed)> relayed_changed;
     core::milliseconds probe_interval{1000}; ///< Between two direct tries while peers help.
     /// For a direct read or append while the last one failed.
     core::milliseconds probe_limit{600};
@@ -56,13 +58,15 @@
     [[nodiscard]] bool failing();
     [[nodiscard]] bool take_probe();
     void note(bool reached);
+    void tell_relayed();
     void require_direct();
 
     relayed_log_options options;
     std::mutex mutex;
     std::optional<core::steady_time> failed_since; ///< Since when direct calls fail.
     core::steady_time probed_at;
-    bool peers_help = false; ///< The last call through a peer was answered.
+    bool peers_help = false;   ///< The last call through a peer was answered.
+    bool told_relayed = false; ///< As relayed_changed was last told.
     std::map<core::incarnation_id, core::steady_time> paused_peers; ///< Until when each is left alone.
 };
 
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -247,4 +247,34 @@
     }
 }
 
+TEST_CASE("a leader that the log turns away hands the lead on, and claims none while that lasts") {
+    host_fixture host;
+    host.read({lead(1, "me")});
+    REQUIRE(host.control->leads());
+    host.control->on_log_relayed(true, host.now);
+    host.pass(300ms);
+    CHECK(host.control->leads());
+    host.pass(400ms);
+    CHECK_FALSE(host.control->leads());
+    REQUIRE(host.last_claim() != nullptr);
+    CHECK(host.last_claim()->resigned);
+    host.read({*host.last_claim()});
+    host.pass(3s);
+    host.read({});
+    host.pass(100ms);
+    CHECK(host.last_claim()->resigned);
+    host.control->on_log_relayed(false, host.now);
+    host.pass(100ms);
+    host.read({});
+    host.pass(100ms);
+    CHECK(host.last_claim()->epoch == core::epoch_id{2});
+}
+
+TEST_CASE("an outage of the log for all hosts takes the lead from nobody") {
+    host_fixture host;
+    host.read({lead(1, "me")});
+    host.pass(2s);
+    CHECK(host.control->leads());
+}
+
 } // namespace rattanmount::tests
