Keep lines for short questions for advice

Cause: each host is one line to the advisory service; questions of batches and services take 0.5 to 1.3 s and could hold all lines, so that a quick job waited for one (tests/dispatch: 12 of 20 quick jobs took longer than 0.7 s beside 40 batches). Change: a quarter of the lines, one at least, takes only questions that are expected within 0.2 s. The simulated advisory service takes the time that the queue states.

--- a/src/dispatch/advice_keeper.cpp
+++ b/src/dispatch/advice_keeper.cpp
@@ -17,14 +17,28 @@
 constexpr double spare_share = 1.6;
 constexpr double spare_tasks = 1;
 constexpr core::milliseconds call_margin{600}; ///< On top of the time that the service states.
+/// A question that is expected to take longer is a lengthy one.
+constexpr core::milliseconds lengthy_question{200};
+/// One line in so many, one at least, is kept for questions that are not lengthy.
+constexpr std::uint32_t lines_for_one_short = 4;
 /// Before looking again for workers to ask about, where none suited.
 constexpr core::milliseconds no_candidate_pause{50};
 
+/// @return whether a question with this limit is a lengthy one.
+bool takes_long(core::milliseconds limit) {
+    return limit - call_margin > lengthy_question;
+}
+
 } // namespace
 
+bool advice_keeper::line_free(bool lengthy) const {
+    const auto kept = this->lines > 1 ? std::max(this->lines / lines_for_one_short, 1U) : 0;
+    return this->out < this->lines && (!lengthy || this->lengthy_out + kept < this->lines);
+}
+
 void advice_keeper::ask(live_step& step, core::steady_time now) {
     if (!step.job->policy().advice || step.advice.asking || now < step.advice.retry_at ||
-        this->out >= this->lines) {
+        !this->line_free(takes_long(step.job->policy().advice->base_time + call_margin))) {
         return;
     }
     auto workers = this->workers_to_name(step, now);
@@ -33,10 +47,11 @@
         return;
     }
     step.advice.asking = true;
-    this->out++;
     const auto& policy = *step.job->policy().advice;
     const auto expected = policy.base_time + std::chrono::ceil<core::milliseconds>(
                                                  policy.time_per_worker * static_cast<int>(workers.size()));
+    this->out++;
+    this->lengthy_out += takes_long(expected + call_margin) ? 1 : 0;
     this->state.options.hooks.advise(
         {.step = step.name, .workers = std::move(workers), .limit = expected + call_margin});
 }
@@ -44,6 +59,7 @@
 void advice_keeper::on_reply(const advice_order& order, core::steady_time asked_at, const advice_reply& reply,
                              core::steady_time now) {
     this->out -= this->out > 0 ? 1 : 0;
+    this->lengthy_out -= takes_long(order.limit) && this->lengthy_out > 0 ? 1 : 0;
     auto* step = this->state.find_step(order.step);
     if (step == nullptr) {
         return;
--- a/src/dispatch/advice_keeper.h
+++ b/src/dispatch/advice_keeper.h
@@ -12,7 +12,8 @@
 /// Asks which workers may run the steps that wait, and keeps what was said.
 ///
 /// The permission of a step for a worker never changes, so only tickets are asked for again. The number of
-/// questions that are out at a time is bounded by the number of hosts that can ask.
+/// questions that are out at a time is bounded by the number of hosts that can ask. Some of them are kept for
+/// questions that take little time, so that short work never waits behind the long questions of long work.
 /// Owned by the dispatcher; the control thread only.
 class advice_keeper {
 public:
@@ -35,9 +36,10 @@
                   core::steady_time now);
 
     /// Forgets questions that are out, since this host no longer leads.
-    void reset() { this->out = 0; }
+    void reset() { this->out = this->lengthy_out = 0; }
 
 private:
+    [[nodiscard]] bool line_free(bool lengthy) const;
     [[nodiscard]] std::vector<core::worker_id> workers_to_name(const live_step& step,
                                                                core::steady_time now) const;
 
@@ -45,6 +47,7 @@
     const placer& choice;
     std::uint32_t lines = 1;
     std::uint32_t out = 0;
+    std::uint32_t lengthy_out = 0; ///< Questions among them that take long.
     /// By queue, how many of the workers asked for may run a step: a fading mean.
     std::map<workflow::queue_id, double> allowed_share;
 };
--- a/tests/dispatch/crest_test.cpp
+++ b/tests/dispatch/crest_test.cpp
@@ -83,4 +83,25 @@
     CHECK(cell.breaches().empty());
 }
 
+TEST_CASE("quick jobs do not wait behind the long questions for advice of many batches") {
+    simulated_cell cell{{.workers = 48,
+                         .capacity = {.millicores = 64000, .memory_mb = 262144, .accelerators = 0},
+                         .allowed_share = 0.7}};
+    cell.run_for(200ms);
+    constexpr int batches = 40;
+    constexpr int quick = 20;
+    for (int i = 0; i < batches; i++) {
+        cell.submit(job_of("b" + std::to_string(i), step_of(2, 1000, 3200ms), false), queue_of(2, 800ms));
+    }
+    for (int i = 0; i < quick; i++) {
+        cell.run_for(50ms);
+        cell.submit(job_of("q" + std::to_string(i), step_of(6, 1000, 400ms), false), queue_of(0, 30ms));
+    }
+    cell.run_for(10s);
+    for (int i = 0; i < quick; i++) {
+        CHECK(cell.time_taken("q" + std::to_string(i)) < 700ms);
+    }
+    CHECK(cell.breaches().empty());
+}
+
 } // namespace rattanmount::tests
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -256,7 +256,9 @@
     made.hooks.advise = [this](const advice_order& order) {
         const auto leader = this->leader_number;
         const auto asked_at = this->time;
-        this->at(this->time + this->options.advice_time, [this, leader, order, asked_at] {
+        const auto& policy = this->book.find(order.step.job)->accepted.policy;
+        const auto time = std::max(this->options.advice_time, policy.advice->base_time);
+        this->at(this->time + time, [this, leader, order, asked_at] {
             if (leader != this->leader_number) {
                 return;
             }
