Leave workers out that fail what they start, also where they alone have room

Change: ends that are good count beside failures, both fading. A worker with 1.6 failures or more, and more than good ends, gets nothing until they have faded; not where a third of all workers would be left out, since the fault lies with the work then (tested).

--- a/src/dispatch/hold_keeper.cpp
+++ b/src/dispatch/hold_keeper.cpp
@@ -19,12 +19,15 @@
 constexpr core::milliseconds shortest_hold_interval{25};
 /// An answer that comes so much later than the wait is worth a line of the log.
 constexpr core::milliseconds slow_hold{400};
+/// Workers are left out as faulty only where there are so many for each of them.
+constexpr std::size_t least_workers_for_one_suspect = 3;
 /// On top of a lapsed lease and the time of a stop.
 constexpr core::milliseconds lapse_margin{300};
 
 } // namespace
 
 void hold_keeper::tick(core::steady_time now) {
+    this->suspect_faulty(now);
     for (auto place = this->state.workers.begin(); place != this->state.workers.end();) {
         auto& worker = place->second;
         if (worker.unanswered > 0 && !worker.given_up && worker.asked_after_lapse &&
@@ -48,6 +51,25 @@
     }
 }
 
+void hold_keeper::suspect_faulty(core::steady_time now) {
+    std::size_t faulty = 0;
+    for (const auto& [id, worker] : this->state.workers) {
+        faulty += worker.seems_faulty(now) ? 1 : 0;
+    }
+    // Where many seem to fail, the fault lies with the work.
+    const bool believed = faulty * least_workers_for_one_suspect <= this->state.workers.size();
+    for (auto& [id, worker] : this->state.workers) {
+        const bool suspected = believed && faulty > 0 && worker.seems_faulty(now);
+        if (suspected != worker.suspected) {
+            telemetry::log_state(suspected ? "worker suspected" : "worker no longer suspected",
+                                 {{"worker", id.value()},
+                                  {"failures", std::to_string(worker.failures.at(now))},
+                                  {"successes", std::to_string(worker.successes.at(now))}});
+            worker.suspected = suspected;
+        }
+    }
+}
+
 void hold_keeper::send(worker_state& worker, core::steady_time now) {
     const bool answering = worker.unanswered == 0 && worker.held;
     // A worker that may have begun another life counts its ends anew; it must not forget those of the new
--- a/src/dispatch/hold_keeper.h
+++ b/src/dispatch/hold_keeper.h
@@ -31,6 +31,7 @@
     [[nodiscard]] core::steady_time next_due(core::steady_time now) const;
 
 private:
+    void suspect_faulty(core::steady_time now);
     void send(worker_state& worker, core::steady_time now);
     void unanswered(worker_state& worker, core::steady_time now);
     void begin_life(worker_state& worker, life_id life, core::steady_time now);
--- a/src/dispatch/placer.cpp
+++ b/src/dispatch/placer.cpp
@@ -87,7 +87,7 @@
     if (!step.request->data_rack.empty() && step.request->data_rack != worker.entry.rack) {
         cost += wrong_rack_cost;
     }
-    cost += failure_cost * worker.failures_lately(now);
+    cost += failure_cost * worker.failures.at(now);
     return cost;
 }
 
--- a/src/dispatch/task_flow.cpp
+++ b/src/dispatch/task_flow.cpp
@@ -60,12 +60,13 @@
         return;
     }
     if (finishes) {
+        worker.successes.add(now);
         this->task_done(*step, name.index, now);
     } else if (counts) {
         this->task_failed(*step, end.run, worker, now);
     } else {
         if (end.how == run_end::failed) {
-            worker.note_failure(now);
+            worker.failures.add(now);
         }
         this->requeue(*step, name.index, now);
     }
@@ -173,7 +174,7 @@
 void task_flow::task_failed(live_step& step, const workflow::run_name& run, worker_state& worker,
                             core::steady_time now) {
     auto& task = step.tasks[run.task.index];
-    worker.note_failure(now);
+    worker.failures.add(now);
     task.avoid.insert(worker.entry.worker);
     if (step.request->gang) {
         for (auto& member : step.tasks) {
--- a/src/dispatch/worker_state.cpp
+++ b/src/dispatch/worker_state.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/// The weight of a failure halves in this time.
-constexpr core::milliseconds failure_half_life{4000};
+/// The weight of an event halves in this time.
+constexpr core::milliseconds half_life{4000};
+/// Fewer failures tell nothing of the worker, since some tasks fail by their own fault.
+constexpr double least_suspicious_failures = 1.6;
 
 } // namespace
 
@@ -31,18 +33,23 @@
     return this->taken_at.value_or(core::steady_time{}) + worker_time{static_cast<std::int64_t>(left) + 1};
 }
 
-void worker_state::note_failure(core::steady_time now) {
-    this->failure_weight = this->failures_lately(now) + 1;
-    this->failure_at = now;
+void fading_count::add(core::steady_time now) {
+    this->weight = this->at(now) + 1;
+    this->changed_at = now;
 }
 
-double worker_state::failures_lately(core::steady_time now) const {
-    if (this->failure_weight == 0) {
+double fading_count::at(core::steady_time now) const {
+    if (this->weight == 0) {
         return 0;
     }
-    const auto halves = std::chrono::duration<double>(now - this->failure_at) /
-                        std::chrono::duration<double>(failure_half_life);
-    return this->failure_weight * std::exp2(-halves);
+    const auto halves =
+        std::chrono::duration<double>(now - this->changed_at) / std::chrono::duration<double>(half_life);
+    return this->weight * std::exp2(-halves);
+}
+
+bool worker_state::seems_faulty(core::steady_time now) const {
+    const auto failed = this->failures.at(now);
+    return failed >= least_suspicious_failures && failed > this->successes.at(now);
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -39,6 +39,21 @@
     std::optional<core::steady_time> taken_at;
 };
 
+/// Counts events of which each weighs half as much after a few seconds.
+///
+/// A value type.
+class fading_count {
+public:
+    void add(core::steady_time now);
+
+    /// @return the weight of all events at a time.
+    [[nodiscard]] double at(core::steady_time now) const;
+
+private:
+    double weight = 0;
+    core::steady_time changed_at;
+};
+
 /// A worker as the dispatcher knows it.
 struct worker_state {
     worker_entry entry;
@@ -67,20 +82,18 @@
     bool given_up = false;         ///< Its lease has surely lapsed and its runs were given up.
     core::steady_time avoid_until; ///< No new starts before.
     bool accepted = false;         ///< Whether it accepted starts when last looked at.
-    double failure_weight = 0;     ///< Failures lately, fading.
-    core::steady_time failure_at;  ///< Of the last change of failure_weight.
+    fading_count failures;         ///< Runs that failed there lately.
+    fading_count successes;        ///< Runs that ended well there lately.
+    bool suspected = false;        ///< It seems to fail what it starts; gets nothing until that has faded.
 
     /// @return whether tasks may be started on it as far as the worker itself goes.
     [[nodiscard]] bool accepts(core::steady_time now) const {
         return this->listed && this->rostered && this->held && !this->foreign_runs && !this->entry.draining &&
-               this->unanswered == 0 && now >= this->avoid_until;
+               !this->suspected && this->unanswered == 0 && now >= this->avoid_until;
     }
 
-    /// Notes a failure that may be the worker's.
-    void note_failure(core::steady_time now);
-
-    /// @return the weight of its failures lately; each halves within seconds.
-    [[nodiscard]] double failures_lately(core::steady_time now) const;
+    /// @return whether it fails most of what it starts.
+    [[nodiscard]] bool seems_faulty(core::steady_time now) const;
 
     /// @return what is free of its counted capacity.
     [[nodiscard]] core::resources room() const { return this->entry.capacity - this->taken; }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -203,4 +203,45 @@
     CHECK(cell.breaches().empty());
 }
 
+TEST_CASE("a worker that fails all that it starts is left out, also where it alone has room") {
+    simulated_cell cell{{.workers = 6}};
+    std::set<std::uint32_t> busy;
+    cell.work_time = [&](const workflow::task_name& task, const workflow::step_request& step,
+                         std::uint32_t worker) {
+        if (task.step.job.value() == "long") {
+            busy.insert(worker);
+        }
+        return step.estimate;
+    };
+    cell.submit(job("long", {small_step(64, 3s)}), plain_queue());
+    cell.run_for(500ms);
+    REQUIRE(busy.size() == 4);
+    cell.fails = [&](const workflow::run_name&, std::uint32_t worker) { return !busy.contains(worker); };
+    constexpr int jobs = 8;
+    for (int i = 0; i < jobs; i++) {
+        cell.submit(job("a" + std::to_string(i), {small_step(8, 100ms)}), plain_queue());
+        cell.run_for(150ms);
+    }
+    cell.run_for(6s);
+    int completed = 0;
+    for (int i = 0; i < jobs; i++) {
+        completed += cell.phase_of("a" + std::to_string(i)) == workflow::job_phase::completed ? 1 : 0;
+    }
+    CHECK(completed >= jobs - 2);
+    CHECK(cell.breaches().empty());
+}
+
+TEST_CASE("work that fails everywhere makes no worker suspect") {
+    simulated_cell cell{{.workers = 6}};
+    cell.fails = [](const workflow::run_name& run, std::uint32_t) {
+        return run.task.step.job.value() == "bad";
+    };
+    cell.submit(job("bad", {small_step(96, 100ms)}), plain_queue());
+    cell.run_for(300ms);
+    cell.submit(job("good", {small_step(96, 100ms)}), plain_queue());
+    cell.run_for(1s);
+    CHECK(cell.phase_of("bad") == workflow::job_phase::failed);
+    CHECK(cell.phase_of("good") == workflow::job_phase::completed);
+}
+
 } // namespace rattanmount::tests
