--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -6,7 +6,8 @@
 ///
 /// `dispatcher` is the way in. It shares `dispatch_state` with `run_book` (runs and the room they hold),
 /// `task_flow` (what an end leads to), `hold_keeper` (leases and what workers list), `placer` (choice of a
-/// worker) and `advice_keeper` (which workers a step may run on).
+/// worker), `advice_keeper` (which workers a step may run on) and `roster_keeper` (on which workers tasks may
+/// have been started, for a successor).
 ///
 /// Depends on: core, workflow, telemetry (for lines of the log).
 /// Threads: the control thread only. Time goes in with each call; orders leave through hooks that return at
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -15,8 +15,6 @@
 constexpr core::milliseconds retry_check_interval{100};
 /// Tasks are placed at most so often, so that many ends in a row are weighed together.
 constexpr core::milliseconds place_interval{4};
-/// Workers that are gone are taken out of the roster at most so often.
-constexpr core::milliseconds roster_removal_interval{5000};
 /// A former leader may have started a task so many times unrecorded in one epoch.
 constexpr std::uint32_t runs_per_epoch = 64;
 
@@ -24,7 +22,8 @@
 
 dispatcher::dispatcher(dispatch_options options)
     : state{.options = std::move(options)}, runs(this->state), flow(this->state, this->runs),
-      holds(this->state, this->runs, this->flow), choice(this->state), advice(this->state, this->choice) {}
+      holds(this->state, this->runs, this->flow), workers_in_use(this->state), choice(this->state),
+      advice(this->state, this->choice) {}
 
 void dispatcher::lead(core::epoch_id epoch, const workflow::job_book& book, core::steady_time now,
                       core::steady_time list_complete_at) {
@@ -37,12 +36,7 @@
     this->seen_fence = false;
     this->settled = false;
     this->inheritance_over = false;
-    this->inherited_roster = book.roster();
-    this->recorded_roster = book.roster();
-    this->roster_out = false;
-    for (auto& [id, worker] : this->state.workers) {
-        worker.rostered = this->recorded_roster.contains(id);
-    }
+    this->workers_in_use.begin(book.roster());
     for (const auto& [key, entry] : book.jobs()) {
         if (!workflow::over(entry->phase())) {
             this->open_job(*entry);
@@ -79,7 +73,7 @@
     worker.listed = true;
     if (added) {
         worker.entry = entry;
-        worker.rostered = this->state.leading && this->recorded_roster.contains(entry.worker);
+        this->workers_in_use.add(worker);
         return;
     }
     if (entry.life < worker.entry.life) {
@@ -299,34 +293,9 @@
     }
 }
 
-std::optional<workflow::roster_record> dispatcher::roster(core::steady_time now) {
-    if (!this->state.leading || this->roster_out || !this->state.workers_known) {
-        return std::nullopt;
-    }
-    const bool added =
-        std::any_of(this->state.workers.begin(), this->state.workers.end(),
-                    [](const auto& place) { return place.second.listed && !place.second.rostered; });
-    const bool removed = this->recorded_roster.size() > this->state.workers.size();
-    if (!added && !(removed && now >= this->rostered_at + roster_removal_interval)) {
-        return std::nullopt;
-    }
-    workflow::roster_record record;
-    for (const auto& [id, worker] : this->state.workers) {
-        record.workers.insert(id);
-    }
-    this->roster_out = true;
-    this->rostered_at = now;
-    return record;
-}
-
 void dispatcher::roster_recorded(core::epoch_id epoch, const workflow::roster_record& record) {
-    if (!this->state.leading || epoch != this->state.token) {
-        return;
-    }
-    this->roster_out = false;
-    this->recorded_roster = record.workers;
-    for (auto& [id, worker] : this->state.workers) {
-        worker.rostered = worker.rostered || record.workers.contains(id);
+    if (this->state.leading && epoch == this->state.token) {
+        this->workers_in_use.recorded(record);
     }
 }
 
@@ -439,7 +408,7 @@
     if (now >= this->state.inheritance_ends()) {
         return true;
     }
-    if (!this->list_complete(now)) {
+    if (!this->workers_in_use.list_complete(now)) {
         return false;
     }
     return std::all_of(this->state.workers.begin(), this->state.workers.end(), [](const auto& place) {
@@ -447,17 +416,6 @@
     });
 }
 
-bool dispatcher::list_complete(core::steady_time now) const {
-    if (now >= this->state.list_complete_at) {
-        return true;
-    }
-    const auto& roster = this->inherited_roster;
-    return !roster.empty() && std::all_of(roster.begin(), roster.end(), [this](const core::worker_id& id) {
-        const auto place = this->state.workers.find(id);
-        return place != this->state.workers.end() && place->second.listed;
-    });
-}
-
 void dispatcher::retry_orders(core::steady_time now) {
     if (now < this->retried_at + retry_check_interval) {
         return;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatch/dispatch_state.h"
 #include "dispatch/hold_keeper.h"
 #include "dispatch/placer.h"
+#include "dispatch/roster_keeper.h"
 #include "dispatch/run_book.h"
 #include "dispatch/task_flow.h"
 #include "workflow/job_book.h"
@@ -98,7 +99,9 @@
     /// @param now the time.
     /// @return the workers on which tasks may be started, where they are to be recorded; one record is out at
     /// a time.
-    [[nodiscard]] std::optional<workflow::roster_record> roster(core::steady_time now);
+    [[nodiscard]] std::optional<workflow::roster_record> roster(core::steady_time now) {
+        return this->workers_in_use.due(now);
+    }
 
     /// A roster is in the log.
     /// @param epoch in which it was given.
@@ -116,7 +119,6 @@
     void place_gang(live_step& step, core::steady_time now);
     [[nodiscard]] bool may_start(const live_step& step, const live_task& task, core::steady_time now) const;
     [[nodiscard]] bool inheritance_settled(core::steady_time now) const;
-    [[nodiscard]] bool list_complete(core::steady_time now) const;
     void retry_orders(core::steady_time now);
     void retry_order(live_step& step, std::uint32_t index, live_run& run, core::steady_time now);
     void forget_over_jobs();
@@ -125,14 +127,11 @@
     run_book runs;
     task_flow flow;
     hold_keeper holds;
+    roster_keeper workers_in_use;
     placer choice;
     advice_keeper advice;
     bool seen_fence = false;
     bool recording = false;
-    bool roster_out = false;
-    std::set<core::worker_id> recorded_roster;
-    std::set<core::worker_id> inherited_roster; ///< As the log had it at lead().
-    core::steady_time rostered_at;
     bool settled = false;          ///< All workers of the time of lead() have answered or lost their leases.
     bool inheritance_over = false; ///< What a former leader may have started has surely ended.
     core::steady_time recorded_at;
--- a/src/external/http_channel.cpp
+++ b/src/external/http_channel.cpp
@@ -107,7 +107,7 @@
 }
 
 bool http_channel::receive_more() {
-    std::array<char, read_bytes> buffer;
+    std::array<char, read_bytes> buffer{};
     const int taken = this->stream.impl()->receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
     if (taken == 0) {
         return false;
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -101,9 +101,9 @@
     this->worker_follower.reset();
     this->configuration_follower.reset();
     this->cell_follower.reset();
+    this->traffic.stop(); // Before the writers, since calls that are out may end with an append.
     this->leader_writer.reset();
     this->own_writer.reset();
-    this->traffic.stop();
     this->options.workers = {}; // Ends the calls that are out, which would tell this host of their replies.
 }
 
