--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -380,6 +380,7 @@
 
 void host_process::take_stored(const std::vector<cell::keyed_bytes>& items) {
     std::vector<workflow::cell_record> records;
+    records.reserve(items.size());
     for (const auto& item : items) {
         records.push_back(inner::decode_record(item));
     }
