--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -11,7 +11,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
