--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "dispatch/leader_authority.h"
 #include "dispatch/live_job.h"
 #include "dispatch/orders.h"
 #include "dispatch/worker_state.h"
@@ -17,21 +18,20 @@
 /// Timeouts and limits of a dispatcher.
 struct dispatch_options {
     dispatch_hooks hooks;
-    core::milliseconds lease_term{4000}; ///< Lease of the runs on a worker; a hold may renew it.
-    /// Lease term while the log does not answer; long, so that runs survive an outage of the log.
-    core::milliseconds outage_lease_term{9000};
+    core::milliseconds lease_term{4000};      ///< Lease of the runs on a worker; a hold may renew it.
     core::milliseconds max_lease_term{10000}; ///< The worker shortens longer leases to this.
+    /// How long a proof that this host leads counts, from the moment at which it was asked for.
+    core::milliseconds proof_lifetime{1500};
+    /// How long this host leads without a proof by the log, if most workers answer it.
+    core::milliseconds longest_log_outage{9000};
     /// Longest time that a worker waits for a run to end before it answers a hold.
     core::milliseconds hold_wait{800};
     /// As `hold_wait`, while answers get lost: a lost answer then delays news of ended runs for less time.
     core::milliseconds lossy_hold_wait{250};
     /// How long losses are expected after an answer that did not arrive.
     core::milliseconds lossy_period{4000};
-    core::milliseconds hold_retry_interval{250}; ///< Delay between holds that get no answer.
-    core::milliseconds max_stop_duration{200};   ///< Longest time that a worker takes to stop a run.
-    /// How long this host sends orders without confirmation that it still leads; another leader may act after
-    /// that.
-    core::milliseconds leadership_timeout{6000};
+    core::milliseconds hold_retry_interval{250};  ///< Delay between holds that get no answer.
+    core::milliseconds max_stop_duration{200};    ///< Longest time that a worker takes to stop a run.
     core::milliseconds order_retry_interval{250}; ///< Delay before an unanswered order is sent again.
     /// Timeout of the first try of a start; it doubles with each further try.
     core::milliseconds start_timeout{140};
@@ -48,11 +48,14 @@
     dispatch_options options;
     bool leading = false;
     core::epoch_id epoch; ///< Epoch in which this host leads; the fencing token of its orders.
-    core::steady_time leading_since;
+    /// Until when this host may act as the leader.
+    leader_authority authority{{.proof_lifetime = options.proof_lifetime,
+                                .longest_log_outage = options.longest_log_outage,
+                                .lease_term = options.lease_term,
+                                .max_stop_duration = options.max_stop_duration}};
     core::steady_time list_complete_at; ///< Until then, live workers may be missing from the platform's list.
-    core::steady_time leadership_confirmed_at; ///< When the log last confirmed that this host leads.
-    core::steady_time lossy_until;             ///< Until then, answers of workers are expected to get lost.
-    bool worker_list_read = false;             ///< Whether the platform's list has been read completely.
+    core::steady_time lossy_until;      ///< Until then, answers of workers are expected to get lost.
+    bool worker_list_read = false;      ///< Whether the platform's list has been read completely.
     std::map<core::worker_id, worker_state> workers;
     std::unordered_map<workflow::job_key, std::unique_ptr<live_job>> jobs;
     std::map<step_sort_key, live_step*> ready_steps;       ///< Steps with tasks that wait to be started.
@@ -68,17 +71,18 @@
     std::uint64_t unrecorded_ends = 0;       ///< Reported ends of runs that have not yet been recorded.
 
     /// @param now the current time.
-    /// @return whether orders may be sent: this host leads, and no other host can have taken over unnoticed.
+    /// @return whether runs may be started and leases extended: this host leads, and no other host can have
+    /// taken over unnoticed.
     [[nodiscard]] bool can_send_orders(core::steady_time now) const {
-        return this->leading && now < this->leadership_confirmed_at + this->options.leadership_timeout;
+        return this->leading && this->authority.is_proven(now);
     }
 
     /// @return whether another leader may have come before.
     [[nodiscard]] bool has_predecessor() const { return this->epoch > core::epoch_id{1}; }
 
-    /// @return the time after which every lease that a former leader may have extended has expired.
+    /// @return the time after which no run under a lease of a former leader is left.
     [[nodiscard]] core::steady_time inherited_leases_expire_at() const {
-        return this->leading_since + this->options.max_lease_term;
+        return this->authority.inherited_leases_expire_at();
     }
 
     /// @param name a step.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -31,9 +31,8 @@
     this->stop_leading();
     this->state.leading = true;
     this->state.epoch = epoch;
-    this->state.leading_since = now;
+    this->state.authority.begin(now);
     this->state.list_complete_at = list_complete_at;
-    this->state.leadership_confirmed_at = now;
     this->was_fenced = false;
     this->predecessor_settled = false;
     this->inherited_leases_expired = false;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -56,8 +56,9 @@
     /// @return whether this host leads.
     [[nodiscard]] bool leads() const { return this->state.leading; }
 
-    /// Called when the log has confirmed that this host still leads.
-    void confirm_leadership(core::steady_time now) { this->state.leadership_confirmed_at = now; }
+    /// Called when the log has proved that this host leads.
+    /// @param asked_at when the proof was asked for: when the read or append was sent.
+    void confirm_leadership(core::steady_time asked_at) { this->state.authority.confirm_by_log(asked_at); }
 
     /// Called when a worker is added to the platform's list or its entry changes.
     void set_worker(const worker_entry& entry);
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -11,11 +11,11 @@
 
 /// Most ended runs that a worker lists in one answer. An answer with this many may be incomplete.
 constexpr std::size_t most_ends_listed = 500;
-/// Leases use the outage term once leadership has not been confirmed for this time, because the log may be
-/// down.
-constexpr core::milliseconds outage_suspected{1000};
 /// Workers without runs need no lease and are polled less often.
 constexpr core::milliseconds idle_hold_wait{2000};
+/// Longest wait of holds while the log seems to be down, since only recent answers prove that this host
+/// leads.
+constexpr core::milliseconds outage_hold_wait{500};
 /// Shortest time between an answer and the next hold of the same worker.
 constexpr core::milliseconds shortest_hold_interval{25};
 /// An answer that arrives this long after the end of its wait is logged as slow.
@@ -29,6 +29,7 @@
 
 void lease_manager::tick(core::steady_time now) {
     this->update_suspected_workers(now);
+    this->state.authority.count_answers(this->state.workers, now);
     for (auto place = this->state.workers.begin(); place != this->state.workers.end();) {
         auto& worker = place->second;
         if (worker.unanswered_holds > 0 && !worker.runs_given_up && worker.hold_failed_after_expiry &&
@@ -78,15 +79,11 @@
     hold_order order{.target = this->state.target_of(worker),
                      .acknowledged_ends = answering ? worker.last_end_recorded : 0};
     if (answering && !worker.runs.empty() && this->state.can_send_orders(now)) {
-        const bool outage = now - this->state.leadership_confirmed_at > outage_suspected;
-        const auto term = outage ? this->state.options.outage_lease_term : this->state.options.lease_term;
-        order.lease_until = worker.clock.estimate_at(now) + term;
+        order.lease_until = worker.clock.estimate_at(now) + this->state.options.lease_term;
         worker.lease_until = std::max(worker.lease_until, *order.lease_until);
     }
     if (answering) {
-        const bool lossy = now < this->state.lossy_until;
-        const auto wait = lossy ? this->state.options.lossy_hold_wait : this->state.options.hold_wait;
-        order.wait = worker.runs.empty() ? idle_hold_wait : wait;
+        order.wait = this->hold_wait(worker, now);
     }
     worker.hold_in_flight = true;
     worker.hold_sent_at = now;
@@ -94,6 +91,16 @@
     this->state.options.hooks.hold(order);
 }
 
+core::milliseconds lease_manager::hold_wait(const worker_state& worker, core::steady_time now) const {
+    const bool outage = this->state.authority.suspects_log_outage(now);
+    if (worker.runs.empty()) {
+        return outage ? outage_hold_wait : idle_hold_wait;
+    }
+    const bool lossy = now < this->state.lossy_until;
+    const auto wait = lossy ? this->state.options.lossy_hold_wait : this->state.options.hold_wait;
+    return outage ? std::min(wait, outage_hold_wait) : wait;
+}
+
 void lease_manager::on_reply(const hold_order& order, const hold_reply& reply, core::steady_time now) {
     const auto place = this->state.workers.find(order.target.worker);
     if (place == this->state.workers.end()) {
@@ -126,6 +133,7 @@
     worker.hold_failed_after_expiry = false;
     worker.runs_given_up = false;
     worker.has_answered = true;
+    worker.answered_hold_sent_at = worker.hold_sent_at;
     worker.next_hold_at = now + shortest_hold_interval;
     worker.clock.add_reading(reply.clock, reply.received_at);
     for (const auto& end : reply.ended) {
--- a/src/dispatch/lease_manager.h
+++ b/src/dispatch/lease_manager.h
@@ -34,6 +34,8 @@
 private:
     void update_suspected_workers(core::steady_time now);
     void send(worker_state& worker, core::steady_time now);
+    /// @return how long a worker may hold back its answer to the next hold.
+    [[nodiscard]] core::milliseconds hold_wait(const worker_state& worker, core::steady_time now) const;
     void on_unanswered(worker_state& worker, core::steady_time now);
     void begin_incarnation(worker_state& worker, worker_incarnation_id incarnation, core::steady_time now);
     void apply_running(worker_state& worker, const reported_run& row, core::steady_time now);
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -66,19 +66,20 @@
     /// Its lease is not treated as expired before this time, because an order for an earlier incarnation may
     /// have extended it.
     core::steady_time earliest_expiry;
-    bool hold_in_flight = false;           ///< Whether a hold has been sent and not answered.
-    bool hold_sent_after_expiry = false;   ///< Whether the last hold was sent after the lease had expired.
-    bool hold_failed_after_expiry = false; ///< Whether a hold sent after the expiry got no answer.
-    std::uint64_t answered_holds = 0;      ///< Number of answers to holds.
-    core::steady_time hold_sent_at;        ///< When the last hold was sent.
-    core::steady_time next_hold_at;        ///< Earliest time of the next hold.
-    std::uint32_t unanswered_holds = 0;    ///< Consecutive holds without an answer.
-    std::uint64_t last_end_applied = 0;    ///< Highest number of an end that has been applied.
-    std::uint64_t last_end_recorded = 0;   ///< Highest number of an end whose effect is in the log.
-    core::resources reserved;              ///< Resources reserved for its runs.
-    std::set<workflow::run_name> runs;     ///< Runs that reserve resources on it.
-    std::uint32_t long_running_runs = 0;   ///< Runs of long-running steps.
-    std::uint32_t leftover_runs = 0;       ///< Runs of steps that use leftover processor time.
+    bool hold_in_flight = false;             ///< Whether a hold has been sent and not answered.
+    bool hold_sent_after_expiry = false;     ///< Whether the last hold was sent after the lease had expired.
+    bool hold_failed_after_expiry = false;   ///< Whether a hold sent after the expiry got no answer.
+    std::uint64_t answered_holds = 0;        ///< Number of answers to holds.
+    core::steady_time hold_sent_at;          ///< When the last hold was sent.
+    core::steady_time answered_hold_sent_at; ///< When the last hold that was answered was sent.
+    core::steady_time next_hold_at;          ///< Earliest time of the next hold.
+    std::uint32_t unanswered_holds = 0;      ///< Consecutive holds without an answer.
+    std::uint64_t last_end_applied = 0;      ///< Highest number of an end that has been applied.
+    std::uint64_t last_end_recorded = 0;     ///< Highest number of an end whose effect is in the log.
+    core::resources reserved;                ///< Resources reserved for its runs.
+    std::set<workflow::run_name> runs;       ///< Runs that reserve resources on it.
+    std::uint32_t long_running_runs = 0;     ///< Runs of long-running steps.
+    std::uint32_t leftover_runs = 0;         ///< Runs of steps that use leftover processor time.
     std::int64_t leftover_millicores = 0;
     /// Whether it reports runs that this host does not track; its free capacity is then unknown.
     bool has_unknown_runs = false;
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -53,7 +53,7 @@
         }
         this->caught_up_at = now;
         if (this->election.leads()) {
-            this->dispatcher.confirm_leadership(now);
+            this->dispatcher.confirm_leadership(batch.asked_at);
         }
         if (!this->announced && !this->leaving) {
             this->announce_membership();
@@ -86,7 +86,7 @@
     telemetry::log_state("stepping down as leader because the log is reachable only through peers",
                          {{"epoch", std::to_string(this->election.epoch().value())}});
     if (const auto record = this->election.step_down()) {
-        this->store_leader_record(*record);
+        this->store_leader_record(*record, now);
     }
     this->apply_leadership(now);
 }
@@ -185,10 +185,10 @@
     this->apply_leadership(now);
     if (const auto claim = this->election.claim(now, this->standing())) {
         telemetry::log_state("claiming leadership", {{"epoch", std::to_string(claim->epoch.value())}});
-        this->store_leader_record(*claim);
+        this->store_leader_record(*claim, now);
     }
     if (const auto heartbeat = this->election.heartbeat(now)) {
-        this->store_leader_record(*heartbeat);
+        this->store_leader_record(*heartbeat, now);
     }
     this->dispatcher.run(now, system);
     this->record_roster(now);
@@ -220,7 +220,7 @@
 void cell_control::leave(core::steady_time now) {
     this->leaving = true;
     if (const auto record = this->election.resign()) {
-        this->store_leader_record(*record);
+        this->store_leader_record(*record, now);
     }
     if (this->announced) {
         auto member = this->options.self;
@@ -244,16 +244,16 @@
     this->options.hooks.leadership_changed(this->election.leads());
 }
 
-void cell_control::store_leader_record(const workflow::leader_record& record) {
-    this->options.hooks.store_as_leader(record.epoch, {record}, [this, record](write_outcome outcome) {
-        this->options.hooks.post([this, record, outcome](core::steady_time now) {
-            this->on_leader_record_written(record, outcome, now);
+void cell_control::store_leader_record(const workflow::leader_record& record, core::steady_time now) {
+    this->options.hooks.store_as_leader(record.epoch, {record}, [this, record, now](write_outcome outcome) {
+        this->options.hooks.post([this, record, outcome, sent_at = now](core::steady_time reported_at) {
+            this->on_leader_record_written(record, outcome, sent_at, reported_at);
         });
     });
 }
 
 void cell_control::on_leader_record_written(const workflow::leader_record& record, write_outcome outcome,
-                                            core::steady_time now) {
+                                            core::steady_time sent_at, core::steady_time now) {
     if (outcome == write_outcome::fenced && this->election.leads() &&
         record.epoch == this->election.epoch()) {
         telemetry::log_state("leader record refused by the log because its epoch is fenced",
@@ -262,7 +262,7 @@
         this->apply_leadership(now);
     } else if (outcome == write_outcome::stored && this->election.leads() &&
                record.epoch == this->election.epoch()) {
-        this->dispatcher.confirm_leadership(now);
+        this->dispatcher.confirm_leadership(sent_at);
     }
 }
 
@@ -295,10 +295,10 @@
         return;
     }
     this->election.on_appended(now);
-    this->options.hooks.store_as_leader(batch->epoch, records, [this, batch](write_outcome outcome) {
-        this->options.hooks.post([this, batch, outcome](core::steady_time reported_at) {
+    this->options.hooks.store_as_leader(batch->epoch, records, [this, batch, now](write_outcome outcome) {
+        this->options.hooks.post([this, batch, outcome, sent_at = now](core::steady_time reported_at) {
             if (outcome == write_outcome::stored) {
-                this->dispatcher.confirm_leadership(reported_at);
+                this->dispatcher.confirm_leadership(sent_at);
                 this->dispatcher.progress_recorded(*batch);
             } else if (batch->epoch == this->election.epoch()) {
                 this->election.on_fenced(reported_at);
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -20,7 +20,8 @@
 /// Consecutive records of the cell's log from one read.
 struct record_batch {
     std::vector<std::pair<core::log_offset, workflow::cell_record>> records;
-    bool caught_up = false; ///< The read reached the end of the log.
+    bool caught_up = false;     ///< The read reached the end of the log.
+    core::steady_time asked_at; ///< When the read was sent.
 };
 
 /// The outcome of a submission or a cancellation.
@@ -148,9 +149,9 @@
     void on_change(const workflow::state_change& change, core::steady_time now);
     [[nodiscard]] cell::claim_standing standing() const;
     void apply_leadership(core::steady_time now);
-    void store_leader_record(const workflow::leader_record& record);
+    void store_leader_record(const workflow::leader_record& record, core::steady_time now);
     void on_leader_record_written(const workflow::leader_record& record, write_outcome outcome,
-                                  core::steady_time now);
+                                  core::steady_time sent_at, core::steady_time now);
     void record_progress(core::steady_time now);
     void record_roster(core::steady_time now);
     void forget_expired_jobs(core::steady_time now);
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -373,6 +373,7 @@
 void host_process::on_cell_batch(const log_batch& batch) {
     auto decoded = std::make_shared<record_batch>();
     decoded->caught_up = batch.caught_up;
+    decoded->asked_at = batch.asked_at;
     for (const auto& item : batch.items) {
         try {
             decoded->records.emplace_back(item.offset, inner::decode_record(item.record));
@@ -440,6 +441,7 @@
     return {.name = "cell",
             .log = this->cell_log.as_log(),
             .read_interval = follower_read_interval,
+            .now = this->options.clock.steady,
             .sink = [this](const log_batch& batch) { this->on_cell_batch(batch); }};
 }
 
--- a/src/runtime/log_follower.h
+++ b/src/runtime/log_follower.h
@@ -15,8 +15,9 @@
 /// The entries of a stream from one read.
 struct log_batch {
     std::vector<cell::log_item> items;
-    bool reset = false;     ///< The items are the newest entry of every key; all other keys are gone.
-    bool caught_up = false; ///< The read reached the end of the stream.
+    bool reset = false;         ///< The items are the newest entry of every key; all other keys are gone.
+    bool caught_up = false;     ///< The read reached the end of the stream.
+    core::steady_time asked_at; ///< When the read was sent.
 };
 
 struct log_follower_options {
@@ -28,6 +29,7 @@
     /// Pause between two reads, so that many small entries cost fewer calls.
     core::milliseconds read_interval{0};
     bool enabled = true; ///< Whether to follow the stream from the start.
+    std::function<core::steady_time()> now = [] { return std::chrono::steady_clock::now(); };
     /// Called on the follower's thread with each batch, in order.
     std::function<void(log_batch)> sink;
 };
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -201,7 +201,7 @@
 
 // LOST: a task that is to last stayed down for the longest lease after a takeover, although its worker had
 // left.
-TEST_CASE("a successor restarts a long-running task whose worker left before the takeover", "[!mayfail]") {
+TEST_CASE("a successor restarts a long-running task whose worker left before the takeover") {
     simulated_cell cell{{.workers = 4}};
     std::uint32_t worker = 0;
     cell.work_time = [&](const workflow::task_name&, const workflow::step_request& step,
@@ -224,8 +224,7 @@
 }
 
 // LOST: as above, in a cell of the size to design for.
-TEST_CASE("a successor restarts the long-running tasks of 80 of 800 workers that left before the takeover",
-          "[!mayfail]") {
+TEST_CASE("a successor restarts the long-running tasks of 80 of 800 workers that left before the takeover") {
     constexpr std::uint32_t workers = 800;
     constexpr std::uint32_t leaving = 80;
     constexpr std::uint32_t jobs = 100;
@@ -248,7 +247,7 @@
     for (std::uint32_t i = 0; i < jobs; i++) {
         running += cell.running_of("a" + std::to_string(i));
     }
-    CHECK(running == jobs * tasks);
+    CHECK(running == std::size_t{jobs} * tasks);
     CHECK(cell.violations().empty());
 }
 
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -52,13 +52,13 @@
     const auto change =
         this->state.apply(workflow::job_accepted{.request = std::move(request), .policy = std::move(policy)},
                           core::log_offset{++this->offset}, this->time);
-    this->dispatcher->add_job(*this->state.find(change.job));
+    this->current_dispatcher().add_job(*this->state.find(change.job));
     this->run_dispatcher();
 }
 
 void simulated_cell::cancel(const workflow::job_key& key) {
     this->state.apply(workflow::job_cancelled{key}, core::log_offset{++this->offset}, this->time);
-    this->dispatcher->cancel_job(key, this->time);
+    this->current_dispatcher().cancel_job(key, this->time);
     this->run_dispatcher();
 }
 
@@ -83,6 +83,28 @@
 }
 
 void simulated_cell::change_leader(core::milliseconds list_complete_in) {
+    this->dispatchers.clear();
+    this->start_leader(list_complete_in);
+}
+
+void simulated_cell::cut_off_leader() {
+    this->start_leader(core::milliseconds{0});
+}
+
+void simulated_cell::disconnect_from_leader(std::uint32_t index) {
+    this->workers[index].disconnected_leaders.insert(this->leader_number);
+}
+
+dispatch::dispatcher* simulated_cell::find_dispatcher(std::uint64_t leader) {
+    const auto found = this->dispatchers.find(leader);
+    return found == this->dispatchers.end() ? nullptr : found->second.get();
+}
+
+bool simulated_cell::reaches(const sim_worker& worker, std::uint64_t leader) {
+    return !worker.disconnected && !worker.disconnected_leaders.contains(leader);
+}
+
+void simulated_cell::start_leader(core::milliseconds list_complete_in) {
     this->leader_number++;
     const workflow::leader_record lead{.epoch = core::epoch_id{this->leader_number},
                                        .leader = core::incarnation_id{std::to_string(this->leader_number)}};
@@ -94,16 +116,17 @@
             listed.push_back(worker.entry);
         }
     }
-    this->dispatcher->set_worker_list(listed);
-    this->dispatcher->set_max_advice_requests(8);
-    this->dispatcher->start_leading(lead.epoch, this->state, this->time, this->time + list_complete_in);
+    this->current_dispatcher().set_worker_list(listed);
+    this->current_dispatcher().set_max_advice_requests(8);
+    this->current_dispatcher().start_leading(lead.epoch, this->state, this->time,
+                                             this->time + list_complete_in);
     this->run_dispatcher();
 }
 
 void simulated_cell::set_listed(std::uint32_t index, bool listed) {
     this->workers[index].listed = listed;
     if (listed) {
-        this->dispatcher->set_worker(this->workers[index].entry);
+        this->current_dispatcher().set_worker(this->workers[index].entry);
     }
 }
 
@@ -120,15 +143,15 @@
     worker.next_end = 1;
     worker.taken = {};
     for (const auto& waiting : std::exchange(worker.holds, {})) {
-        this->schedule(this->time + order_limit, [this, leader = this->leader_number, order = waiting.order] {
-            if (leader == this->leader_number) {
-                this->dispatcher->on_hold_reply(order, {}, this->time);
+        this->schedule(this->time + order_limit, [this, order = waiting.order] {
+            if (auto* sender = this->find_dispatcher(order.target.fencing_token.value())) {
+                sender->on_hold_reply(order, {}, this->time);
             }
         });
     }
     worker.lease_end = {};
     worker.entry.draining = false;
-    this->dispatcher->set_worker(worker.entry);
+    this->current_dispatcher().set_worker(worker.entry);
 }
 
 void simulated_cell::set_disconnected(std::uint32_t index, bool disconnected) {
@@ -141,7 +164,7 @@
 
 void simulated_cell::drain_worker(std::uint32_t index) {
     this->workers[index].entry.draining = true;
-    this->dispatcher->set_worker(this->workers[index].entry);
+    this->current_dispatcher().set_worker(this->workers[index].entry);
 }
 
 void simulated_cell::set_log_down(bool down) {
@@ -190,14 +213,14 @@
 /// Delivers an order to its worker and the reply back, with the faults that the options ask for.
 template <typename Order, typename Act, typename OnReply>
 void simulated_cell::deliver(const Order& order, Act act, OnReply on_reply) {
-    const auto leader = this->leader_number;
+    const auto leader = order.target.fencing_token.value();
     const auto index = this->index_of(order.target.worker);
     const auto reply = [this, leader, order, on_reply](const order_reply& answer) {
-        if (leader == this->leader_number) {
-            on_reply(order, answer);
+        if (auto* sender = this->find_dispatcher(leader)) {
+            on_reply(*sender, order, answer);
         }
     };
-    if (this->workers[index].disconnected || this->chance(this->options.lost_share)) {
+    if (!reaches(this->workers[index], leader) || this->chance(this->options.lost_share)) {
         this->schedule(this->time + order_limit, [reply] { reply({.outcome = order_outcome::unknown}); });
         return;
     }
@@ -227,25 +250,25 @@
     made.hooks.start = [this](const start_order& order) {
         this->deliver(
             order, [this](auto index, const auto& one) { return this->do_start(index, one); },
-            [this](const auto& one, const auto& reply) {
-                this->dispatcher->on_start_reply(one, reply, this->time);
+            [this](auto& sender, const auto& one, const auto& reply) {
+                sender.on_start_reply(one, reply, this->time);
             });
     };
     made.hooks.stop = [this](const stop_order& order) {
         this->deliver(
             order, [this](auto index, const auto& one) { return this->do_stop(index, one); },
-            [this](const auto& one, const auto& reply) {
-                this->dispatcher->on_stop_reply(one, reply, this->time);
+            [this](auto& sender, const auto& one, const auto& reply) {
+                sender.on_stop_reply(one, reply, this->time);
             });
     };
     made.hooks.hold = [this](const hold_order& order) {
         const auto index = this->index_of(order.target.worker);
-        const auto leader = this->leader_number;
+        const auto leader = order.target.fencing_token.value();
         const auto stall = this->workers[index].stall;
-        if (this->workers[index].disconnected || stall.count() > 0) {
+        if (!reaches(this->workers[index], leader) || stall.count() > 0) {
             this->schedule(this->time + std::max(stall, order.wait + order_limit), [this, leader, order] {
-                if (leader == this->leader_number) {
-                    this->dispatcher->on_hold_reply(order, {}, this->time);
+                if (auto* sender = this->find_dispatcher(leader)) {
+                    sender->on_hold_reply(order, {}, this->time);
                 }
             });
             return;
@@ -271,34 +294,39 @@
                     reply.allowed.push_back({.worker = worker, .ticket = ticket_id{order.step.text()}});
                 }
             }
-            this->dispatcher->on_advice_reply(order, asked_at, reply, this->time);
+            this->current_dispatcher().on_advice_reply(order, asked_at, reply, this->time);
         });
     };
-    this->dispatcher = std::make_unique<dispatch::dispatcher>(std::move(made));
+    this->dispatchers.emplace(this->leader_number, std::make_unique<dispatch::dispatcher>(std::move(made)));
 }
 
 void simulated_cell::run_dispatcher() {
     if (!this->log_down) {
-        this->dispatcher->confirm_leadership(this->time);
-    }
-    this->dispatcher->run(this->time, core::system_time{this->time.time_since_epoch()});
-    if (const auto roster = this->dispatcher->take_roster(this->time)) {
-        this->schedule(this->time + this->options.log_write_time,
-                       [this, roster, leader = this->leader_number] {
-                           const auto store = [this, roster, leader] {
-                               if (leader == this->leader_number) {
-                                   this->state.apply(*roster, core::log_offset{++this->offset}, this->time);
-                                   this->dispatcher->roster_recorded(core::epoch_id{leader}, *roster);
-                               }
-                           };
-                           if (this->log_down) {
-                               this->delayed_writes.push_back(store);
-                           } else {
-                               store();
-                           }
-                       });
-    }
-    const auto batch = this->dispatcher->take_progress(this->time);
+        this->current_dispatcher().confirm_leadership(this->time);
+    }
+    for (const auto& [leader, leading] : this->dispatchers) {
+        leading->run(this->time, core::system_time{this->time.time_since_epoch()});
+        if (leader != this->leader_number && leading->fenced()) {
+            leading->stop_leading();
+        }
+    }
+    if (const auto roster = this->current_dispatcher().take_roster(this->time)) {
+        this->schedule(
+            this->time + this->options.log_write_time, [this, roster, leader = this->leader_number] {
+                const auto store = [this, roster, leader] {
+                    if (leader == this->leader_number) {
+                        this->state.apply(*roster, core::log_offset{++this->offset}, this->time);
+                        this->current_dispatcher().roster_recorded(core::epoch_id{leader}, *roster);
+                    }
+                };
+                if (this->log_down) {
+                    this->delayed_writes.push_back(store);
+                } else {
+                    store();
+                }
+            });
+    }
+    const auto batch = this->current_dispatcher().take_progress(this->time);
     if (!batch) {
         return;
     }
@@ -317,7 +345,7 @@
         for (const auto& key : batch.closed) {
             this->state.apply(workflow::job_closed{key}, core::log_offset{++this->offset}, this->time);
         }
-        this->dispatcher->progress_recorded(batch);
+        this->current_dispatcher().progress_recorded(batch);
     };
     this->schedule(this->time + this->options.log_write_time, [this, store] {
         if (this->log_down) {
@@ -434,14 +462,14 @@
         reply.running.push_back({.run = name});
     }
     reply.ended = worker.ended;
-    const auto leader = this->leader_number;
-    const bool disconnected = worker.disconnected;
-    this->schedule(this->time + (disconnected ? order_limit : this->options.latency),
-                   [this, leader, order, reply, disconnected] {
-                       auto answer = disconnected ? hold_reply{} : reply;
+    const auto leader = order.target.fencing_token.value();
+    const bool reached = reaches(worker, leader);
+    this->schedule(this->time + (reached ? this->options.latency : order_limit),
+                   [this, leader, order, reply, reached] {
+                       auto answer = reached ? reply : hold_reply{};
                        answer.received_at = this->time;
-                       if (leader == this->leader_number) {
-                           this->dispatcher->on_hold_reply(order, answer, this->time);
+                       if (auto* sender = this->find_dispatcher(leader)) {
+                           sender->on_hold_reply(order, answer, this->time);
                        }
                    });
 }
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -53,6 +53,13 @@
     /// @param list_complete_in how long workers may be missing from the platform's list.
     void change_leader(core::milliseconds list_complete_in = core::milliseconds{0});
 
+    /// Replaces the leader as change_leader() does, but the former one lives on, cut off from the log: it
+    /// still sends orders to the workers that it reaches.
+    void cut_off_leader();
+
+    /// Cuts the connection between a worker and the current leader only.
+    void disconnect_from_leader(std::uint32_t index);
+
     /// Removes a worker from the platform's list, or adds it again.
     void set_listed(std::uint32_t index, bool listed);
 
@@ -109,7 +116,9 @@
     [[nodiscard]] static core::worker_id worker_name(std::uint32_t index);
 
     [[nodiscard]] core::steady_time now() const { return this->time; }
-    [[nodiscard]] dispatch::dispatcher& current_dispatcher() { return *this->dispatcher; }
+    [[nodiscard]] dispatch::dispatcher& current_dispatcher() {
+        return *this->dispatchers.at(this->leader_number);
+    }
     [[nodiscard]] std::mt19937_64& random() { return this->random_engine; }
 
 private:
@@ -134,7 +143,8 @@
         std::uint64_t next_end = 1;
         core::resources taken;
         bool disconnected = false;
-        core::milliseconds stall{0}; ///< Delay of holds to it that fail; 0: none fail.
+        std::set<std::uint64_t> disconnected_leaders; ///< Leaders that do not reach it.
+        core::milliseconds stall{0};                  ///< Delay of holds to it that fail; 0: none fail.
         bool listed = true;
         std::uint64_t life_number = 0;
         struct waiting_hold {
@@ -150,6 +160,9 @@
 
     void schedule(core::steady_time when, std::function<void()> action);
     void make_dispatcher();
+    void start_leader(core::milliseconds list_complete_in);
+    [[nodiscard]] dispatch::dispatcher* find_dispatcher(std::uint64_t leader);
+    [[nodiscard]] static bool reaches(const sim_worker& worker, std::uint64_t leader);
     void run_dispatcher();
     bool chance(double share);
     dispatch::worker_time clock_of(const sim_worker& worker) const;
@@ -176,7 +189,8 @@
     std::vector<sim_worker> workers;
     std::map<core::worker_id, std::uint32_t> indexes;
     workflow::cell_state state;
-    std::unique_ptr<dispatch::dispatcher> dispatcher;
+    /// The current leader, and former ones that live on, by leader number.
+    std::map<std::uint64_t, std::unique_ptr<dispatch::dispatcher>> dispatchers;
     std::uint64_t leader_number = 0;
     std::uint64_t offset = 0;
     bool log_down = false;
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -44,7 +44,7 @@
     }
 
     void read(std::vector<workflow::cell_record> records) {
-        record_batch batch{.caught_up = true};
+        record_batch batch{.caught_up = true, .asked_at = this->now};
         for (auto& record : records) {
             batch.records.emplace_back(core::log_offset{++this->offset}, std::move(record));
         }
