--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -6,7 +6,8 @@
 ///
 /// `dispatcher` is the entry point. It shares `dispatch_state` with `run_manager` (runs and the resources
 /// that they reserve), `task_lifecycle` (state transitions when a run ends), `lease_manager` (leases and the
-/// runs that workers report), `task_placer` (choice of a worker), `advice_manager` (workers that a step
+/// runs that workers report), `leader_authority` (until when this host may act as the leader, and when the leases of a former
+/// leader have expired), `task_placer` (choice of a worker), `advice_manager` (workers that a step
 /// is permitted to run on) and `worker_roster` (workers on which tasks may have been started, recorded for
 /// the next leader).
 ///
