--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -12,13 +12,16 @@
 
 constexpr core::milliseconds tick{20};
 constexpr core::milliseconds order_limit{700};
+constexpr core::milliseconds stop_timeout{320};
+constexpr core::milliseconds hold_margin{250};
 constexpr core::milliseconds stop_duration{100};
 constexpr core::milliseconds longest_lease{10000};
 
 } // namespace
 
 simulated_cell::simulated_cell(simulated_cell_options options)
-    : options(options), random_engine(options.seed), time(std::chrono::hours{1}) {
+    : options(options), random_engine(options.seed), time(std::chrono::hours{1}),
+      line(options.calls_per_second) {
     for (std::uint32_t i = 0; i < options.workers; i++) {
         sim_worker worker;
         worker.started_at = this->time;
@@ -106,6 +109,7 @@
 
 void simulated_cell::start_leader(core::milliseconds list_complete_in) {
     this->leader_number++;
+    this->line = call_line{this->options.calls_per_second};
     const workflow::leader_record lead{.epoch = core::epoch_id{this->leader_number},
                                        .leader = core::incarnation_id{std::to_string(this->leader_number)}};
     this->state.apply(lead, core::log_offset{++this->offset}, this->time);
@@ -212,7 +216,7 @@
 
 /// Delivers an order to its worker and the reply back, with the faults that the options ask for.
 template <typename Order, typename Act, typename OnReply>
-void simulated_cell::deliver(const Order& order, Act act, OnReply on_reply) {
+void simulated_cell::deliver(const Order& order, core::milliseconds timeout, Act act, OnReply on_reply) {
     const auto leader = order.target.fencing_token.value();
     const auto index = this->index_of(order.target.worker);
     const auto reply = [this, leader, order, on_reply](const order_reply& answer) {
@@ -224,6 +228,10 @@
         this->schedule(this->time + order_limit, [reply] { reply({.outcome = order_outcome::unknown}); });
         return;
     }
+    if (this->line.bounded()) {
+        this->deliver_on_line(order, timeout, act, reply);
+        return;
+    }
     const bool late = this->chance(this->options.late_share);
     const auto delay = late ? core::milliseconds{std::uniform_int_distribution<std::int64_t>{
                                   500, this->options.late_time.count()}(this->random_engine)}
@@ -245,18 +253,47 @@
     });
 }
 
+/// Delivers an order over the leader's line, and the reply back, within its timeout.
+template <typename Order, typename Act, typename Reply>
+void simulated_cell::deliver_on_line(const Order& order, core::milliseconds timeout, Act act, Reply reply) {
+    const auto deadline = this->time + timeout;
+    const auto sent_at = this->line.pass(this->time, deadline);
+    if (!sent_at) {
+        this->schedule(deadline, [reply] { reply({.outcome = order_outcome::not_sent}); });
+        return;
+    }
+    const bool answer_is_read = *sent_at + 2 * this->options.latency <= deadline;
+    if (!answer_is_read) {
+        this->schedule(deadline, [reply] { reply({.outcome = order_outcome::unknown}); });
+    }
+    const auto index = this->index_of(order.target.worker);
+    this->schedule(
+        *sent_at + this->options.latency, [this, index, order, act, reply, deadline, answer_is_read] {
+            const auto answer = act(index, order);
+            if (!answer_is_read) {
+                return;
+            }
+            this->schedule(this->time + this->options.latency, [this, reply, answer, deadline] {
+                const auto read_at = this->line.pass(this->time, deadline);
+                this->schedule(read_at.value_or(deadline), [reply, read = read_at.has_value(), answer] {
+                    reply(read ? answer : order_reply{.outcome = order_outcome::unknown});
+                });
+            });
+        });
+}
+
 void simulated_cell::make_dispatcher() {
     dispatch_options made;
     made.hooks.start = [this](const start_order& order) {
         this->deliver(
-            order, [this](auto index, const auto& one) { return this->do_start(index, one); },
+            order, order.timeout, [this](auto index, const auto& one) { return this->do_start(index, one); },
             [this](auto& sender, const auto& one, const auto& reply) {
                 sender.on_start_reply(one, reply, this->time);
             });
     };
     made.hooks.stop = [this](const stop_order& order) {
         this->deliver(
-            order, [this](auto index, const auto& one) { return this->do_stop(index, one); },
+            order, stop_timeout, [this](auto index, const auto& one) { return this->do_stop(index, one); },
             [this](auto& sender, const auto& one, const auto& reply) {
                 sender.on_stop_reply(one, reply, this->time);
             });
@@ -273,8 +310,15 @@
             });
             return;
         }
-        this->schedule(this->time + this->options.latency,
-                       [this, index, order] { this->do_hold(index, order); });
+        const auto deadline =
+            this->line.bounded() ? this->time + order.wait + hold_margin : core::steady_time::max();
+        const auto sent_at = this->line.pass(this->time, deadline);
+        if (!sent_at) {
+            this->schedule(deadline, [this, leader, order] { this->report_hold(leader, order, {}); });
+            return;
+        }
+        this->schedule(*sent_at + this->options.latency,
+                       [this, index, order, deadline] { this->do_hold(index, order, deadline); });
     };
     made.hooks.pace = [](const pace_order&) {};
     made.hooks.advise = [this](const advice_order& order) {
@@ -426,7 +470,7 @@
     return {.outcome = order_outcome::done};
 }
 
-void simulated_cell::do_hold(std::uint32_t index, const hold_order& order) {
+void simulated_cell::do_hold(std::uint32_t index, const hold_order& order, core::steady_time deadline) {
     auto& worker = this->workers[index];
     if (order.target.fencing_token.value() >= worker.token) {
         worker.token = order.target.fencing_token.value();
@@ -436,24 +480,24 @@
         this->forget_ends(worker, order.acknowledged_ends);
         if (worker.ended.empty() && order.wait.count() > 0) {
             const auto number = ++this->run_ids;
-            worker.holds.push_back({order, number});
+            worker.holds.push_back({order, deadline, number});
             this->schedule(this->time + order.wait, [this, index, number] {
                 auto& holds = this->workers[index].holds;
                 const auto waiting = std::find_if(holds.begin(), holds.end(),
                                                   [&](const auto& one) { return one.number == number; });
                 if (waiting != holds.end()) {
-                    const auto due = waiting->order;
+                    const auto due = *waiting;
                     holds.erase(waiting);
-                    this->answer_hold(index, due);
+                    this->answer_hold(index, due.order, due.deadline);
                 }
             });
             return;
         }
     }
-    this->answer_hold(index, order);
+    this->answer_hold(index, order, deadline);
 }
 
-void simulated_cell::answer_hold(std::uint32_t index, const hold_order& order) {
+void simulated_cell::answer_hold(std::uint32_t index, const hold_order& order, core::steady_time deadline) {
     auto& worker = this->workers[index];
     hold_reply reply{
         .answered = true, .incarnation = worker.entry.incarnation, .clock = this->clock_of(worker)};
@@ -463,15 +507,25 @@
     }
     reply.ended = worker.ended;
     const auto leader = order.target.fencing_token.value();
-    const bool reached = reaches(worker, leader);
-    this->schedule(this->time + (reached ? this->options.latency : order_limit),
-                   [this, leader, order, reply, reached] {
-                       auto answer = reached ? reply : hold_reply{};
-                       answer.received_at = this->time;
-                       if (auto* sender = this->find_dispatcher(leader)) {
-                           sender->on_hold_reply(order, answer, this->time);
-                       }
-                   });
+    if (!reaches(worker, leader)) {
+        this->schedule(this->time + order_limit,
+                       [this, leader, order] { this->report_hold(leader, order, {}); });
+        return;
+    }
+    this->schedule(this->time + this->options.latency, [this, leader, order, reply, deadline] {
+        const auto read_at = this->line.pass(this->time, deadline);
+        this->schedule(read_at.value_or(std::max(deadline, this->time)),
+                       [this, leader, order, answer = read_at ? reply : hold_reply{}] {
+                           this->report_hold(leader, order, answer);
+                       });
+    });
+}
+
+void simulated_cell::report_hold(std::uint64_t leader, const hold_order& order, hold_reply reply) {
+    reply.received_at = this->time;
+    if (auto* sender = this->find_dispatcher(leader)) {
+        sender->on_hold_reply(order, reply, this->time);
+    }
 }
 
 void simulated_cell::forget_ends(sim_worker& worker, std::uint64_t up_to) {
@@ -534,7 +588,7 @@
         this->done_tasks.insert(run.task);
     }
     for (const auto& waiting : std::exchange(worker.holds, {})) {
-        this->answer_hold(index, waiting.order);
+        this->answer_hold(index, waiting.order, waiting.deadline);
     }
 }
 
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatcher.h"
+#include "tests/dispatch/call_line.h"
 #include "workflow/cell_state.h"
 
 #include <cstdint>
@@ -27,6 +28,9 @@
     core::milliseconds late_time{3000}; ///< Longest delay of late orders.
     double allowed_share = 1;           ///< Share of the workers that advice allows, for queues that need it.
     core::milliseconds advice_time{40};
+    /// Calls to workers, with their answers, that a leader's host can make in a second; 0: any number. With a
+    /// bound, calls also have the timeouts that the orders ask for.
+    std::uint32_t calls_per_second = 0;
 };
 
 /// A cell in virtual time: a dispatcher, simulated workers and a log in memory.
@@ -149,6 +153,7 @@
         std::uint64_t life_number = 0;
         struct waiting_hold {
             dispatch::hold_order order;
+            core::steady_time deadline;
             std::uint64_t number = 0;
         };
         std::vector<waiting_hold> holds;
@@ -169,8 +174,9 @@
     std::uint32_t index_of(const core::worker_id& worker) const;
     dispatch::order_reply do_start(std::uint32_t index, const dispatch::start_order& order);
     dispatch::order_reply do_stop(std::uint32_t index, const dispatch::stop_order& order);
-    void do_hold(std::uint32_t index, const dispatch::hold_order& order);
-    void answer_hold(std::uint32_t index, const dispatch::hold_order& order);
+    void do_hold(std::uint32_t index, const dispatch::hold_order& order, core::steady_time deadline);
+    void answer_hold(std::uint32_t index, const dispatch::hold_order& order, core::steady_time deadline);
+    void report_hold(std::uint64_t leader, const dispatch::hold_order& order, dispatch::hold_reply reply);
     void forget_ends(sim_worker& worker, std::uint64_t up_to);
     void extend_lease(sim_worker& worker, dispatch::worker_time until);
     void end_run(std::uint32_t index, const workflow::run_name& run, dispatch::run_outcome how);
@@ -180,7 +186,9 @@
     void check_attempt_limit(const workflow::task_name& task);
     void add_violation(const std::string& text);
     template <typename Order, typename Act, typename OnReply>
-    void deliver(const Order& order, Act act, OnReply on_reply);
+    void deliver(const Order& order, core::milliseconds timeout, Act act, OnReply on_reply);
+    template <typename Order, typename Act, typename Reply>
+    void deliver_on_line(const Order& order, core::milliseconds timeout, Act act, Reply reply);
 
     simulated_cell_options options;
     std::mt19937_64 random_engine;
@@ -192,6 +200,7 @@
     /// The current leader, and former ones that live on, by leader number.
     std::map<std::uint64_t, std::unique_ptr<dispatch::dispatcher>> dispatchers;
     std::uint64_t leader_number = 0;
+    call_line line; ///< Of the current leader.
     std::uint64_t offset = 0;
     bool log_down = false;
     std::vector<std::function<void()>> delayed_writes;
