--- a/src/dispatch/dispatch_state.cpp
+++ b/src/dispatch/dispatch_state.cpp
@@ -14,6 +14,27 @@
     return &occurrence->second.steps[name.step];
 }
 
+void dispatch_state::add_round_trip(const worker_state& worker, core::steady_time sent_at,
+                                    core::steady_time now) {
+    this->round_trips[worker.entry.data_centre].add(now - sent_at, now);
+    this->orders.add_round_trip(now - sent_at);
+}
+
+void dispatch_state::order_finished(const order_target& target, order_outcome outcome,
+                                    core::steady_time sent_at, core::steady_time now) {
+    if (outcome == order_outcome::unknown || outcome == order_outcome::not_sent) {
+        this->orders.failed(now);
+        return;
+    }
+    core::steady_time::duration shortest{0};
+    if (const auto worker = this->workers.find(target.worker); worker != this->workers.end()) {
+        auto& there = this->round_trips[worker->second.entry.data_centre];
+        there.add(now - sent_at, now);
+        shortest = there.value();
+    }
+    this->orders.answered(now - sent_at, shortest, now);
+}
+
 void dispatch_state::mark_dirty(live_job& job) {
     job.dirty = true;
     this->dirty_jobs.insert(job.key());
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -4,7 +4,10 @@
 #include "core/time.h"
 #include "dispatch/leader_authority.h"
 #include "dispatch/live_job.h"
+#include "dispatch/order_window.h"
 #include "dispatch/orders.h"
+#include "dispatch/retry_schedule.h"
+#include "dispatch/shortest_round_trip.h"
 #include "dispatch/worker_state.h"
 #include "workflow/queue_policy.h"
 
@@ -55,7 +58,10 @@
                                 .max_stop_duration = options.max_stop_duration}};
     core::steady_time list_complete_at; ///< Until then, live workers may be missing from the platform's list.
     core::steady_time lossy_until;      ///< Until then, answers of workers are expected to get lost.
-    bool worker_list_read = false;      ///< Whether the platform's list has been read completely.
+    order_window orders;                ///< Bounds the starts and stops in flight.
+    std::map<core::data_centre_id, shortest_round_trip> round_trips; ///< Of calls to workers.
+    retry_schedule retries;        ///< The runs whose last order may have to be sent again.
+    bool worker_list_read = false; ///< Whether the platform's list has been read completely.
     std::map<core::worker_id, worker_state> workers;
     std::unordered_map<workflow::job_key, std::unique_ptr<live_job>> jobs;
     std::map<step_sort_key, live_step*> ready_steps;       ///< Steps with tasks that wait to be started.
@@ -89,6 +95,20 @@
     /// @return the step, or null if its job is unknown or was removed, or if the occurrence is not due.
     [[nodiscard]] live_step* find_step(const workflow::step_name& name);
 
+    /// Adds the round trip of a call to a worker that the worker answered without waiting.
+    /// @param worker the worker.
+    /// @param sent_at when the call was sent.
+    /// @param now the current time.
+    void add_round_trip(const worker_state& worker, core::steady_time sent_at, core::steady_time now);
+
+    /// Counts the reply to a start or stop in `orders`.
+    /// @param target the target of the order.
+    /// @param outcome what became of it.
+    /// @param sent_at when it was sent.
+    /// @param now the current time.
+    void order_finished(const order_target& target, order_outcome outcome, core::steady_time sent_at,
+                        core::steady_time now);
+
     /// Marks a job as having unrecorded progress.
     void mark_dirty(live_job& job);
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -11,8 +11,6 @@
 
 /// Shortest time between two records of progress that changes no job's phase.
 constexpr core::milliseconds record_interval{100};
-/// Time between two searches for unanswered orders.
-constexpr core::milliseconds retry_check_interval{100};
 /// Shortest time between two placements, so that ends of runs in quick succession are handled by one
 /// placement.
 constexpr core::milliseconds place_interval{4};
@@ -23,8 +21,8 @@
 
 dispatcher::dispatcher(dispatch_options options)
     : state{.options = std::move(options)}, runs(this->state), lifecycle(this->state, this->runs),
-      leases(this->state, this->runs, this->lifecycle), used_workers(this->state), selector(this->state),
-      advice(this->state, this->selector) {}
+      leases(this->state, this->runs, this->lifecycle), retrier(this->state, this->runs),
+      used_workers(this->state), selector(this->state), advice(this->state, this->selector) {}
 
 void dispatcher::start_leading(core::epoch_id epoch, const workflow::cell_state& cell, core::steady_time now,
                                core::steady_time list_complete_at) {
@@ -60,6 +58,9 @@
     this->state.closing_jobs.clear();
     this->state.closed_jobs.clear();
     this->state.freed_workers.clear();
+    this->state.orders = order_window{};
+    this->state.round_trips.clear();
+    this->state.retries.clear();
     this->state.record_immediately = false;
     this->progress_in_flight = false;
     this->advice.reset();
@@ -148,7 +149,7 @@
 
 void dispatcher::on_start_reply(const start_order& order, const order_reply& reply, core::steady_time now) {
     auto* step = this->state.find_step(order.run.task.step);
-    if (!this->state.leading || order.target.fencing_token != this->state.epoch || step == nullptr) {
+    if (!this->count_reply(order.target, reply, order.sent_at, now) || step == nullptr) {
         return;
     }
     const auto index = order.run.task.index;
@@ -174,12 +175,15 @@
         }
         run->phase = run_phase::unconfirmed;
         run->retry_at = now;
-        if (reply.outcome != order_outcome::unknown) {
+        if (reply.outcome == order_outcome::not_sent) {
+            run->start_tries--; // This try does not count; an earlier one is in doubt.
+            run->retry_at = now + this->state.options.order_retry_interval;
+        } else if (reply.outcome != order_outcome::unknown) {
             run->start_tries = this->state.options.max_start_tries;
         } else {
             this->state.lossy_until = now + this->state.options.lossy_period;
         }
-        this->retry_order(*step, index, *run, now);
+        this->state.retries.add(run->retry_at, order.run);
         return;
     }
     this->was_fenced = this->was_fenced || reply.outcome == order_outcome::fenced;
@@ -191,9 +195,19 @@
     this->lifecycle.run_refused(*step, index, order.run.run, now);
 }
 
+bool dispatcher::count_reply(const order_target& target, const order_reply& reply, core::steady_time sent_at,
+                             core::steady_time now) {
+    if (!this->state.leading || target.fencing_token != this->state.epoch) {
+        return false;
+    }
+    this->state.order_finished(target, reply.outcome, sent_at, now);
+    this->state.placement_needed = this->state.placement_needed || this->starts_wait_for_room;
+    return true;
+}
+
 void dispatcher::on_stop_reply(const stop_order& order, const order_reply& reply, core::steady_time now) {
     auto* step = this->state.find_step(order.run.task.step);
-    if (!this->state.leading || order.target.fencing_token != this->state.epoch || step == nullptr) {
+    if (!this->count_reply(order.target, reply, order.sent_at, now) || step == nullptr) {
         return;
     }
     auto* run = run_manager::find_run(step->tasks[order.run.task.index], order.run.run);
@@ -235,7 +249,7 @@
         return job->second->next_occurrence == job->second->entry->accepted.request.occurrences();
     });
     this->leases.tick(now);
-    this->retry_orders(now);
+    this->retrier.run(now);
     if (this->state.can_send_orders(now) && this->state.worker_list_read &&
         now >= this->placed_at + place_interval) {
         this->placed_at = now;
@@ -322,6 +336,11 @@
 }
 
 void dispatcher::place_all(core::steady_time now) {
+    this->starts_wait_for_room = !this->state.orders.has_room();
+    if (this->starts_wait_for_room) {
+        this->state.placement_needed = false; // Set again by the next reply.
+        return;
+    }
     const auto freed = std::exchange(this->state.freed_workers, {});
     this->state.placement_needed = false;
     const bool leases_expired =
@@ -335,6 +354,14 @@
         steps.push_back(step);
     }
     for (auto* step : steps) {
+        if (!this->state.orders.has_room()) {
+            this->starts_wait_for_room = true;
+            step->needs_placement = step->needs_placement || settles || !freed.empty();
+            if (step->advice.allowed.empty()) {
+                this->advice.ask(*step, now);
+            }
+            continue;
+        }
         if (step->needs_placement || settles || !freed.empty()) {
             if (step->request->gang) {
                 this->place_gang(*step, now);
@@ -357,7 +384,10 @@
     for (const auto index : step.waiting) {
         auto& task = step.tasks[index];
         std::optional<core::worker_id> worker;
-        if (may_find_worker && this->may_start(step, task, now)) {
+        if (!this->state.orders.has_room()) {
+            this->starts_wait_for_room = true;
+            step.needs_placement = true;
+        } else if (may_find_worker && this->may_start(step, task, now)) {
             worker = look_everywhere ? this->selector.choose(step, index, now)
                                      : this->selector.choose_among(step, index, freed, now);
             may_find_worker = worker.has_value();
@@ -423,40 +453,6 @@
     });
 }
 
-void dispatcher::retry_orders(core::steady_time now) {
-    if (now < this->retried_at + retry_check_interval) {
-        return;
-    }
-    this->retried_at = now;
-    for (auto& [key, job] : this->state.jobs) {
-        for (auto& [number, occurrence] : job->occurrences) {
-            for (auto& step : occurrence.steps) {
-                for (std::uint32_t i = 0; i < step.tasks.size(); i++) {
-                    for (auto& run : step.tasks[i].runs) {
-                        this->retry_order(step, i, run, now);
-                    }
-                }
-            }
-        }
-    }
-}
-
-void dispatcher::retry_order(live_step& step, std::uint32_t index, live_run& run, core::steady_time now) {
-    if (now < run.retry_at) {
-        return;
-    }
-    if (run.phase == run_phase::unconfirmed) {
-        if (run.start_tries >= this->state.options.max_start_tries || !this->state.can_send_orders(now)) {
-            this->runs.stop(step, index, run, now);
-            return;
-        }
-        run.start_tries++;
-        this->runs.send_start(step, index, run, now);
-    } else if (run.phase == run_phase::stopping && !run.answered_at) {
-        this->runs.stop(step, index, run, now);
-    }
-}
-
 void dispatcher::forget_over_jobs() {
     std::erase_if(this->state.closing_jobs, [this](const workflow::job_key& key) {
         const auto place = this->state.jobs.find(key);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "dispatch/advice_manager.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/lease_manager.h"
+#include "dispatch/order_retrier.h"
 #include "dispatch/run_manager.h"
 #include "dispatch/task_lifecycle.h"
 #include "dispatch/task_placer.h"
@@ -123,25 +124,29 @@
     void place_gang(live_step& step, core::steady_time now);
     [[nodiscard]] bool may_start(const live_step& step, const live_task& task, core::steady_time now) const;
     [[nodiscard]] bool has_settled_predecessor(core::steady_time now) const;
-    void retry_orders(core::steady_time now);
-    void retry_order(live_step& step, std::uint32_t index, live_run& run, core::steady_time now);
+    /// Counts a reply among the orders in flight.
+    /// @return whether it belongs to an order of this epoch.
+    bool count_reply(const order_target& target, const order_reply& reply, core::steady_time sent_at,
+                     core::steady_time now);
     void forget_over_jobs();
 
     dispatch_state state;
     run_manager runs;
     task_lifecycle lifecycle;
     lease_manager leases;
+    order_retrier retrier;
     worker_roster used_workers;
     task_placer selector;
     advice_manager advice;
     bool was_fenced = false;
     bool progress_in_flight = false;
+    /// Whether tasks wait because too many orders are in flight.
+    bool starts_wait_for_room = false;
     /// All workers have answered or lost their leases since start_leading().
     bool predecessor_settled = false;
     /// All leases that a former leader may have extended have expired.
     bool inherited_leases_expired = false;
     core::steady_time recorded_at;
-    core::steady_time retried_at;
     core::steady_time placed_at;
 };
 
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/logging.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace rattanmount::dispatch {
@@ -25,11 +26,17 @@
 /// Added to the expiry of a lease and the duration of a stop before runs are given up.
 constexpr core::milliseconds expiry_margin{300};
 
+/// @return whether the worker has answered the last hold.
+bool answers(const worker_state& worker) {
+    return worker.unanswered_holds == 0 && worker.has_answered;
+}
+
 } // namespace
 
 void lease_manager::tick(core::steady_time now) {
     this->update_suspected_workers(now);
     this->state.authority.count_answers(this->state.workers, now);
+    std::vector<worker_state*> unknown;
     for (auto place = this->state.workers.begin(); place != this->state.workers.end();) {
         auto& worker = place->second;
         if (worker.unanswered_holds > 0 && !worker.runs_given_up && worker.hold_failed_after_expiry &&
@@ -41,7 +48,11 @@
             continue;
         }
         if (!worker.hold_in_flight && now >= worker.next_hold_at) {
-            this->send(worker, now);
+            if (answers(worker)) {
+                this->send(worker, now);
+            } else {
+                unknown.push_back(&worker);
+            }
         }
         const bool accepts = worker.accepts_starts(now);
         if (accepts && !worker.accepted_starts) {
@@ -51,6 +62,19 @@
         worker.accepted_starts = accepts;
         ++place;
     }
+    this->send_in_turn(std::move(unknown), now);
+}
+
+void lease_manager::send_in_turn(std::vector<worker_state*> unknown, core::steady_time now) {
+    this->pace.advance(this->state.orders.limit(), this->state.orders.usual_round_trip(), now);
+    std::sort(unknown.begin(), unknown.end(),
+              [](const worker_state* a, const worker_state* b) { return a->next_hold_at < b->next_hold_at; });
+    for (auto* const worker : unknown) {
+        if (!this->pace.take()) {
+            return;
+        }
+        this->send(*worker, now);
+    }
 }
 
 void lease_manager::update_suspected_workers(core::steady_time now) {
@@ -73,7 +97,7 @@
 }
 
 void lease_manager::send(worker_state& worker, core::steady_time now) {
-    const bool answering = worker.unanswered_holds == 0 && worker.has_answered;
+    const bool answering = answers(worker);
     // A worker that may have restarted numbers its ends from 1 again; ends of the new incarnation must not be
     // acknowledged by old numbers.
     hold_order order{.target = this->state.target_of(worker),
@@ -136,6 +160,9 @@
     worker.answered_hold_sent_at = worker.hold_sent_at;
     worker.next_hold_at = now + shortest_hold_interval;
     worker.clock.add_reading(reply.clock, reply.received_at);
+    if (order.wait.count() == 0) {
+        this->state.add_round_trip(worker, worker.hold_sent_at, now);
+    }
     for (const auto& end : reply.ended) {
         if (end.number > worker.last_end_applied) {
             worker.last_end_applied = end.number;
@@ -160,7 +187,9 @@
     auto due = now + longest;
     for (const auto& [id, worker] : this->state.workers) {
         if (!worker.hold_in_flight) {
-            due = std::min(due, worker.next_hold_at);
+            due =
+                std::min(due, answers(worker) ? worker.next_hold_at
+                                              : std::max(worker.next_hold_at, this->pace.available_at(now)));
         }
     }
     return due;
@@ -198,7 +227,7 @@
     auto* step = this->state.find_step(name.step);
     if (step == nullptr || name.index >= step->tasks.size()) {
         worker.has_unknown_runs = true;
-        this->runs.stop_unknown(worker, row.run);
+        this->runs.stop_unknown(worker, row.run, now);
         return;
     }
     auto& task = step->tasks[name.index];
@@ -218,7 +247,7 @@
         !task.done && !step->job->cancelled && task.runs.empty() && row.run.run > task.ended_run;
     if (!open) {
         worker.has_unknown_runs = true;
-        this->runs.stop_unknown(worker, row.run);
+        this->runs.stop_unknown(worker, row.run, now);
         return;
     }
     telemetry::log_state("adopted run found on worker", {{"task", name.text()},
--- a/src/dispatch/lease_manager.h
+++ b/src/dispatch/lease_manager.h
@@ -2,9 +2,12 @@
 
 #include "core/time.h"
 #include "dispatch/dispatch_state.h"
+#include "dispatch/hold_pace.h"
 #include "dispatch/run_manager.h"
 #include "dispatch/task_lifecycle.h"
 
+#include <vector>
+
 namespace rattanmount::dispatch {
 
 /// Sends holds to the workers, which renew their leases, and applies the runs that they report.
@@ -12,7 +15,8 @@
 /// At most one hold per worker is in flight; it waits at the worker until a run ends (long poll). A hold
 /// extends the lease only if the previous one was answered, so that the lease of an unreachable worker
 /// expires within a known time. The runs are given up only after a further hold, sent after the expiry, has
-/// failed as well: a busy host may have lost an answer that reported their ends. Owned by the dispatcher;
+/// failed as well: a busy host may have lost an answer that reported their ends. Holds to workers that have
+/// not answered the last one, as all of them at a takeover, are spread over time. Owned by the dispatcher;
 /// used by the control thread only.
 class lease_manager {
 public:
@@ -34,6 +38,8 @@
 private:
     void update_suspected_workers(core::steady_time now);
     void send(worker_state& worker, core::steady_time now);
+    /// Sends holds to workers that have not answered the last one, those that are due longest first.
+    void send_in_turn(std::vector<worker_state*> unknown, core::steady_time now);
     /// @return how long a worker may hold back its answer to the next hold.
     [[nodiscard]] core::milliseconds hold_wait(const worker_state& worker, core::steady_time now) const;
     void on_unanswered(worker_state& worker, core::steady_time now);
@@ -49,6 +55,7 @@
     dispatch_state& state;
     run_manager& runs;
     task_lifecycle& lifecycle;
+    hold_pace pace;
 };
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/orders.h
+++ b/src/dispatch/orders.h
@@ -55,12 +55,14 @@
     workflow::checkpoint_id checkpoint;
     ticket_id ticket;
     core::milliseconds timeout{0}; ///< Timeout of the answer.
+    core::steady_time sent_at;     ///< When the dispatcher sent it.
 };
 
 /// Requests the stop of a run. A run that has not begun is prevented from starting.
 struct stop_order {
     order_target target;
     workflow::run_name run;
+    core::steady_time sent_at; ///< When the dispatcher sent it.
 };
 
 /// Polls a worker for its running and ended runs and, if `lease_until` is set, extends the lease of its runs.
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -53,6 +53,7 @@
     run.phase = run_phase::starting;
     run.answered_at.reset();
     run.retry_at = now + this->state.options.order_retry_interval;
+    this->state.orders.sent();
     const auto lease_until = worker.clock.estimate_at(now) + this->state.options.lease_term;
     worker.lease_until = std::max(worker.lease_until, lease_until);
     const workflow::run_name name{.task = {.step = step.name, .index = index}, .run = run.run};
@@ -67,7 +68,9 @@
          .lease_until = lease_until,
          .checkpoint = run.checkpoint,
          .ticket = run.ticket,
-         .timeout = this->state.options.start_timeout * (1U << (run.start_tries - 1))});
+         .timeout =
+             this->state.orders.timeout(this->state.options.start_timeout) * (1U << (run.start_tries - 1)),
+         .sent_at = now});
 }
 
 void run_manager::stop(live_step& step, std::uint32_t index, live_run& run, core::steady_time now) {
@@ -75,22 +78,35 @@
     if (worker == this->state.workers.end()) {
         return;
     }
+    const workflow::run_name name{.task = {.step = step.name, .index = index}, .run = run.run};
     run.phase = run_phase::stopping;
     run.answered_at.reset();
+    if (!this->state.orders.has_room()) {
+        run.retry_at = now;
+        this->state.retries.add(now, name);
+        return;
+    }
     run.retry_at = now + this->state.options.order_retry_interval;
-    const workflow::run_name name{.task = {.step = step.name, .index = index}, .run = run.run};
+    this->state.retries.add(run.retry_at, name);
+    this->state.orders.sent();
     telemetry::log_state(
         "stopping run",
         {{"task", name.task.text()}, {"run", std::to_string(run.run)}, {"worker", run.worker.value()}});
-    this->state.options.hooks.stop({.target = this->state.target_of(worker->second), .run = name});
+    this->state.options.hooks.stop(
+        {.target = this->state.target_of(worker->second), .run = name, .sent_at = now});
 }
 
-void run_manager::stop_unknown(const worker_state& worker, const workflow::run_name& run) {
+void run_manager::stop_unknown(const worker_state& worker, const workflow::run_name& run,
+                               core::steady_time now) {
+    if (!this->state.orders.has_room()) {
+        return;
+    }
+    this->state.orders.sent();
     telemetry::log_state("stopping unknown run reported by worker",
                          {{"task", run.task.text()},
                           {"run", std::to_string(run.run)},
                           {"worker", worker.entry.worker.value()}});
-    this->state.options.hooks.stop({.target = this->state.target_of(worker), .run = run});
+    this->state.options.hooks.stop({.target = this->state.target_of(worker), .run = run, .sent_at = now});
 }
 
 void run_manager::remove(live_step& step, std::uint32_t index, std::uint32_t run) {
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -31,11 +31,12 @@
     /// Sends the start of a run, also as a retry.
     void send_start(live_step& step, std::uint32_t index, live_run& run, core::steady_time now);
 
-    /// Sends a stop for a run.
+    /// Sends a stop for a run, or has it sent once there is room for it among the orders in flight.
     void stop(live_step& step, std::uint32_t index, live_run& run, core::steady_time now);
 
-    /// Sends a stop for a reported run that this host does not track.
-    void stop_unknown(const worker_state& worker, const workflow::run_name& run);
+    /// Sends a stop for a reported run that this host does not track, if there is room for it among the
+    /// orders in flight; the worker reports the run again.
+    void stop_unknown(const worker_state& worker, const workflow::run_name& run, core::steady_time now);
 
     /// Removes a run that has certainly ended and releases its resources.
     /// @param step the step.
--- a/tests/dispatch/start_limits_test.cpp
+++ b/tests/dispatch/start_limits_test.cpp
@@ -63,7 +63,7 @@
 } // namespace
 
 // Guards against the collapse of a leader that starts more runs at once than its host can call for.
-TEST_CASE("a burst beyond the leader's own capacity is served within 2 s of its end", "[!mayfail]") {
+TEST_CASE("a burst beyond the leader's own capacity is served within 2 s of its end") {
     constexpr int jobs = 400;
     simulated_cell cell{cell_of(350, 5ms)};
     cell.run_for(3s);
@@ -73,7 +73,7 @@
 }
 
 // Guards against the same collapse where a host's calls take longer than the first timeout of a start.
-TEST_CASE("a burst is served within 2 s of its end when calls take 200 ms", "[!mayfail]") {
+TEST_CASE("a burst is served within 2 s of its end when calls take 200 ms") {
     constexpr int jobs = 300;
     simulated_cell cell{cell_of(350, 100ms)};
     cell.run_for(3s);
@@ -83,7 +83,7 @@
 }
 
 // Guards against the collapse of a leader that returns to a backlog.
-TEST_CASE("a backlog is worked off as fast as the leader's host can call", "[!mayfail]") {
+TEST_CASE("a backlog is worked off as fast as the leader's host can call") {
     constexpr int jobs = 400;
     simulated_cell cell{cell_of(350, 5ms)};
     cell.run_for(3s);
@@ -93,7 +93,7 @@
 }
 
 // Guards against the same collapse at the size to design for: 160 starts a second on 800 workers.
-TEST_CASE("the peak of the size to design for is served by one leader", "[!mayfail]") {
+TEST_CASE("the peak of the size to design for is served by one leader") {
     constexpr int jobs = 160;
     simulated_cell cell{cell_of(800, 5ms)};
     cell.run_for(3s);
@@ -103,7 +103,7 @@
 }
 
 // Guards against the same collapse by a burst on 800 workers.
-TEST_CASE("a burst on 800 workers is served within 2 s of its end", "[!mayfail]") {
+TEST_CASE("a burst on 800 workers is served within 2 s of its end") {
     constexpr int jobs = 240;
     simulated_cell cell{cell_of(800, 5ms)};
     cell.run_for(3s);
