--- a/src/runtime/log_writer.cpp
+++ b/src/runtime/log_writer.cpp
@@ -4,10 +4,17 @@
 
 #include <iterator>
 #include <optional>
+#include <random>
 #include <utility>
 
 namespace rattanmount::runtime {
 
+core::sequence_number random_first_sequence() {
+    constexpr std::uint64_t largest = (std::uint64_t{1} << 48U) - 1;
+    std::random_device source;
+    return core::sequence_number{std::uniform_int_distribution<std::uint64_t>{0, largest}(source)};
+}
+
 log_writer::log_writer(log_writer_options options)
     : options(std::move(options)), thread([this](const std::stop_token& stop) { this->run(stop); }) {}
 
@@ -69,7 +76,7 @@
     }
     if (batch.front().epoch != this->epoch) {
         this->epoch = batch.front().epoch;
-        this->sequence = core::sequence_number{0};
+        this->sequence = this->options.first_sequence();
     }
     const auto started_at = std::chrono::steady_clock::now();
     bool may_be_stored = false;
--- a/src/runtime/log_writer.h
+++ b/src/runtime/log_writer.h
@@ -23,6 +23,9 @@
     unknown, ///< The entries may or may not be stored; only record_store reports this.
 };
 
+/// @return a number that another host draws with negligible probability, exactly representable in JSON.
+[[nodiscard]] core::sequence_number random_first_sequence();
+
 struct log_writer_options {
     std::string producer; ///< The producer's name, by which the log recognises repeated appends.
     cell::keyed_log log;
@@ -33,6 +36,9 @@
     core::milliseconds refusal_timeout{400};
     std::size_t max_batch_bytes = 1'000'000;
     std::size_t max_queued = 5000; ///< Writes; further ones are refused at once.
+    /// Returns the sequence number of the first append of an epoch. Hosts that claim the same epoch under one
+    /// producer name need different numbers, or the log takes the append of one for a repeat of another's.
+    std::function<core::sequence_number()> first_sequence = random_first_sequence;
 };
 
 /// Appends the entries of one producer in order, several writes per call, and reports the outcome of each.
--- a/tests/runtime/log_writer_test.cpp
+++ b/tests/runtime/log_writer_test.cpp
@@ -84,7 +84,7 @@
 
 // TWICE: hosts that claim the same epoch share the producer's name, so the log took the append of one for a
 // repeat of the other's and answered that it is stored.
-TEST_CASE("an append of a host that lost the claim of an epoch is reported as fenced", "[!mayfail]") {
+TEST_CASE("an append of a host that lost the claim of an epoch is reported as fenced") {
     partition log;
     log_writer winner{options_of(log)};
     log_writer loser{options_of(log)};
