--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -56,9 +56,10 @@
                                 .longest_log_outage = options.longest_log_outage,
                                 .lease_term = options.lease_term,
                                 .max_stop_duration = options.max_stop_duration}};
-    core::steady_time list_complete_at; ///< Until then, live workers may be missing from the platform's list.
-    core::steady_time lossy_until;      ///< Until then, answers of workers are expected to get lost.
-    order_window orders;                ///< Bounds the starts and stops in flight.
+    /// Until then, live workers may be missing from the platform's list; used if the log has no roster.
+    core::steady_time list_complete_at;
+    core::steady_time lossy_until; ///< Until then, answers of workers are expected to get lost.
+    order_window orders;           ///< Bounds the starts and stops in flight.
     std::map<core::data_centre_id, shortest_round_trip> round_trips; ///< Of calls to workers.
     retry_schedule retries;        ///< The runs whose last order may have to be sent again.
     bool worker_list_read = false; ///< Whether the platform's list has been read completely.
