--- a/src/dispatch/advice_manager.cpp
+++ b/src/dispatch/advice_manager.cpp
@@ -21,7 +21,7 @@
 constexpr core::milliseconds long_request_threshold{200};
 /// One in this many requests, and at least one, is reserved for short requests.
 constexpr std::uint32_t requests_per_reserved_one = 4;
-/// Delay before the next search for candidates if none was found.
+/// Delay before the next search for candidates if none was found or none is needed.
 constexpr core::milliseconds no_candidate_pause{50};
 
 /// @return whether a request with this timeout is a long one.
@@ -43,7 +43,8 @@
         !this->can_send_request(takes_long(step.job->policy().advice->base_time + call_margin))) {
         return;
     }
-    auto workers = this->workers_to_ask_about(step, now);
+    auto workers =
+        this->has_enough(step, now) ? std::vector<core::worker_id>{} : this->workers_to_ask_about(step, now);
     if (workers.empty()) {
         step.advice.retry_at = now + no_candidate_pause;
         return;
@@ -58,6 +59,21 @@
         {.step = step.name, .workers = std::move(workers), .timeout = expected + call_margin});
 }
 
+bool advice_manager::has_enough(const live_step& step, core::steady_time now) const {
+    if (step.request->gang) {
+        return false; // Its tasks may need workers of one rack.
+    }
+    std::size_t places = 0;
+    for (const auto& [id, ticket] : step.advice.allowed) {
+        const auto worker = this->state.workers.find(id);
+        if (worker != this->state.workers.end() && this->selector.permitted(step, worker->second, now) &&
+            this->selector.suits(step, worker->second, now)) {
+            places += this->selector.tasks_that_fit(step, worker->second);
+        }
+    }
+    return places >= step.waiting.size();
+}
+
 void advice_manager::on_reply(const advice_order& order, core::steady_time asked_at,
                               const advice_reply& reply, core::steady_time now) {
     this->requests_in_flight -= this->requests_in_flight > 0 ? 1 : 0;
--- a/src/dispatch/advice_manager.h
+++ b/src/dispatch/advice_manager.h
@@ -40,6 +40,8 @@
 
 private:
     [[nodiscard]] bool can_send_request(bool is_long) const;
+    /// @return whether the workers that are already allowed have room for all waiting tasks of the step.
+    [[nodiscard]] bool has_enough(const live_step& step, core::steady_time now) const;
     [[nodiscard]] std::vector<core::worker_id> workers_to_ask_about(const live_step& step,
                                                                     core::steady_time now) const;
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -357,9 +357,7 @@
         if (!this->state.orders.has_room()) {
             this->starts_wait_for_room = true;
             step->needs_placement = step->needs_placement || settles || !freed.empty();
-            if (step->advice.allowed.empty()) {
-                this->advice.ask(*step, now);
-            }
+            this->advice.ask(*step, now);
             continue;
         }
         if (step->needs_placement || settles || !freed.empty()) {
