--- a/src/cell/leader_election.cpp
+++ b/src/cell/leader_election.cpp
@@ -16,7 +16,7 @@
     this->leader_seen_at = now;
     if (changed) {
         this->claimed_at.reset();
-        this->leader_ended = false;
+        this->leader_ended_at.reset();
         this->epoch_seen_at = now;
         this->draw_jitter();
     }
@@ -24,9 +24,12 @@
     this->leading = own && !this->resigning && record.epoch > this->fenced_epoch;
 }
 
-void leader_election::on_member(const core::host_id& host, const core::incarnation_id& incarnation) {
+void leader_election::on_member(const core::host_id& host, const core::incarnation_id& incarnation,
+                                core::steady_time now) {
     const bool new_incarnation = host == this->last.host && incarnation != this->last.leader;
-    this->leader_ended = this->leader_ended || new_incarnation;
+    if (new_incarnation && !this->leader_ended_at) {
+        this->leader_ended_at = now;
+    }
 }
 
 void leader_election::on_caught_up(core::steady_time now) {
@@ -68,14 +71,14 @@
 }
 
 bool leader_election::suspects(core::steady_time now, claim_standing standing) const {
-    auto timeout = this->last.resigned  ? core::milliseconds{0}
-                   : this->leader_ended ? this->options.successor_delay
-                                        : this->options.suspect_after;
+    const auto timeout = this->last.resigned     ? core::milliseconds{0}
+                         : this->leader_ended_at ? this->options.successor_delay
+                                                 : this->options.suspect_after;
+    auto due = *this->leader_seen_at + timeout;
     if (standing == claim_standing::outranked) {
-        timeout += this->options.outranked_delay;
+        due = std::max(due, this->leader_ended_at.value_or(due)) + this->options.outranked_delay;
     }
-    return now >= *this->leader_seen_at + timeout + this->jitter &&
-           *this->caught_up_at >= *this->leader_seen_at + timeout;
+    return now >= due + this->jitter && *this->caught_up_at >= due;
 }
 
 std::optional<workflow::leader_record> leader_election::heartbeat(core::steady_time now) {
--- a/src/cell/leader_election.h
+++ b/src/cell/leader_election.h
@@ -25,7 +25,8 @@
     core::milliseconds max_read_gap{1500};
     /// Replaces suspect_after when the leader's process is known to have ended.
     core::milliseconds successor_delay{60};
-    /// Additional delay of a claim if other hosts are better candidates.
+    /// Additional delay of a claim if other hosts are better candidates, from the moment at which these may
+    /// claim.
     core::milliseconds outranked_delay{400};
     /// A leader that is outranked is replaced only after it has led for this long.
     core::milliseconds outrank_after{3000};
@@ -55,7 +56,8 @@
     /// Processes a membership record of a live host. Called in log order.
     /// @param incarnation its current incarnation. If it differs from the one that leads, the leader's
     ///        process has ended.
-    void on_member(const core::host_id& host, const core::incarnation_id& incarnation);
+    /// @param now the current time.
+    void on_member(const core::host_id& host, const core::incarnation_id& incarnation, core::steady_time now);
 
     /// Called when a read has returned everything up to the end of the log.
     void on_caught_up(core::steady_time now);
@@ -109,7 +111,8 @@
     bool leading = false;
     bool resigning = false;
     bool eligible = true;
-    bool leader_ended = false;   ///< The leader's process has certainly ended.
+    /// When it became known that the leader's process has ended, if it has.
+    std::optional<core::steady_time> leader_ended_at;
     core::epoch_id fenced_epoch; ///< The highest epoch that this host has lost.
     /// Time of the leader's last heartbeat; empty before the first read.
     std::optional<core::steady_time> leader_seen_at;
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -42,7 +42,7 @@
             this->election.on_leader_active(now);
         }
         if (const auto* member = std::get_if<workflow::member_record>(&record)) {
-            this->election.on_member(member->host, member->incarnation);
+            this->election.on_member(member->host, member->incarnation, now);
         }
         this->on_change(this->book.apply(record, offset, now), now);
     }
