--- a/src/dispatch/advice_manager.h
+++ b/src/dispatch/advice_manager.h
@@ -42,6 +42,8 @@
 
 private:
     [[nodiscard]] bool can_send_request(bool is_long) const;
+    /// @return whether the workers that are already allowed have room for that many tasks of the step.
+    [[nodiscard]] bool has_enough(const live_step& step, std::size_t places, core::steady_time now) const;
     [[nodiscard]] std::vector<core::worker_id> workers_to_ask_about(const live_step& step, std::size_t places,
                                                                     core::steady_time now) const;
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -363,9 +363,7 @@
         if (!this->state.orders.has_room()) {
             this->starts_wait_for_room = true;
             step->needs_placement = step->needs_placement || settles || !freed.empty();
-            if (step->advice.allowed.empty()) {
-                this->advice.ask(*step, step->waiting.size(), now);
-            }
+            this->advice.ask(*step, step->waiting.size(), now);
             continue;
         }
         if (step->needs_placement || settles || !freed.empty()) {
