--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -93,6 +93,7 @@
     }
     const auto known_incarnation = worker.entry.incarnation;
     worker.entry = entry;
+    worker.drained_runs_recorded = worker.drained_runs_recorded && entry.draining && same_incarnation;
     if (!same_incarnation) {
         worker.entry.incarnation = known_incarnation;
         worker.has_answered = false; // The answer to the next hold reports the new incarnation.
@@ -296,6 +297,9 @@
         if (worker.last_end_applied > worker.last_end_recorded) {
             batch.ends.emplace(id, std::pair{worker.entry.incarnation, worker.last_end_applied});
         }
+        if (worker.entry.draining) {
+            batch.draining.insert(id);
+        }
     }
     this->state.dirty_jobs.clear();
     this->state.record_immediately = false;
@@ -310,6 +314,12 @@
         return;
     }
     this->progress_in_flight = false;
+    for (const auto& id : batch.draining) {
+        const auto place = this->state.workers.find(id);
+        if (place != this->state.workers.end()) {
+            place->second.drained_runs_recorded = place->second.entry.draining;
+        }
+    }
     for (const auto& [id, end] : batch.ends) {
         const auto place = this->state.workers.find(id);
         if (place != this->state.workers.end() && place->second.entry.incarnation == end.first) {
@@ -446,15 +456,8 @@
 }
 
 bool dispatcher::has_settled_predecessor(core::steady_time now) {
-    if (now >= this->state.inherited_leases_expire_at()) {
-        return true;
-    }
-    if (!this->used_workers.inherited_workers_settled(now)) {
-        return false;
-    }
-    return std::all_of(this->state.workers.begin(), this->state.workers.end(), [](const auto& place) {
-        return place.second.has_answered || place.second.runs_given_up || !place.second.listed;
-    });
+    return now >= this->state.inherited_leases_expire_at() ||
+           this->used_workers.inherited_workers_settled(now);
 }
 
 void dispatcher::forget_over_jobs() {
--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Shortest time between two records that only remove workers.
-constexpr core::milliseconds removal_interval{5000};
+constexpr core::milliseconds removal_interval{500};
 
 } // namespace
 
@@ -30,19 +30,27 @@
         return std::nullopt;
     }
     this->settle_inherited_workers(now);
-    const auto& workers = this->state.workers;
+    auto& workers = this->state.workers;
     const bool added = std::any_of(workers.begin(), workers.end(), [](const auto& place) {
-        return place.second.listed && !place.second.in_roster;
+        const auto& worker = place.second;
+        return worker.listed && !worker.in_roster && !worker.drained_runs_recorded;
     });
     // The next leader has to wait for the unsettled workers too.
     workflow::roster_record record{.workers = this->unsettled_workers};
-    for (const auto& [id, worker] : workers) {
-        record.workers.insert(id);
+    for (auto& [id, worker] : workers) {
+        if (worker.drained_runs_recorded) {
+            worker.in_roster = false; // It gets no run before it is in the roster again.
+        } else {
+            record.workers.insert(id);
+        }
     }
     const bool removed = this->recorded_workers.size() > record.workers.size();
     if (!added && !(removed && now >= this->record_taken_at + removal_interval)) {
         return std::nullopt;
     }
+    // Until the record is stored, the log surely has only the workers that are in both.
+    std::erase_if(this->recorded_workers,
+                  [&record](const core::worker_id& id) { return !record.workers.contains(id); });
     this->record_in_flight = true;
     this->record_taken_at = now;
     return record;
@@ -58,7 +66,14 @@
 
 bool worker_roster::inherited_workers_settled(core::steady_time now) {
     this->settle_inherited_workers(now);
-    return this->inherited_roster ? this->unsettled_workers.empty() : now >= this->state.list_complete_at;
+    if (this->inherited_roster) {
+        return this->unsettled_workers.empty();
+    }
+    const auto& workers = this->state.workers;
+    return now >= this->state.list_complete_at &&
+           std::all_of(workers.begin(), workers.end(), [](const auto& place) {
+               return place.second.has_answered || place.second.runs_given_up || !place.second.listed;
+           });
 }
 
 void worker_roster::settle_inherited_workers(core::steady_time now) {
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -9,10 +9,11 @@
 
 namespace rattanmount::dispatch {
 
-/// Maintains the roster: the log's list of the workers on which tasks may have been started.
+/// Maintains the roster: the log's list of the workers that may have runs which the log does not know of.
 ///
-/// A worker gets its first start only once it is in the roster, so that the next leader can tell whether such
-/// a worker is missing from the platform's list. Owned by the dispatcher; used by the control thread only.
+/// A worker gets its first start only once it is in the roster, so that the next leader knows which workers
+/// it has to wait for. A worker leaves it when it is gone, or when it drains and all of its runs are in the
+/// log. Owned by the dispatcher; used by the control thread only.
 class worker_roster {
 public:
     explicit worker_roster(dispatch_state& state) : state(state) {}
@@ -36,7 +37,8 @@
     /// entry can expire while it lives: only its answer or the expiry of its lease settles it.
     /// @param now the current time.
     /// @return whether each worker of the roster in the log at begin() has since answered, or its runs have
-    /// certainly ended. If that roster was empty, whether the platform's list counts as complete.
+    /// certainly ended. If that roster was empty, whether the platform's list counts as complete and that
+    /// holds for each worker in it.
     [[nodiscard]] bool inherited_workers_settled(core::steady_time now);
 
 private:
@@ -44,7 +46,8 @@
 
     dispatch_state& state;
     bool record_in_flight = false; ///< Whether a record is being written to the log.
-    std::set<core::worker_id> recorded_workers;
+    std::set<core::worker_id>
+        recorded_workers;          ///< Workers that the log's roster has, also if a record is in flight.
     bool inherited_roster = false; ///< Whether the log had a roster at begin().
     /// Workers of the roster in the log at begin() that have neither answered nor been given up since.
     std::set<core::worker_id> unsettled_workers;
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -60,6 +60,8 @@
     bool listed = true; ///< Whether it is in the platform's list.
     /// Whether the log has it among the workers on which tasks may have been started.
     bool in_roster = false;
+    /// Whether it drains and the log has all runs that were started on it, so that it can leave the roster.
+    bool drained_runs_recorded = false;
     bool has_answered = false; ///< Whether it has answered a hold of this epoch.
     worker_clock clock;
     worker_time lease_until{0}; ///< Latest lease end that was sent to it, on its clock.
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -182,6 +182,23 @@
     CHECK(cell.violations().empty());
 }
 
+// SHORT: after a takeover everything that waited stood still because a worker had left as announced.
+TEST_CASE("a new leader does not wait for a worker that drained before it left") {
+    simulated_cell cell{{.workers = 3}};
+    auto last = two_steps("a");
+    last.steps[1].each.millicores = 500;
+    cell.run_for(1s);
+    cell.submit(last, plain_queue());
+    cell.drain_worker(2);
+    cell.run_for(450ms);
+    cell.set_disconnected(2, true);
+    cell.set_listed(2, false);
+    cell.change_leader();
+    cell.run_for(1200ms);
+    CHECK(cell.phase_of("a") == workflow::job_phase::completed);
+    CHECK(cell.violations().empty());
+}
+
 TEST_CASE("a new leader continues at once after a log outage if no worker is missing") {
     simulated_cell cell{{.workers = 3}};
     cell.submit(two_steps("a"), plain_queue());
