--- a/src/dispatch/dispatch_state.cpp
+++ b/src/dispatch/dispatch_state.cpp
@@ -35,6 +35,14 @@
     this->orders.answered(now - sent_at, shortest, now);
 }
 
+bool dispatch_state::certainly_lacks(const workflow::step_name& name, core::steady_time since) const {
+    const auto job = this->jobs.find(name.job);
+    const bool is_to_come = job != this->jobs.end() && !job->second->cancelled &&
+                            name.occurrence >= job->second->next_occurrence &&
+                            name.occurrence < job->second->entry->accepted.request.occurrences();
+    return !is_to_come && this->log_read_at > since;
+}
+
 void dispatch_state::mark_dirty(live_job& job) {
     job.dirty = true;
     this->dirty_jobs.insert(job.key());
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -58,6 +58,7 @@
                                 .max_stop_duration = options.max_stop_duration}};
     /// Until then, live workers may be missing from the platform's list; used if the log has no roster.
     core::steady_time list_complete_at;
+    core::steady_time log_read_at; ///< The log was read to its end as of this time.
     core::steady_time lossy_until; ///< Until then, answers of workers are expected to get lost.
     order_window orders;           ///< Bounds the starts and stops in flight.
     std::map<core::data_centre_id, shortest_round_trip> round_trips; ///< Of calls to workers.
@@ -110,6 +111,12 @@
     void order_finished(const order_target& target, order_outcome outcome, core::steady_time sent_at,
                         core::steady_time now);
 
+    /// @param name a step that find_step() does not find.
+    /// @param since a time.
+    /// @return whether it does not exist: the log was read to its end as of a later time, and the job is not
+    /// one whose occurrence is still to come.
+    [[nodiscard]] bool certainly_lacks(const workflow::step_name& name, core::steady_time since) const;
+
     /// Marks a job as having unrecorded progress.
     void mark_dirty(live_job& job);
 
--- a/tests/dispatch/random_faults_test.cpp
+++ b/tests/dispatch/random_faults_test.cpp
@@ -159,6 +159,7 @@
     }
     for (std::uint32_t i = 0; i < workers; i++) {
         cell.set_disconnected(i, false);
+        cell.set_listed(i, true);
     }
     cell.set_log_down(false);
     for (const auto worker : draining) {
