--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -2,12 +2,35 @@
 
 #include "core/errors.h"
 
+#include <arpa/inet.h>
+#include <array>
 #include <charconv>
 
 namespace rattanmount::core {
 
+namespace {
+
+bool is_ip_address(int family, const std::string& text) {
+    std::array<unsigned char, sizeof(in6_addr)> address{};
+    return ::inet_pton(family, text.c_str(), address.data()) == 1;
+}
+
+/// Returns an IP address without the brackets in which an IPv6 address may be written.
+std::string parse_address(const std::string& text) {
+    const bool bracketed = text.size() > 2 && text.front() == '[' && text.back() == ']';
+    auto address = bracketed ? text.substr(1, text.size() - 2) : text;
+    if (!is_ip_address(AF_INET6, address) && (bracketed || !is_ip_address(AF_INET, address))) {
+        throw invalid_argument("expected an IP address, got '" + text + "'");
+    }
+    return address;
+}
+
+} // namespace
+
 std::string endpoint::text() const {
-    return this->address + ":" + std::to_string(this->port) + this->path;
+    const bool bracketed = this->address.find(':') != std::string::npos;
+    return (bracketed ? "[" + this->address + "]" : this->address) + ":" + std::to_string(this->port) +
+           this->path;
 }
 
 endpoint endpoint::parse(const std::string& text) {
@@ -17,10 +40,7 @@
     if (colon == std::string::npos || colon == 0) {
         throw invalid_argument("expected an IP address and a port, got '" + text + "'");
     }
-    const auto address = authority.substr(0, colon);
-    if (address.find_first_not_of("0123456789.:abcdefABCDEF[]") != std::string::npos) {
-        throw invalid_argument("expected an IP address, got '" + address + "'");
-    }
+    const auto address = parse_address(authority.substr(0, colon));
     std::uint16_t port = 0;
     const char* first = authority.data() + colon + 1;
     const char* last = authority.data() + authority.size();
--- a/src/core/endpoint.h
+++ b/src/core/endpoint.h
@@ -7,7 +7,7 @@
 
 /// The address of a listening process: an IP address, a port and, for HTTP, the path prefix of all calls.
 struct endpoint {
-    std::string address; ///< An IP address, never a host name.
+    std::string address; ///< An IP address without brackets, never a host name.
     std::uint16_t port = 0;
     std::string path; ///< "" or for example "/workers/w1", without a trailing slash.
 
@@ -17,7 +17,7 @@
     [[nodiscard]] std::string text() const;
 
     /// Parses an endpoint.
-    /// @param text "address:port" or "address:port/path".
+    /// @param text "address:port" or "address:port/path"; an IPv6 address may be in brackets.
     /// @throws core::invalid_argument if the text has no valid port or if the address is not an IP address.
     [[nodiscard]] static endpoint parse(const std::string& text);
 };
--- a/tests/core/values_test.cpp
+++ b/tests/core/values_test.cpp
@@ -34,6 +34,18 @@
     CHECK_THROWS_AS(endpoint::parse("127.0.0.1:99999"), invalid_argument);
 }
 
+// Guards against threads that look up a host name, which can take seconds, where an address is expected.
+TEST_CASE("an endpoint accepts no host name that consists of the letters of an address") {
+    for (const auto* text : {"abc:80", "dead.beef:80", "999.1.1.1:80", "10.0.9:80", "10.0.0.9.1:80", "1:80",
+                             "[::1:80", "::1]:80", "[10.0.0.9]:80", "fe80::1::2:80"}) {
+        CAPTURE(text);
+        CHECK_THROWS_AS(endpoint::parse(text), invalid_argument);
+    }
+    CHECK(endpoint::parse("[::1]:80").address == "::1");
+    CHECK(endpoint::parse("[::1]:80") == endpoint::parse("::1:80"));
+    CHECK(endpoint::parse("[::1]:80").text() == "[::1]:80");
+}
+
 TEST_CASE("resources fit only if each of the three amounts fits") {
     const resources available{.millicores = 4000, .memory_mb = 1024, .accelerators = 1};
     CHECK(resources{.millicores = 4000, .memory_mb = 1024, .accelerators = 1}.fits_in(available));
