--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -77,7 +77,7 @@
         this->used_workers.add(worker);
         return;
     }
-    if (entry.incarnation < worker.entry.incarnation) {
+    if (worker.has_reported_incarnation && entry.incarnation < worker.entry.incarnation) {
         return; // A late entry of an earlier incarnation.
     }
     const bool same_incarnation = entry.incarnation == worker.entry.incarnation;
@@ -88,7 +88,9 @@
     const auto known_incarnation = worker.entry.incarnation;
     worker.entry = entry;
     if (!same_incarnation) {
-        worker.entry.incarnation = known_incarnation;
+        if (worker.has_reported_incarnation) {
+            worker.entry.incarnation = known_incarnation;
+        }
         worker.has_answered = false; // The answer to the next hold reports the new incarnation.
     }
 }
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -124,6 +124,7 @@
     if (reply.incarnation && *reply.incarnation != worker.entry.incarnation) {
         this->begin_incarnation(worker, *reply.incarnation, now);
     }
+    worker.has_reported_incarnation = worker.has_reported_incarnation || reply.incarnation.has_value();
     const bool first = !worker.has_answered;
     if (worker.unanswered_holds > 0 || first) {
         telemetry::log_state("worker reachable", {{"worker", worker.entry.worker.value()}});
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -61,6 +61,8 @@
     /// Whether the log has it among the workers on which tasks may have been started.
     bool in_roster = false;
     bool has_answered = false; ///< Whether it has answered a hold of this epoch.
+    /// Whether the worker itself has reported its incarnation, which so far only its entry stated.
+    bool has_reported_incarnation = false;
     worker_clock clock;
     worker_time lease_until{0}; ///< Latest lease end that was sent to it, on its clock.
     /// Its lease is not treated as expired before this time, because an order for an earlier incarnation may
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -326,4 +326,41 @@
     CHECK(cell.phase_of("good") == workflow::job_phase::completed);
 }
 
+// Guards against a worker that is never used again after an entry of another writer under its name stated a
+// start of its in the far future.
+TEST_CASE(
+    "a worker is called where its newest entry says unless the worker itself reported a later incarnation") {
+    std::vector<dispatch::hold_order> holds;
+    dispatch::dispatcher dispatcher{
+        {.hooks = {.hold = [&](const dispatch::hold_order& order) { holds.push_back(order); }}}};
+    core::steady_time now{1h};
+    const auto entry = [](std::uint64_t incarnation, std::uint16_t port) {
+        return dispatch::worker_entry{.worker = core::worker_id{"w"},
+                                      .incarnation = dispatch::worker_incarnation_id{incarnation},
+                                      .address = {.address = "10.0.0.9", .port = port, .path = ""}};
+    };
+    const auto next_hold = [&] {
+        now += 1s;
+        dispatcher.run(now, {});
+        return holds.back();
+    };
+    dispatcher.set_worker_list({entry(1ULL << 53U, 1)});
+    dispatcher.start_leading(core::epoch_id{1}, workflow::cell_state{}, now, now);
+    CHECK(next_hold().target.address.port == 1);
+    dispatcher.set_worker(entry(7, 2));
+    dispatcher.on_hold_reply(holds.back(), {}, now);
+    CHECK(next_hold().target.address.port == 2);
+    CHECK(holds.back().target.incarnation == dispatch::worker_incarnation_id{7});
+    dispatcher.on_hold_reply(holds.back(),
+                             {.answered = true, .incarnation = dispatch::worker_incarnation_id{7}}, now);
+    dispatcher.set_worker(entry(6, 3));
+    CHECK(next_hold().target.address.port == 2);
+    dispatcher.on_hold_reply(holds.back(), {}, now);
+    dispatcher.set_worker(entry(1ULL << 53U, 4));
+    CHECK(next_hold().target.address.port == 4);
+    dispatcher.on_hold_reply(holds.back(), {}, now);
+    dispatcher.set_worker(entry(7, 2));
+    CHECK(next_hold().target.address.port == 2);
+}
+
 } // namespace rattanmount::tests
