--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -33,6 +33,14 @@
     return spdlog::level::info;
 }
 
+/// Longest value that is written whole.
+constexpr std::size_t max_value_bytes = 500;
+
+/// Returns a value, cut if it is longer than max_value_bytes, so that input of any length fits in a line.
+std::string bounded(const std::string& value) {
+    return value.size() <= max_value_bytes ? value : value.substr(0, max_value_bytes) + "...";
+}
+
 std::string json_text(std::string_view text) {
     return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -48,7 +56,7 @@
 std::string text_line(std::string_view what, std::initializer_list<field> fields) {
     std::string line = "what=" + json_text(what);
     for (const auto& each : fields) {
-        line += " " + std::string{each.name} + "=" + text_value(each.value);
+        line += " " + std::string{each.name} + "=" + text_value(bounded(each.value));
     }
     return line;
 }
@@ -56,7 +64,7 @@
 std::string json_line(std::string_view what, std::initializer_list<field> fields) {
     std::string line = "\"what\":" + json_text(what);
     for (const auto& each : fields) {
-        line += "," + json_text(each.name) + ":" + json_text(each.value);
+        line += "," + json_text(each.name) + ":" + json_text(bounded(each.value));
     }
     return line;
 }
--- a/tests/telemetry/logging_test.cpp
+++ b/tests/telemetry/logging_test.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <future>
+#include <iostream>
 #include <ostream>
 #include <sstream>
 #include <streambuf>
@@ -37,6 +38,17 @@
     CHECK(line["why"] == "its \"owner\" left");
 }
 
+// Guards against lines as long as the input that they report on.
+TEST_CASE("a value in a log line has a bounded length") {
+    std::ostringstream out;
+    configure_logging({.format = log_format::json}, out);
+    log_state("entry skipped", {{"reason", std::string(1000000, 'a') + "\xc3"}});
+    configure_logging({}, std::cerr);
+    CHECK(out.str().size() < 2000);
+    CHECK_THAT(nlohmann::json::parse(out.str())["reason"].get<std::string>(),
+               Catch::StartsWith("aaa") && Catch::EndsWith("..."));
+}
+
 TEST_CASE("lines below the configured level are not written") {
     CHECK(logged_line({.level = log_level::warning}).empty());
     CHECK_FALSE(logged_line({.level = log_level::warning}, log_level::error).empty());
