--- a/src/external/http_multiplexer.cpp
+++ b/src/external/http_multiplexer.cpp
@@ -17,6 +17,16 @@
 /// The longest wait of the thread, and the interval at which idle connections and waiting calls are checked.
 constexpr core::milliseconds longest_wait{500};
 
+/// Passes an answer to its handler; logs an exception from the handler.
+void report(const http_multiplexer::answer_handler& done, http_answer answer) {
+    try {
+        done(std::move(answer));
+    } catch (const std::exception& error) {
+        telemetry::log_state("handler of an HTTP answer failed", {{"reason", error.what()}},
+                             telemetry::log_level::error);
+    }
+}
+
 } // namespace
 
 http_multiplexer::http_multiplexer(http_multiplexer_options options)
@@ -135,7 +145,8 @@
     } catch (const Poco::Exception& error) {
         peer.budget.give_back();
         ++this->traffic.failures;
-        call.done(
+        report(
+            call.done,
             {.outcome = exchange_outcome::not_sent, .body = "", .etag = "", .reason = error.displayText()});
     }
 }
@@ -177,7 +188,7 @@
             this->close_unverified(peer, begun_at);
         }
     }
-    done(std::move(answer));
+    report(done, std::move(answer));
     this->start_waiting_calls(peer);
 }
 
@@ -250,10 +261,10 @@
         const auto done = std::move(peer.waiting.front().done);
         peer.waiting.pop_front();
         ++this->traffic.failures;
-        done({.outcome = exchange_outcome::not_sent,
-              .body = "",
-              .etag = "",
-              .reason = "all connections to " + peer.endpoint.text() + " are in use"});
+        report(done, {.outcome = exchange_outcome::not_sent,
+                      .body = "",
+                      .etag = "",
+                      .reason = "all connections to " + peer.endpoint.text() + " are in use"});
     }
 }
 
--- a/tests/external/http_multiplexer_test.cpp
+++ b/tests/external/http_multiplexer_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <iterator>
 #include <mutex>
+#include <stdexcept>
 #include <vector>
 
 using namespace platform_test;
@@ -135,3 +136,25 @@
     REQUIRE(late.size() >= 3);
     CHECK(late[2].outcome == exchange_outcome::not_sent);
 }
+
+// Guards against processes that end because the handler of an answer throws on the multiplexer's thread.
+TEST_CASE("calls continue after a handler of an answer that throws") {
+    log_fixture log;
+    external::http_multiplexer calls{{.max_connections = 1}};
+    const auto throwing = [](const external::http_answer&) { throw std::runtime_error("odd answer"); };
+    const auto call_throwing = [&](const core::endpoint& peer, core::milliseconds limit) {
+        const auto deadline = std::chrono::steady_clock::now() + limit;
+        calls.post(
+            [&calls, peer, deadline, throwing] { calls.call(peer, read_message, deadline, throwing); });
+    };
+    call_throwing(unused_endpoint(), 1s);
+    call_throwing(log.at(), 1s);
+    log.server.inject_fault({.kind = stand_ins::fault_kind::slow, .count = 1, .length = 300ms});
+    call_throwing(log.at(), 100ms);
+    call_throwing(log.at(), 50ms);
+    answers received;
+    call(calls, log.at(), 2s, received);
+    const auto got = received.wait_for(1, 3s);
+    REQUIRE(got.size() == 1);
+    CHECK(got.front().outcome == exchange_outcome::answered);
+}
