--- a/src/runtime/log_follower.cpp
+++ b/src/runtime/log_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "telemetry/logging.h"
 
+#include <exception>
 #include <utility>
 
 namespace rattanmount::runtime {
@@ -44,7 +45,7 @@
         if (!this->wait_until_enabled(stop)) {
             return;
         }
-        const bool answered = this->loaded ? this->read_next() : this->load_newest();
+        const bool answered = this->try_read();
         this->set_reachable(answered);
         const auto delay = this->delay_after_read(answered);
         if (delay.count() > 0) {
@@ -62,6 +63,27 @@
     return this->changed.wait(lock, stop, [this] { return this->enabled; });
 }
 
+bool log_follower::try_read() {
+    try {
+        return this->loaded ? this->read_next() : this->load_newest();
+    } catch (const std::exception& error) {
+        telemetry::log_state("read of a log stream failed",
+                             {{"stream", this->options.name}, {"reason", error.what()}},
+                             telemetry::log_level::error);
+        return false;
+    }
+}
+
+void log_follower::deliver(const log_batch& batch) const {
+    try {
+        this->options.sink(batch);
+    } catch (const std::exception& error) {
+        telemetry::log_state("entries of a log stream could not be handled",
+                             {{"stream", this->options.name}, {"reason", error.what()}},
+                             telemetry::log_level::error);
+    }
+}
+
 bool log_follower::load_newest() {
     auto answer = this->options.log.newest(load_timeout);
     if (answer.status != cell::log_status::done) {
@@ -70,7 +92,7 @@
     this->next = answer.next;
     this->loaded = true;
     this->caught_up = false;
-    this->options.sink({.items = std::move(answer.items), .reset = true, .caught_up = false});
+    this->deliver({.items = std::move(answer.items), .reset = true, .caught_up = false});
     return true;
 }
 
@@ -89,7 +111,7 @@
     }
     this->next = answer.next;
     this->caught_up = answer.at_end;
-    this->options.sink(
+    this->deliver(
         {.items = std::move(answer.items), .reset = false, .caught_up = answer.at_end, .asked_at = asked_at});
     return true;
 }
--- a/src/runtime/log_follower.h
+++ b/src/runtime/log_follower.h
@@ -30,7 +30,7 @@
     core::milliseconds read_interval{0};
     bool enabled = true; ///< Whether to follow the stream from the start.
     std::function<core::steady_time()> now = [] { return std::chrono::steady_clock::now(); };
-    /// Called on the follower's thread with each batch, in order.
+    /// Called on the follower's thread with each batch, in order. An exception from it is logged.
     std::function<void(log_batch)> sink;
 };
 
@@ -54,8 +54,10 @@
 
 private:
     void run(const std::stop_token& stop);
+    bool try_read();
     bool load_newest();
     bool read_next();
+    void deliver(const log_batch& batch) const;
     void set_reachable(bool reachable);
     core::milliseconds delay_after_read(bool answered);
     bool wait_until_enabled(const std::stop_token& stop);
--- /dev/null
+++ b/tests/runtime/log_follower_test.cpp
@@ -0,0 +1,62 @@
+#include "runtime/log_follower.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <stdexcept>
+#include <thread>
+
+namespace rattanmount::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace runtime;
+using cell::log_status;
+
+bool wait_until(const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(1ms);
+    }
+    return condition();
+}
+
+} // namespace
+
+// Guards against processes that end because a read of the log or the handling of a batch throws on the
+// follower's thread.
+TEST_CASE("a follower continues after a read or a handler that throws") {
+    std::atomic<int> newest_calls{0};
+    std::atomic<int> reads{0};
+    std::atomic<int> batches{0};
+    std::atomic<std::uint64_t> last_from{0};
+    cell::keyed_log log;
+    log.newest = [&](auto) -> cell::log_newest_answer {
+        if (newest_calls++ == 0) {
+            throw std::runtime_error("the page cannot be read");
+        }
+        return {.status = log_status::done, .next = core::log_offset{7}};
+    };
+    log.read = [&](auto from, auto, auto) -> cell::log_read_answer {
+        last_from = from.value();
+        if (reads++ == 0) {
+            throw std::runtime_error("the reply cannot be read");
+        }
+        return {.status = log_status::done, .next = from.next(), .at_end = true};
+    };
+    log_follower follower{{.name = "workers",
+                           .log = log,
+                           .retry_interval = 5ms,
+                           .read_interval = 5ms,
+                           .sink = [&](const log_batch&) {
+                               batches++;
+                               throw std::runtime_error("the batch cannot be handled");
+                           }}};
+    CHECK(wait_until([&] { return reads >= 4 && batches >= 3; }));
+    CHECK(newest_calls == 2);
+    CHECK(last_from >= 9);
+}
+
+} // namespace rattanmount::tests
