--- a/src/runtime/log_writer.cpp
+++ b/src/runtime/log_writer.cpp
@@ -2,12 +2,27 @@
 
 #include "telemetry/logging.h"
 
+#include <exception>
 #include <iterator>
 #include <optional>
 #include <utility>
 
 namespace rattanmount::runtime {
 
+namespace {
+
+/// Passes the outcome of a write to its callback; logs an exception from the callback.
+void report(const log_writer::write_callback& done, write_outcome outcome) {
+    try {
+        done(outcome);
+    } catch (const std::exception& error) {
+        telemetry::log_state("outcome of an append could not be handled", {{"reason", error.what()}},
+                             telemetry::log_level::error);
+    }
+}
+
+} // namespace
+
 log_writer::log_writer(log_writer_options options)
     : options(std::move(options)), thread([this](const std::stop_token& stop) { this->run(stop); }) {}
 
@@ -39,7 +54,7 @@
             return; // The outcome of the last append is unknown, so the callbacks are not called.
         }
         for (const auto& queued : batch) {
-            queued.done(outcome);
+            report(queued.done, outcome);
         }
     }
 }
