--- a/src/runtime/advice_balancer.cpp
+++ b/src/runtime/advice_balancer.cpp
@@ -1,9 +1,9 @@
 #include "runtime/advice_balancer.h"
 
-#include "core/errors.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
+#include <exception>
 #include <set>
 #include <utility>
 
@@ -37,7 +37,7 @@
         if (!this->local_busy) {
             this->local_busy = true;
             lock.unlock();
-            auto reply = this->options.ask_locally(order);
+            auto reply = this->ask_locally(order);
             lock.lock();
             this->local_busy = false;
             this->channel_freed.notify_one();
@@ -49,6 +49,15 @@
     }
 }
 
+dispatch::advice_reply advice_balancer::ask_locally(const dispatch::advice_order& order) const {
+    try {
+        return this->options.ask_locally(order);
+    } catch (const std::exception& error) {
+        telemetry::log_state("advice call failed", {{"reason", error.what()}});
+        return {};
+    }
+}
+
 std::map<core::incarnation_id, advice_balancer::channel>::iterator
 advice_balancer::find_idle_peer(core::steady_time now) {
     return std::find_if(this->peers.begin(), this->peers.end(),
@@ -70,7 +79,7 @@
     bool reached = true;
     try {
         reply = ask(order);
-    } catch (const core::error& error) {
+    } catch (const std::exception& error) {
         reached = false;
         telemetry::log_state("advice call through a peer failed",
                              {{"peer", incarnation.value()}, {"reason", error.what()}});
--- a/src/runtime/advice_balancer.h
+++ b/src/runtime/advice_balancer.h
@@ -52,6 +52,7 @@
     };
 
     [[nodiscard]] std::map<core::incarnation_id, channel>::iterator find_idle_peer(core::steady_time now);
+    [[nodiscard]] dispatch::advice_reply ask_locally(const dispatch::advice_order& order) const;
     [[nodiscard]] dispatch::advice_reply ask_peer(const core::incarnation_id& incarnation,
                                                   const dispatch::advice_order& order);
     void notify_concurrency();
