--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -4,6 +4,7 @@
 #include "front/body_reader.h"
 #include "front/routes.h"
 #include "front/timespan.h"
+#include "telemetry/logging.h"
 
 #include <Poco/AutoPtr.h>
 #include <Poco/Exception.h>
@@ -13,6 +14,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <exception>
 #include <utility>
 
 namespace rattanmount::front {
@@ -182,7 +184,7 @@
     }
     switch (read_body(request, this->options.max_body_bytes, deadline, received.body)) {
     case body_read_result::complete:
-        return this->options.handle(received);
+        return this->handle(received);
     case body_read_result::too_large:
         return refused_reply(http_status::too_large, "the request body is too large");
     case body_read_result::timed_out:
@@ -193,6 +195,16 @@
     return refused_reply(http_status::bad_request, "the request body is shorter than its Content-Length");
 }
 
+http_reply http_server::handle(const http_request& request) const {
+    try {
+        return this->options.handle(request);
+    } catch (const std::exception& error) {
+        telemetry::log_state("handler of a request failed", {{"reason", error.what()}},
+                             telemetry::log_level::error);
+        return {.status = http_status::internal_error, .body = "{}"};
+    }
+}
+
 void http_server::await_next_request(const connection_ptr& served) {
     const std::lock_guard guard{this->mutex};
     served->busy = false;
--- a/src/front/http_server.h
+++ b/src/front/http_server.h
@@ -27,7 +27,8 @@
 /// The settings of an http_server.
 struct http_server_options {
     core::endpoint listen; ///< Port 0 selects a free port.
-    /// Returns the response to a complete request; called concurrently by traffic threads.
+    /// Returns the response to a complete request; called concurrently by traffic threads. If it throws, the
+    /// request is answered with status 500.
     std::function<http_reply(const http_request&)> handle;
     /// Runs a function on a traffic thread; may queue it.
     std::function<void(std::function<void()>)> execute;
@@ -77,6 +78,7 @@
     void serve(const connection_ptr& served);
     bool serve_request(connection& served);
     [[nodiscard]] http_reply answer(Poco::Net::HTTPServerRequest& request) const;
+    [[nodiscard]] http_reply handle(const http_request& request) const;
     void await_next_request(const connection_ptr& served);
     void close(const connection_ptr& served);
     void close_idle_connections();
--- a/tests/front/server_test.cpp
+++ b/tests/front/server_test.cpp
@@ -1,10 +1,12 @@
 #include "front/front.h"
+#include "front/http_server.h"
 #include "tests/front/fake_cell.h"
 #include "tests/front/raw_http.h"
 
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <stdexcept>
 
 using namespace rattanmount;
 using namespace rattanmount::front;
@@ -63,6 +65,20 @@
     CHECK_THAT(answer, Catch::Contains("X-Request-Id: a-1\r\n"));
 }
 
+// Guards against callers that get no answer because the handling of their request throws.
+TEST_CASE("a request whose handler throws is answered with status 500 and the connection is kept") {
+    http_server server{{.listen = any_port,
+                        .handle = [](const http_request&) -> http_reply { throw std::out_of_range("odd"); },
+                        .execute = [](const std::function<void()>& work) { work(); }}};
+    server.start();
+    const auto answer =
+        exchange(server.endpoint(),
+                 request_text("GET", "/a", "", "") + request_text("GET", "/b", "", "Connection: close\r\n"));
+    CHECK(starts_with_status(answer, 500));
+    CHECK(answer.rfind("HTTP/1.1 500") > 0);
+    server.stop(grace);
+}
+
 TEST_CASE("a request with a too large or truncated body calls no hook") {
     auto calls = fake_cell();
     std::atomic<int> ran{0};
