--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -1,8 +1,10 @@
 #include "inner/workflow_codec.h"
 
 #include "core/errors.h"
+#include "core/longest_duration.h"
 #include "ledger/thrift_bytes.h"
 
+#include <set>
 #include <type_traits>
 #include <utility>
 #include <workflow_types.h>
@@ -23,6 +25,28 @@
 constexpr char roster_key = 'w';
 constexpr std::size_t bits_per_byte = 8;
 
+std::uint32_t count_of(std::int32_t number, const char* field) {
+    if (number < 0) {
+        throw core::invalid_argument(std::string{field} + ": is negative");
+    }
+    return static_cast<std::uint32_t>(number);
+}
+
+std::set<std::uint32_t> counts_of(const std::vector<std::int32_t>& numbers, const char* field) {
+    std::set<std::uint32_t> counts;
+    for (const auto number : numbers) {
+        counts.insert(count_of(number, field));
+    }
+    return counts;
+}
+
+core::milliseconds milliseconds_of(std::int64_t number, const char* field) {
+    if (number < -core::longest_duration.count() || number > core::longest_duration.count()) {
+        throw core::invalid_argument(std::string{field} + ": is too long");
+    }
+    return core::milliseconds{number};
+}
+
 std::string key_of(char kind, const std::string& name) {
     return kind + name;
 }
@@ -74,11 +98,13 @@
 
 step_request from_gen(const gen::wf_step& from) {
     step_request step;
-    step.tasks = static_cast<std::uint32_t>(from.tasks);
+    step.tasks = count_of(from.tasks, "tasks");
     step.each = {
         .millicores = from.millicores, .memory_mb = from.memory_mb, .accelerators = from.accelerators};
-    step.estimate = core::milliseconds{from.estimate};
-    step.after.assign(from.after.begin(), from.after.end());
+    step.estimate = milliseconds_of(from.estimate, "estimate");
+    for (const auto earlier : from.after) {
+        step.after.push_back(count_of(earlier, "after"));
+    }
     step.checkpoints = from.checkpoints;
     step.gang = from.gang;
     step.one_rack = from.one_rack;
@@ -87,10 +113,10 @@
     step.uses_leftover = from.uses_leftover;
     step.required_label = worker_label{from.required_label};
     step.data_rack = core::rack_id{from.data_rack};
-    step.most_per_worker = static_cast<std::uint32_t>(from.most_per_worker);
-    step.may_be_away = static_cast<std::uint32_t>(from.may_be_away);
+    step.most_per_worker = count_of(from.most_per_worker, "most_per_worker");
+    step.may_be_away = count_of(from.may_be_away, "may_be_away");
     step.image = image_id{from.image};
-    step.latency_limit = core::milliseconds{from.latency_limit};
+    step.latency_limit = milliseconds_of(from.latency_limit, "latency_limit");
     return step;
 }
 
@@ -115,15 +141,15 @@
 queue_policy from_gen(const gen::wf_policy& from) {
     queue_policy policy{.queue = queue_id{from.queue},
                         .service = core::service_id{from.service_name},
-                        .priority = static_cast<std::uint32_t>(from.priority),
-                        .max_attempts = static_cast<std::uint32_t>(from.max_attempts),
+                        .priority = count_of(from.priority, "priority"),
+                        .max_attempts = count_of(from.max_attempts, "max_attempts"),
                         .stretch = from.stretch,
-                        .latency_goal = core::milliseconds{from.latency_goal}};
+                        .latency_goal = milliseconds_of(from.latency_goal, "latency_goal")};
     if (from.__isset.advice) {
         policy.advice =
-            advice_policy{.base_time = core::milliseconds{from.advice.base_time},
+            advice_policy{.base_time = milliseconds_of(from.advice.base_time, "base_time"),
                           .time_per_worker = std::chrono::microseconds{from.advice.time_per_worker_us},
-                          .ticket_lifetime = core::milliseconds{from.advice.ticket_lifetime}};
+                          .ticket_lifetime = milliseconds_of(from.advice.ticket_lifetime, "ticket_lifetime")};
     }
     return policy;
 }
@@ -181,14 +207,19 @@
 }
 
 step_progress from_gen(const gen::wf_step_progress& from) {
-    step_progress step{.occurrence = static_cast<std::uint32_t>(from.occurrence),
-                       .step = static_cast<std::uint32_t>(from.step),
-                       .done = unpack_bits(from.done, static_cast<std::size_t>(from.tasks))};
+    const auto tasks = count_of(from.tasks, "tasks");
+    if (tasks > request_limits::max_tasks_per_step) {
+        throw core::invalid_argument("tasks: has " + std::to_string(tasks) + ", the most are " +
+                                     std::to_string(request_limits::max_tasks_per_step));
+    }
+    step_progress step{.occurrence = count_of(from.occurrence, "occurrence"),
+                       .step = count_of(from.step, "step"),
+                       .done = unpack_bits(from.done, tasks)};
     for (const auto& task : from.open) {
-        step.open.emplace(static_cast<std::uint32_t>(task.index),
-                          task_progress{.failed_runs = {task.failed_runs.begin(), task.failed_runs.end()},
-                                        .last_run = static_cast<std::uint32_t>(task.last_run),
-                                        .ended_run = static_cast<std::uint32_t>(task.ended_run),
+        step.open.emplace(count_of(task.index, "index"),
+                          task_progress{.failed_runs = counts_of(task.failed_runs, "failed_runs"),
+                                        .last_run = count_of(task.last_run, "last_run"),
+                                        .ended_run = count_of(task.ended_run, "ended_run"),
                                         .checkpoint = checkpoint_id{task.checkpoint},
                                         .worker = core::worker_id{task.worker}});
     }
@@ -275,12 +306,14 @@
         record.request.steps.push_back(from_gen(step));
     }
     if (from.__isset.recurs) {
-        record.request.recurs = recurrence{.first = core::from_epoch(core::milliseconds{from.recurs.first}),
-                                           .interval = core::milliseconds{from.recurs.interval},
-                                           .times = static_cast<std::uint32_t>(from.recurs.times)};
+        record.request.recurs =
+            recurrence{.first = core::from_epoch(milliseconds_of(from.recurs.first, "first")),
+                       .interval = milliseconds_of(from.recurs.interval, "interval"),
+                       .times = count_of(from.recurs.times, "times")};
     }
     record.policy = from_gen(from.policy);
-    record.accepted_at = core::from_epoch(core::milliseconds{from.accepted_at});
+    record.accepted_at = core::from_epoch(milliseconds_of(from.accepted_at, "accepted_at"));
+    record.request.check();
     return record;
 }
 
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -4,7 +4,9 @@
 #include "inner/workflow_codec.h"
 #include "telemetry/logging.h"
 
+#include <exception>
 #include <future>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -43,6 +45,19 @@
     return items;
 }
 
+/// Decodes a record of the cell; logs and skips one that cannot be decoded.
+/// @param offset the record's offset in the log, for the log line.
+std::optional<workflow::cell_record> decode_or_skip(const cell::keyed_record& item,
+                                                    const std::string& offset) {
+    try {
+        return inner::decode_record(item);
+    } catch (const std::exception& error) {
+        telemetry::log_state("undecodable log record skipped", {{"offset", offset}, {"reason", error.what()}},
+                             telemetry::log_level::warning);
+        return std::nullopt;
+    }
+}
+
 request_answer to_request_answer(request_outcome outcome) {
     switch (outcome) {
     case request_outcome::stored:
@@ -375,12 +390,8 @@
     decoded->caught_up = batch.caught_up;
     decoded->asked_at = batch.asked_at;
     for (const auto& item : batch.items) {
-        try {
-            decoded->records.emplace_back(item.offset, inner::decode_record(item.record));
-        } catch (const core::invalid_argument& error) {
-            telemetry::log_state("undecodable log record skipped",
-                                 {{"offset", std::to_string(item.offset.value())}, {"reason", error.what()}},
-                                 telemetry::log_level::warning);
+        if (auto record = decode_or_skip(item.record, std::to_string(item.offset.value()))) {
+            decoded->records.emplace_back(item.offset, std::move(*record));
         }
     }
     this->post(
@@ -391,7 +402,9 @@
     std::vector<workflow::cell_record> records;
     records.reserve(items.size());
     for (const auto& item : items) {
-        records.push_back(inner::decode_record(item));
+        if (auto record = decode_or_skip(item, "")) {
+            records.push_back(std::move(*record));
+        }
     }
     this->post([records = std::move(records)](cell_control& control, core::steady_time now) {
         control.on_stored(records, now);
--- a/tests/inner/workflow_codec_test.cpp
+++ b/tests/inner/workflow_codec_test.cpp
@@ -1,8 +1,11 @@
 #include "core/errors.h"
 #include "inner/workflow_codec.h"
+#include "ledger/thrift_bytes.h"
 
 #include <catch2/catch.hpp>
 
+#include <workflow_types.h>
+
 namespace rattanmount::tests {
 
 namespace {
@@ -94,4 +97,38 @@
     CHECK_THROWS_AS(inner::decode_record({.key = "pa", .value = "no record"}), core::invalid_argument);
 }
 
+// Guards against processes that end because a count in a record is negative and becomes a very large one.
+TEST_CASE("records whose numbers are out of range are rejected") {
+    auto job = full_job();
+    SECTION("tasks of a step") {
+        job.request.steps[0].tasks = 0x80000000U;
+    }
+    SECTION("tasks per worker") {
+        job.request.steps[0].most_per_worker = 0x80000000U;
+    }
+    SECTION("occurrences") {
+        job.request.recurs->times = 0x80000000U;
+    }
+    SECTION("attempts") {
+        job.policy.max_attempts = 0x80000000U;
+    }
+    SECTION("a resource") {
+        job.request.steps[0].each.memory_mb = -1;
+    }
+    CHECK_THROWS_AS(inner::decode_record(inner::encode_record(job).front()), core::invalid_argument);
+}
+
+// Guards against processes that end because the number of tasks in a record of progress is out of range.
+TEST_CASE("a record of progress whose number of tasks is out of range is rejected") {
+    for (const std::int32_t tasks : {-1, 2147483647}) {
+        inner::gen::wf_step_progress step;
+        step.tasks = tasks;
+        inner::gen::wf_progress progress;
+        progress.__set_steps({step});
+        CAPTURE(tasks);
+        CHECK_THROWS_AS(inner::decode_record({.key = "pa", .value = ledger::to_bytes(progress)}),
+                        core::invalid_argument);
+    }
+}
+
 } // namespace rattanmount::tests
