--- a/src/workflow/job_request.cpp
+++ b/src/workflow/job_request.cpp
@@ -1,6 +1,7 @@
 #include "workflow/job_request.h"
 
 #include "core/errors.h"
+#include "core/longest_duration.h"
 
 #include <algorithm>
 
@@ -44,6 +45,8 @@
         check_that(this->recurs->times > 0, "the number of occurrences is 0");
         check_that(this->recurs->times <= request_limits::max_occurrences, "too many occurrences");
         check_that(this->recurs->interval.count() >= 0, "the interval is negative");
+        check_that(this->recurs->interval <= core::longest_duration / this->recurs->times,
+                   "the last occurrence is due too late");
     }
 }
 
