--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -97,6 +97,17 @@
     CHECK(is_decoded(with_value(worker_body(), "address", R"("[::1]:80")")));
 }
 
+// Guards against processes that end because a reply's field has another type than expected.
+TEST_CASE("an order's refusal that cannot be decoded counts as no answer") {
+    using dispatch::order_outcome;
+    for (const std::string body : {R"({"reason":7})", R"({"reason":{}})", R"({"reason":null})", "[]", "{}",
+                                   "", "\"fence\"", "{\"reason\":"}) {
+        CAPTURE(body);
+        CHECK(platform::decode_order_reply(409, body).outcome == order_outcome::unknown);
+    }
+    CHECK(platform::decode_order_reply(409, nested(1000000, "[", "]")).outcome == order_outcome::unknown);
+}
+
 // Guards against replies whose numbers are out of range and become other numbers.
 TEST_CASE("a reply to a hold order or an advice request is refused if a number is out of range") {
     const json hold{{"clockMs", 482113},
