--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -97,6 +97,17 @@
     CHECK(is_decoded(with_value(worker_body(), "address", R"("[::1]:80")")));
 }
 
+// Guards against advice requests that fail for ever because a worker's id cannot be encoded, and against ids
+// that end the header line in which they are sent.
+TEST_CASE("a worker entry is skipped if its key cannot be sent as an id") {
+    const std::vector<std::string> keys{"", "\xff\xfe", "i-1\r\nX-Other: 1", "i 1", std::string("i\0", 2)};
+    for (const auto& key : keys) {
+        CAPTURE(key);
+        CHECK_FALSE(is_decoded(worker_body().dump(), key));
+    }
+    CHECK(is_decoded(worker_body().dump(), std::string(255, 'a')));
+}
+
 // Guards against processes that end because a reply's field has another type than expected.
 TEST_CASE("an order's refusal that cannot be decoded counts as no answer") {
     using dispatch::order_outcome;
