--- a/src/runtime/log_writer.cpp
+++ b/src/runtime/log_writer.cpp
@@ -2,6 +2,7 @@
 
 #include "telemetry/logging.h"
 
+#include <exception>
 #include <iterator>
 #include <optional>
 #include <random>
@@ -9,6 +10,20 @@
 
 namespace rattanmount::runtime {
 
+namespace {
+
+/// Passes the outcome of a write to its callback; logs an exception from the callback.
+void report(const log_writer::write_callback& done, write_outcome outcome) {
+    try {
+        done(outcome);
+    } catch (const std::exception& error) {
+        telemetry::log_state("outcome of an append could not be handled", {{"reason", error.what()}},
+                             telemetry::log_level::error);
+    }
+}
+
+} // namespace
+
 core::sequence_number random_first_sequence() {
     constexpr std::uint64_t largest = (std::uint64_t{1} << 48U) - 1;
     std::random_device source;
@@ -46,7 +61,7 @@
             return; // The outcome of the last append is unknown, so the callbacks are not called.
         }
         for (const auto& queued : batch) {
-            queued.done(outcome);
+            report(queued.done, outcome);
         }
     }
 }
