Split host_control by concern

Each concern is a class of its own now, owned by host_control: config_replica (the copy of the configuration and its stream), note_applier (notes until they are in force everywhere), shard_table (the controllers and their next batch numbers), shard_ownership (claims, takeovers and handovers), resource_overview (use of teams, shards with room) and quick_slots (slots for callers and peers). The check of team and pool names is in policy_check.

Behaviour, texts and events are unchanged.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -8,11 +8,19 @@
 /// belongs to the control thread. Orders are issued through host_hooks, and the traffic threads that execute
 /// them post the replies.
 
+#include "control/config_replica.h"
 #include "control/control_thread.h"
 #include "control/fleet_map.h"
 #include "control/host_control.h"
 #include "control/host_hooks.h"
 #include "control/job_runner.h"
 #include "control/job_state.h"
+#include "control/note_applier.h"
+#include "control/policy_check.h"
+#include "control/quick_slots.h"
+#include "control/resource_overview.h"
 #include "control/shard_controller.h"
+#include "control/shard_ownership.h"
+#include "control/shard_table.h"
 #include "control/slot_broker.h"
+#include "control/stream_driver.h"
--- a/src/control/host_control.h
+++ b/src/control/host_control.h
@@ -3,9 +3,15 @@
 #include "cell/cell_layout.h"
 #include "cell/membership.h"
 #include "cell/peer_calls.h"
+#include "control/config_replica.h"
 #include "control/fleet_map.h"
 #include "control/host_hooks.h"
+#include "control/note_applier.h"
+#include "control/quick_slots.h"
+#include "control/resource_overview.h"
 #include "control/shard_controller.h"
+#include "control/shard_ownership.h"
+#include "control/shard_table.h"
 #include "control/slot_broker.h"
 #include "core/calls.h"
 #include "core/ids.h"
@@ -71,6 +77,9 @@
 class host_control {
 public:
     host_control(host_control_options options, host_hooks hooks);
+    ~host_control() = default;
+    host_control(const host_control&) = delete;
+    host_control& operator=(const host_control&) = delete;
 
     /// Performs all work that is due. Must be called at least every `control_thread_options::tick_interval`.
     void tick(core::steady_time now);
@@ -135,82 +144,57 @@
     /// @return whether every shard has been handed over.
     [[nodiscard]] bool has_left() const;
     /// @return whether callers may be sent to this host, which requires that the configuration has been read.
-    [[nodiscard]] bool ready() const { return this->config.has_base_state() && this->config_read; }
+    [[nodiscard]] bool ready() const { return this->config.ready(); }
 
     [[nodiscard]] cell::peer_view view(core::steady_time now) const;
     [[nodiscard]] std::vector<core::host_status> hosts(core::steady_time now) const;
-    [[nodiscard]] const ledger::config_state_machine& configuration() const { return this->config; }
-    [[nodiscard]] cell::config_copy copy_config() const;
+    [[nodiscard]] const ledger::config_state_machine& configuration() const { return this->config.state(); }
+    [[nodiscard]] cell::config_copy copy_config() const { return this->config.copy(); }
     /// @return the maximum duration of a request of the pool.
     [[nodiscard]] core::milliseconds quick_limit(const core::pool_id& pool) const;
-    [[nodiscard]] std::size_t owned_shards() const;
+    [[nodiscard]] std::size_t owned_shards() const { return this->shards.owned_count(); }
 
 private:
-    struct waiting_note {
-        core::note_id id;
-        core::steady_time until;
-        std::function<void(core::note_answer)> respond;
-    };
-
-    [[nodiscard]] shard_controller* controller_of(core::shard_id shard) const;
-    [[nodiscard]] shard_controller* owned_controller(core::shard_id shard) const;
     /// @return the controller of a shard that this host owns; otherwise nullptr, after responding that this
     ///        host does not own the shard.
     [[nodiscard]] shard_controller* controller_or_refuse(core::shard_id shard,
                                                          const owner_responder& respond) const;
     [[nodiscard]] core::stream_id stream_of(core::shard_id shard) const;
+    [[nodiscard]] config_replica_options config_options() const;
+    [[nodiscard]] shard_ownership_options ownership_options();
     [[nodiscard]] shard_controller_options options_for(core::shard_id shard);
-    [[nodiscard]] slot_broker_options broker_options();
-    [[nodiscard]] std::optional<quick_route> reserve_local(const core::service_id& service,
-                                                           std::optional<core::shard_id> only,
-                                                           core::milliseconds limit,
-                                                           core::steady_time now) const;
     [[nodiscard]] core::milliseconds longest_quick_limit() const;
     /// @return whether others may own this host's shards without its knowledge, because it was suspended or
     ///        is cut off.
     [[nodiscard]] bool may_have_lost_shards(core::steady_time now) const;
-    [[nodiscard]] std::optional<std::string>
-    unknown_name_error(const core::team_id& team, const core::pool_id& pool, core::work_kind kind) const;
     [[nodiscard]] std::optional<std::string> never_fits(const core::job_spec& spec) const;
-    [[nodiscard]] std::optional<core::shard_id> shard_with_room(const core::job_spec& spec) const;
-    [[nodiscard]] bool can_take_over(core::shard_id shard, const ledger::shard_owner& owner);
-    [[nodiscard]] core::resources remote_usage(const core::team_id& team) const;
-    void send_config_requests(core::steady_time now);
     void send_heartbeats(core::steady_time now);
     void assign_racks();
     void set_fleet_of(core::shard_id shard, shard_controller& controller, core::steady_time now);
+    void set_fleet_of_all(core::steady_time now);
     void decide_ownership(core::steady_time now);
+    void claim(core::shard_id shard);
     void check_reported_owners(const cell::peer_view& view);
     void check_isolation(core::steady_time now);
-    void answer_notes(core::steady_time now);
     void take_snapshot(core::steady_time now);
-    void report_event(telemetry::event_kind kind, const std::string& detail) const;
 
     host_control_options options;
     host_hooks hooks;
     cell::cell_layout layout;
     cell::membership members;
-    ledger::config_state_machine config;
+    config_replica config;
     fleet_map fleet;
-    ledger::stream_session config_session;
-    std::map<core::shard_id, std::unique_ptr<shard_controller>> controllers;
-    /// Next batch numbers in the streams of shards that were held before: a producer's batches are numbered
-    /// consecutively over its incarnation.
-    std::map<core::shard_id, core::sequence_number> next_sequences;
-    std::map<core::shard_id, core::steady_time> preferred_elsewhere_since;
-    /// Since when the recorded owner of a shard, although live, has not listed the shard in its view.
-    std::map<core::shard_id, core::steady_time> unlisted_since;
-    slot_broker broker;
-    std::vector<waiting_note> notes;
-    bool config_read = false;
+    shard_table shards;
+    resource_overview resources;
+    shard_ownership ownership;
+    quick_slots quick;
+    note_applier notes;
     bool leaving = false;
-    bool log_was_available = false;
     std::optional<core::steady_time> started;
     core::steady_time last_contact{}; ///< With the log or a peer.
     core::steady_time next_heartbeat{};
     core::steady_time next_fleet{};
     core::steady_time next_ownership{};
-    core::steady_time next_snapshot{};
     core::steady_time current_time{}; ///< Time of the call in progress, for hooks that need it.
 };
 
--- a/src/control/shard_controller.cpp
+++ b/src/control/shard_controller.cpp
@@ -39,7 +39,7 @@
           session_options.state = [this] { return this->fold.state(); };
           return session_options;
       }()),
-      shard_slots(this->options.slots) {}
+      driver(this->session, hooks, this->options.snapshot_interval), shard_slots(this->options.slots) {}
 
 shard_controller::~shard_controller() {
     this->drop_ownership();
@@ -77,19 +77,7 @@
         this->finish_release(now);
     }
     this->shard_slots.expire(now);
-    this->send_log_requests(now);
-}
-
-void shard_controller::send_log_requests(core::steady_time now) {
-    if (!this->session.log_available()) {
-        this->session.cancel_queued();
-    }
-    if (const auto append = this->session.next_append(now)) {
-        this->hooks.append(*append);
-    }
-    if (const auto read = this->session.next_read(now)) {
-        this->hooks.read(*read);
-    }
+    this->driver.send_requests(now);
 }
 
 void shard_controller::claim(core::steady_time now) {
@@ -108,7 +96,7 @@
                           }
                           this->current_phase = shard_phase::reading;
                       });
-    this->send_log_requests(now);
+    this->driver.send_requests(now);
 }
 
 void shard_controller::take_ownership(core::steady_time now) {
@@ -129,7 +117,7 @@
     if (this->fleet_known) {
         this->active_runner->set_workers(this->workers, now);
     }
-    this->next_snapshot = now + this->options.snapshot_interval / 2;
+    this->driver.plan_snapshots(now);
     this->end_orphaned_quick_requests();
     for (const auto& [id, entry] : this->fold.jobs()) {
         if (entry.moved_to && !entry.move_confirmed) {
@@ -321,7 +309,7 @@
                               waiter(answer);
                           }
                       });
-    this->send_log_requests(now);
+    this->driver.send_requests(now);
 }
 
 void shard_controller::status(const core::job_id& job, core::steady_time now,
@@ -408,7 +396,7 @@
             respond(mine ? make_answer(core::answer_state::accepted, core::outcome::unknown, "")
                          : unsettled("the shard went to another entry host"));
         });
-    this->send_log_requests(now);
+    this->driver.send_requests(now);
 }
 
 void shard_controller::record_quick_outcome(const core::job_id& job, core::outcome result,
@@ -486,15 +474,8 @@
             this->session.add(ledger::job_forgotten{.job = id}, {.cancellable = true}, {});
         }
     }
-    if (now >= this->next_snapshot) {
-        constexpr core::milliseconds retry{10000};
-        this->next_snapshot = now + this->options.snapshot_interval;
-        this->session.add(ledger::snapshot_taken{}, {.cancellable = true, .own_batch = true},
-                          [this, again = now + retry](ledger::record_outcome settled) {
-                              if (settled != ledger::record_outcome::recorded) {
-                                  this->next_snapshot = again;
-                              }
-                          });
+    if (this->driver.snapshot_due(now)) {
+        this->driver.take_snapshot(now);
     }
 }
 
--- a/src/control/shard_controller.h
+++ b/src/control/shard_controller.h
@@ -3,6 +3,7 @@
 #include "cell/peer_calls.h"
 #include "control/host_hooks.h"
 #include "control/job_runner.h"
+#include "control/stream_driver.h"
 #include "core/calls.h"
 #include "core/ids.h"
 #include "core/time.h"
@@ -66,7 +67,7 @@
 /// runs its jobs, answers calls about them, and hands it over.
 ///
 /// Destroyed after the shard was released, or if this host has lost contact to the log and to all peers.
-/// Owned by host_control; used by the control thread only.
+/// Owned by shard_table; used by the control thread only.
 class shard_controller {
 public:
     /// @param hooks execute its orders; must outlive this object.
@@ -114,6 +115,7 @@
     [[nodiscard]] bool owned() const;
     [[nodiscard]] core::epoch_id epoch() const { return this->fold.epoch(); }
     [[nodiscard]] bool log_available() const { return this->session.log_available(); }
+    [[nodiscard]] const core::stream_id& stream() const { return this->options.session.stream; }
     /// @return the number of the next batch that this incarnation appends to the shard's stream.
     [[nodiscard]] core::sequence_number next_sequence() const { return this->session.next_sequence(); }
     [[nodiscard]] const job_runner* runner() const { return this->active_runner.get(); }
@@ -123,7 +125,6 @@
 
 private:
     bool apply(core::log_offset offset, const ledger::record_batch& batch);
-    void send_log_requests(core::steady_time now);
     void claim(core::steady_time now);
     void check_owner();
     void take_ownership(core::steady_time now);
@@ -142,6 +143,7 @@
     const host_hooks& hooks;
     ledger::shard_state_machine fold;
     ledger::stream_session session;
+    stream_driver driver;
     shard_phase current_phase = shard_phase::reading;
     std::unique_ptr<job_runner> active_runner;
     routing::slot_table shard_slots;
@@ -155,7 +157,6 @@
     std::unordered_map<core::job_id, pending_accept> pending_accepts;
     /// Moved jobs that are not confirmed yet; true while a move order is in flight.
     std::unordered_map<core::job_id, bool> unconfirmed_moves;
-    core::steady_time next_snapshot{};
     core::steady_time next_claim{};
     bool released_by_former_owner = false; ///< The former owner had released the shard before it was claimed.
     /// On the next tick, start the hold of all slots that a former owner may still be using.
--- a/src/control/slot_broker.h
+++ b/src/control/slot_broker.h
@@ -55,7 +55,7 @@
 /// Matches the quick requests that wait at this host with the slots that become free.
 ///
 /// A request is answered as soon as there is a slot, and shed as soon as it is certain that none will be free
-/// in time. Owned by host_control; used by the control thread only.
+/// in time. Owned by quick_slots; used by the control thread only.
 class slot_broker {
 public:
     explicit slot_broker(slot_broker_options options);
