Split job_runner by concern

The leases on workers and the calls under them are worker_leases now, the way from a placement to the reply to its start is attempt_starter, and the comparison of a worker's inventory with the attempts that should run there is inventory_reader. job_runner keeps what decides about jobs: takeover, ends, retries, gangs, preemption. The parts share their state through runner_parts. The end of an attempt is one value, ended_attempt, instead of six arguments. Behaviour, texts and events are unchanged.

--- a/src/control/job_runner.h
+++ b/src/control/job_runner.h
@@ -1,8 +1,14 @@
 #pragma once
 
 #include "cell/worker_lease.h"
+#include "control/attempt_starter.h"
+#include "control/attempt_state.h"
 #include "control/host_hooks.h"
+#include "control/inventory_reader.h"
 #include "control/job_state.h"
+#include "control/runner_parts.h"
+#include "control/shard_work.h"
+#include "control/worker_leases.h"
 #include "core/calls.h"
 #include "core/ids.h"
 #include "core/job.h"
@@ -18,7 +24,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace rattanmount::control {
@@ -46,6 +51,9 @@
     /// @param session appends the records; must outlive this object.
     job_runner(job_runner_options options, const host_hooks& hooks, const ledger::shard_state_machine& fold,
                ledger::stream_session& session);
+    ~job_runner() = default;
+    job_runner(const job_runner&) = delete;
+    job_runner& operator=(const job_runner&) = delete;
 
     /// Adopts the recorded jobs. Called once, when the claim has succeeded.
     void begin(core::steady_time now);
@@ -69,7 +77,10 @@
 
     void on_lease(const core::worker_id& worker, const external::lease_reply& reply, core::steady_time sent,
                   core::steady_time now);
-    void on_start(const core::attempt_id& attempt, const external::start_reply& reply, core::steady_time now);
+    void on_start(const core::attempt_id& attempt, const external::start_reply& reply,
+                  core::steady_time now) {
+        this->starter.on_reply(attempt, reply, now);
+    }
 
     /// @return whether every worker's lease has been acquired, so that any task may be started.
     [[nodiscard]] bool takeover_complete() const { return this->taken_over; }
@@ -81,7 +92,7 @@
     [[nodiscard]] bool is_quiescent() const;
 
     /// Releases all leases, so that the next owner need not wait until they expire.
-    void release_leases(core::steady_time now);
+    void release_leases(core::steady_time now) { this->leases.release_all(now); }
 
     /// @return why no worker of the shard can ever run the job's tasks; empty if one can.
     [[nodiscard]] std::optional<std::string> never_fits(const core::job_spec& spec) const;
@@ -95,54 +106,12 @@
     [[nodiscard]] const job_state* find(const core::job_id& job) const;
 
 private:
-    /// Progress of an attempt that is not known to have ended.
-    enum class attempt_phase { recording, sending, running, adopted };
-
-    struct attempt_state {
-        attempt_phase phase = attempt_phase::recording;
-        core::worker_id worker;
-        /// When the worker last confirmed the attempt, or when it was placed or sent.
-        core::steady_time confirmed_at;
-        bool recorded = false;
-        bool stop_wanted = false;
-        bool counted = false; ///< The scheduler accounts for its resources under this attempt.
-    };
-
-    struct worker_state {
-        external::listed_worker info;
-        cell::worker_lease lease;
-        bool listed = true;
-        /// The lease was granted here since the claim, or all of the worker's tasks have ended.
-        bool lease_acquired = false;
-        bool marked_ended = false;
-        std::set<core::attempt_id> forget;
-        /// Attempts that run there although they are not the current attempt of their task.
-        std::set<core::attempt_id> stale_attempts;
-    };
-
     void place(core::steady_time now);
-    void begin_attempt(const scheduling::placement& placement, core::steady_time now);
-    void send_start(const core::attempt_id& attempt, attempt_state& state, core::steady_time now);
-    void send_stop(const core::attempt_id& attempt, const attempt_state& state, core::steady_time now);
-    void send_due_starts(core::steady_time now);
     void renew_leases(core::steady_time now);
     void check_taken_over(core::steady_time now);
     void admit(job_state& job);
-    void apply_inventory(worker_state& worker, const external::lease_reply& reply, core::steady_time sent,
-                         bool new_lease, core::steady_time now);
-    void apply_inventory_item(worker_state& worker, const external::inventory_item& item,
-                              core::steady_time now);
-    [[nodiscard]] bool is_newer(const core::attempt_id& attempt, const job_state& job) const;
-    void end_older_attempt(const core::attempt_id& newer, const job_state& job, core::steady_time now);
-    void adopt_unrecorded(worker_state& worker, const external::inventory_item& item, job_state& job,
-                          core::steady_time now);
-    void handle_stale_attempt(worker_state& worker, const external::inventory_item& item,
-                              core::steady_time now);
-    void end_missing_attempts(worker_state& worker, const std::set<core::attempt_id>& present,
-                              core::steady_time sent, bool new_lease, core::steady_time now);
-    void mark_tasks_ended(worker_state& worker, core::steady_time now);
-    void end_attempt(const core::attempt_id& attempt, core::attempt_end end, const std::string& reason,
-                     core::milliseconds run_time, const core::resources& used, core::steady_time now);
+    void mark_tasks_ended(leased_worker& worker, core::steady_time now);
+    void end_attempt(const ended_attempt& ended, core::steady_time now);
     void apply_attempt_end(job_state& job, std::uint32_t task, core::attempt_end end,
                            const std::string& reason, core::steady_time now);
     void retry(job_state& job, std::uint32_t task, core::steady_time now);
@@ -150,8 +119,6 @@
     void end_job(job_state& job, core::outcome result, const std::string& reason, core::steady_time now);
     void stop_all(job_state& job, core::steady_time now);
     void preempt(core::steady_time now);
-    void report_event(telemetry::event_kind kind, const core::job_id& job, const core::worker_id& worker,
-                      const std::string& detail) const;
     [[nodiscard]] core::system_time wall_time() const { return this->hooks.wall_time(); }
 
     job_runner_options options;
@@ -159,9 +126,11 @@
     const ledger::shard_state_machine& fold;
     ledger::stream_session& session;
     scheduling::scheduler job_scheduler;
-    std::unordered_map<core::job_id, job_state> jobs;
-    std::map<core::attempt_id, attempt_state> attempts;
-    std::map<core::worker_id, worker_state> workers;
+    shard_work work;
+    worker_leases leases;
+    runner_parts parts;
+    attempt_starter starter;
+    inventory_reader inventories;
     std::set<core::job_id>
         held_until_takeover;               ///< Jobs that the former owner may have started without a record.
     std::set<core::job_id> oversized_jobs; ///< Jobs whose tasks are too large for every worker of the shard.
