Split shard_controller by concern

The moves of waiting jobs to other shards are job_mover now, and the answers to calls about a job are the functions of job_answers.h.

--- a/src/control/shard_controller.cpp
+++ b/src/control/shard_controller.cpp
@@ -1,34 +1,12 @@
 #include "control/shard_controller.h"
 
+#include "control/job_answers.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace rattanmount::control {
 
-namespace {
-
-cell::owner_answer make_answer(core::answer_state state, core::outcome result, std::string reason) {
-    return {.is_owner = true, .answer = {.state = state, .result = result, .reason = std::move(reason)}};
-}
-
-cell::owner_answer refused(std::string reason) {
-    return make_answer(core::answer_state::refused, core::outcome::not_run, std::move(reason));
-}
-
-/// Returns the refusal of a key that belongs to a different job. Includes the existing job, so that the front
-/// end can tell this refusal from others.
-cell::owner_answer key_conflict(const core::job_spec& existing) {
-    auto answer = refused("key '" + existing.id.key.value() + "' was used before with another body");
-    answer.answer.status = core::job_status{.spec = existing};
-    return answer;
-}
-
-cell::owner_answer unsettled(std::string reason) {
-    return make_answer(core::answer_state::unsettled, core::outcome::unknown, std::move(reason));
-}
-
-} // namespace
-
 shard_controller::shard_controller(shard_controller_options options, const host_hooks& hooks)
     : options(std::move(options)), hooks(hooks), fold(this->options.shard), session([this] {
           auto session_options = this->options.session;
@@ -39,7 +17,14 @@
           session_options.state = [this] { return this->fold.state(); };
           return session_options;
       }()),
-      driver(this->session, hooks, this->options.snapshot_interval), shard_slots(this->options.slots) {}
+      driver(this->session, hooks, this->options.snapshot_interval),
+      mover({.shard = this->options.shard,
+             .move_after = this->options.move_after,
+             .shard_with_room = this->options.shard_with_room,
+             .home_shard_of = this->options.home_shard_of,
+             .owner_of = this->options.owner_of},
+            hooks, this->fold, this->session),
+      shard_slots(this->options.slots) {}
 
 shard_controller::~shard_controller() {
     this->drop_ownership();
@@ -70,7 +55,10 @@
             this->report_event(telemetry::event_kind::shard_serving,
                                "epoch " + std::to_string(this->epoch().value()));
         }
-        this->move_waiting(now);
+        this->mover.send_unconfirmed();
+        if (this->current_phase == shard_phase::serving && this->session.log_available()) {
+            this->mover.move_waiting(*this->active_runner, now);
+        }
         this->run_maintenance(now);
     }
     if (this->current_phase == shard_phase::releasing) {
@@ -119,11 +107,7 @@
     }
     this->driver.plan_snapshots(now);
     this->end_orphaned_quick_requests();
-    for (const auto& [id, entry] : this->fold.jobs()) {
-        if (entry.moved_to && !entry.move_confirmed) {
-            this->unconfirmed_moves[id] = false;
-        }
-    }
+    this->mover.begin();
 }
 
 void shard_controller::end_orphaned_quick_requests() {
@@ -158,7 +142,7 @@
 void shard_controller::drop_ownership() {
     for (auto& [id, pending] : std::exchange(this->pending_accepts, {})) {
         for (const auto& respond : pending.responders) {
-            respond(unsettled("the shard went to another entry host before the job was recorded"));
+            respond(unsettled_answer("the shard went to another entry host before the job was recorded"));
         }
     }
     if (!this->active_runner) {
@@ -166,7 +150,7 @@
     }
     this->report_event(telemetry::event_kind::shard_lost, "epoch " + std::to_string(this->epoch().value()));
     this->active_runner.reset();
-    this->unconfirmed_moves.clear();
+    this->mover.stop();
     this->current_phase = shard_phase::reading;
 }
 
@@ -212,44 +196,27 @@
 }
 
 cell::owner_answer shard_controller::answer_for(const ledger::job_entry& entry, core::steady_time now) const {
-    cell::owner_answer answer{.is_owner = true, .moved_to = entry.moved_to};
-    core::job_status status{
-        .spec = entry.spec, .accepted_at = entry.accepted_at, .ended = entry.ended, .reason = entry.reason};
-    for (std::uint32_t index = 0; index < entry.tasks.size(); ++index) {
-        const auto& task = entry.tasks[index];
-        status.tasks_waiting += task.phase == core::task_phase::waiting ? 1 : 0;
-        status.tasks_running += task.phase == core::task_phase::started ? 1 : 0;
-        status.tasks_ended += task.phase == core::task_phase::ended ? 1 : 0;
-        if (task.phase == core::task_phase::started) {
-            status.places.push_back("task " + std::to_string(index) + " on " + task.place);
-        }
-    }
-    answer.answer.state = entry.ended ? core::answer_state::ended : core::answer_state::accepted;
-    answer.answer.result = entry.ended.value_or(core::outcome::unknown);
-    answer.answer.reason = entry.reason;
-    if (entry.moved_to) {
-        answer.answer.reason = "handed to shard " + std::to_string(entry.moved_to->value());
-    } else if (!entry.ended && this->active_runner && status.tasks_waiting > 0) {
+    auto answer = recorded_answer(entry);
+    if (!entry.moved_to && !entry.ended && this->active_runner && answer.answer.status->tasks_waiting > 0) {
         const auto reasons = this->active_runner->explain(entry.spec.id, now);
         answer.answer.reason = reasons.empty() ? "" : reasons.front();
     }
-    answer.answer.status = std::move(status);
     return answer;
 }
 
 std::optional<cell::owner_answer> shard_controller::refusal_for(const core::job_spec& spec) const {
     if (const auto reason = this->options.never_fits(spec)) {
-        return refused(*reason);
+        return refused_answer(*reason);
     }
     std::size_t open = this->pending_accepts.size();
     for (const auto& [id, entry] : this->fold.jobs()) {
         open += entry.ended || entry.moved_to ? 0 : 1;
     }
     if (open >= this->options.queue_limit) {
-        return refused("the shard has " + std::to_string(open) + " open jobs, which is its limit");
+        return refused_answer("the shard has " + std::to_string(open) + " open jobs, which is its limit");
     }
     if (!this->session.log_available()) {
-        return refused("the platform's log is not available, so the job cannot be recorded");
+        return refused_answer("the platform's log is not available, so the job cannot be recorded");
     }
     return std::nullopt;
 }
@@ -272,7 +239,7 @@
     }
     const auto& known = entry != nullptr ? entry->spec : pending->second.spec;
     if (known.fingerprint() != spec.fingerprint()) {
-        respond(key_conflict(known));
+        respond(key_conflict_answer(known));
         return;
     }
     if (entry != nullptr) {
@@ -287,28 +254,28 @@
     auto& pending = this->pending_accepts[spec.id];
     pending.spec = spec;
     pending.responders.push_back(std::move(respond));
-    this->session.add(ledger::job_accepted{.spec = spec, .at = accepted_at}, {.cancellable = true},
-                      [this, id = spec.id, now](ledger::record_outcome settled) {
-                          const auto found = this->pending_accepts.find(id);
-                          if (found == this->pending_accepts.end()) {
-                              return;
-                          }
-                          const auto waiting = std::move(found->second);
-                          this->pending_accepts.erase(found);
-                          const auto* entry = this->fold.find(id);
-                          cell::owner_answer answer = unsettled("the shard went to another entry host");
-                          if (settled == ledger::record_outcome::absent) {
-                              answer = refused("the platform's log did not store the record");
-                          }
-                          if (settled == ledger::record_outcome::recorded && entry != nullptr &&
-                              this->active_runner) {
-                              this->active_runner->on_accepted(entry->spec, now);
-                              answer = this->answer_for(*entry, now);
-                          }
-                          for (const auto& waiter : waiting.responders) {
-                              waiter(answer);
-                          }
-                      });
+    this->session.add(
+        ledger::job_accepted{.spec = spec, .at = accepted_at}, {.cancellable = true},
+        [this, id = spec.id, now](ledger::record_outcome settled) {
+            const auto found = this->pending_accepts.find(id);
+            if (found == this->pending_accepts.end()) {
+                return;
+            }
+            const auto waiting = std::move(found->second);
+            this->pending_accepts.erase(found);
+            const auto* entry = this->fold.find(id);
+            cell::owner_answer answer = unsettled_answer("the shard went to another entry host");
+            if (settled == ledger::record_outcome::absent) {
+                answer = refused_answer("the platform's log did not store the record");
+            }
+            if (settled == ledger::record_outcome::recorded && entry != nullptr && this->active_runner) {
+                this->active_runner->on_accepted(entry->spec, now);
+                answer = this->answer_for(*entry, now);
+            }
+            for (const auto& waiter : waiting.responders) {
+                waiter(answer);
+            }
+        });
     this->driver.send_requests(now);
 }
 
@@ -319,7 +286,7 @@
         return;
     }
     const auto* entry = this->fold.find(job);
-    respond(entry == nullptr ? refused("no job has that key") : this->answer_for(*entry, now));
+    respond(entry == nullptr ? refused_answer("no job has that key") : this->answer_for(*entry, now));
 }
 
 void shard_controller::cancel(const core::job_id& job, core::steady_time now,
@@ -336,7 +303,8 @@
     this->active_runner->cancel(job, now, [this, job, now, respond](ledger::record_outcome settled) {
         const auto* found = this->fold.find(job);
         const bool recorded = settled == ledger::record_outcome::recorded && found != nullptr;
-        respond(recorded ? this->answer_for(*found, now) : unsettled("the shard went to another entry host"));
+        respond(recorded ? this->answer_for(*found, now)
+                         : unsettled_answer("the shard went to another entry host"));
     });
 }
 
@@ -348,7 +316,7 @@
     }
     const auto* entry = this->fold.find(job);
     if (entry == nullptr) {
-        respond(refused("no job has that key"));
+        respond(refused_answer("no job has that key"));
         return;
     }
     auto answer = this->answer_for(*entry, now);
@@ -367,16 +335,16 @@
     if (entry != nullptr || this->pending_accepts.contains(spec.id)) {
         const auto& known = entry != nullptr ? entry->spec : this->pending_accepts[spec.id].spec;
         if (known.fingerprint() != spec.fingerprint()) {
-            respond(key_conflict(known));
+            respond(key_conflict_answer(known));
         } else if (entry != nullptr && entry->ended) {
             respond(this->answer_for(*entry, now));
         } else {
-            respond(unsettled("another call with this key is being served; ask again by its key"));
+            respond(unsettled_answer("another call with this key is being served; ask again by its key"));
         }
         return;
     }
     if (!this->session.log_available()) {
-        respond(refused("the platform's log is not available, so the request cannot be recorded"));
+        respond(refused_answer("the platform's log is not available, so the request cannot be recorded"));
         return;
     }
     this->pending_accepts[spec.id].spec = spec;
@@ -387,14 +355,14 @@
         {.cancellable = true}, [this, id = spec.id, respond](ledger::record_outcome settled) {
             this->pending_accepts.erase(id);
             if (settled == ledger::record_outcome::absent) {
-                respond(refused("the platform's log did not store the record"));
+                respond(refused_answer("the platform's log did not store the record"));
                 return;
             }
             const auto* recorded = this->fold.find(id);
             const bool mine =
                 settled == ledger::record_outcome::recorded && recorded != nullptr && !recorded->ended;
             respond(mine ? make_answer(core::answer_state::accepted, core::outcome::unknown, "")
-                         : unsettled("the shard went to another entry host"));
+                         : unsettled_answer("the shard went to another entry host"));
         });
     this->driver.send_requests(now);
 }
@@ -406,59 +374,6 @@
         [recorded = std::move(recorded)](ledger::record_outcome) { recorded(); });
 }
 
-void shard_controller::move_waiting(core::steady_time now) {
-    for (auto& [id, order_in_flight] : this->unconfirmed_moves) {
-        const auto* entry = this->fold.find(id);
-        if (order_in_flight || entry == nullptr || !entry->moved_to) {
-            continue;
-        }
-        const auto peer = this->options.owner_of(*entry->moved_to);
-        if (!peer) {
-            continue;
-        }
-        order_in_flight = true;
-        this->hooks.move({.from = this->options.shard,
-                          .to = *entry->moved_to,
-                          .peer = *peer,
-                          .spec = entry->spec,
-                          .accepted_at = entry->accepted_at});
-    }
-    if (this->current_phase != shard_phase::serving || !this->session.log_available()) {
-        return;
-    }
-    for (const auto& id : this->active_runner->movable(now, this->options.move_after)) {
-        // Only its home shard moves a job, so that the job can always be found with at most one redirection.
-        const bool at_home = this->options.home_shard_of(id) == this->options.shard;
-        const auto target =
-            at_home ? this->options.shard_with_room(this->active_runner->find(id)->spec) : std::nullopt;
-        if (!target || *target == this->options.shard) {
-            continue;
-        }
-        this->active_runner->remove_job(id);
-        this->report_event(telemetry::event_kind::job_moved,
-                           id.text() + " to shard " + std::to_string(target->value()));
-        this->session.add(ledger::job_moved{.job = id, .to = *target}, {},
-                          [this, id](ledger::record_outcome settled) {
-                              if (settled == ledger::record_outcome::recorded && this->active_runner) {
-                                  this->unconfirmed_moves[id] = false;
-                              }
-                          });
-    }
-}
-
-void shard_controller::on_moved(const core::job_id& job, bool taken) {
-    const auto found = this->unconfirmed_moves.find(job);
-    if (found == this->unconfirmed_moves.end()) {
-        return;
-    }
-    if (!taken) {
-        found->second = false;
-        return;
-    }
-    this->unconfirmed_moves.erase(found);
-    this->session.add(ledger::move_confirmed{.job = job}, {}, {});
-}
-
 void shard_controller::run_maintenance(core::steady_time now) {
     constexpr core::milliseconds maintenance_interval{1000};
     if (now - this->last_maintenance < maintenance_interval || !this->session.log_available()) {
@@ -497,6 +412,7 @@
         this->report_event(telemetry::event_kind::shard_released,
                            "epoch " + std::to_string(this->epoch().value()));
         this->active_runner.reset();
+        this->mover.stop();
         this->current_phase = shard_phase::released;
         return;
     }
--- a/src/control/shard_controller.h
+++ b/src/control/shard_controller.h
@@ -2,6 +2,7 @@
 
 #include "cell/peer_calls.h"
 #include "control/host_hooks.h"
+#include "control/job_mover.h"
 #include "control/job_runner.h"
 #include "control/stream_driver.h"
 #include "core/calls.h"
@@ -87,7 +88,7 @@
                   core::steady_time now);
     void on_start(const core::attempt_id& attempt, const external::start_reply& reply, core::steady_time now);
     /// Processes the answer of the owner that a job was moved to.
-    void on_moved(const core::job_id& job, bool taken);
+    void on_moved(const core::job_id& job, bool taken) { this->mover.on_moved(job, taken); }
 
     void submit(const core::job_spec& spec, core::system_time accepted_at, core::steady_time now,
                 owner_responder respond);
@@ -131,7 +132,6 @@
     void drop_ownership();
     void finish_release(core::steady_time now);
     void end_orphaned_quick_requests();
-    void move_waiting(core::steady_time now);
     void run_maintenance(core::steady_time now);
     void accept(const core::job_spec& spec, core::system_time accepted_at, core::steady_time now,
                 owner_responder respond);
@@ -144,6 +144,7 @@
     ledger::shard_state_machine fold;
     ledger::stream_session session;
     stream_driver driver;
+    job_mover mover;
     shard_phase current_phase = shard_phase::reading;
     std::unique_ptr<job_runner> active_runner;
     routing::slot_table shard_slots;
@@ -155,8 +156,6 @@
         std::vector<owner_responder> responders;
     };
     std::unordered_map<core::job_id, pending_accept> pending_accepts;
-    /// Moved jobs that are not confirmed yet; true while a move order is in flight.
-    std::unordered_map<core::job_id, bool> unconfirmed_moves;
     core::steady_time next_claim{};
     bool released_by_former_owner = false; ///< The former owner had released the shard before it was claimed.
     /// On the next tick, start the hold of all slots that a former owner may still be using.
