Split the conversion of host views from the other messages

What peers tell about themselves in heartbeats is converted in view_conversion.cpp now, as advice is in advice_conversion.cpp. The checks of single fields that both need are in wire_field.h; that a number must not be negative stood there three times. Messages and error texts are unchanged.

conversion_test.cpp includes wire_field.h, where duration_from_wire is declared now; it checks what it did.

--- a/src/inner/advice_conversion.cpp
+++ b/src/inner/advice_conversion.cpp
@@ -1,5 +1,6 @@
 #include "core/errors.h"
 #include "inner/conversion.h"
+#include "inner/wire_field.h"
 
 namespace rattanmount::inner {
 
--- a/src/inner/conversion.h
+++ b/src/inner/conversion.h
@@ -61,10 +61,4 @@
     return static_cast<std::int64_t>(number.value());
 }
 
-/// Returns the duration for a wire value.
-/// @param wire_ms the duration in milliseconds.
-/// @param field the name of the field, for the error message.
-/// @throws core::invalid_argument if the value is negative.
-[[nodiscard]] core::milliseconds duration_from_wire(std::int64_t wire_ms, const char* field);
-
 } // namespace rattanmount::inner
--- a/src/inner/service_handler.cpp
+++ b/src/inner/service_handler.cpp
@@ -3,6 +3,7 @@
 #include "core/errors.h"
 #include "inner/conversion.h"
 #include "inner/log_conversion.h"
+#include "inner/wire_field.h"
 
 #include <algorithm>
 #include <utility>
--- a/tests/inner/conversion_test.cpp
+++ b/tests/inner/conversion_test.cpp
@@ -1,5 +1,6 @@
 #include "core/errors.h"
 #include "inner/conversion.h"
+#include "inner/wire_field.h"
 #include "tests/inner/sample_messages.h"
 
 #include <catch2/catch.hpp>
