--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -13,6 +13,8 @@
 #include <fstream>
 #include <memory>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace rattanmount::tests {
 
@@ -59,6 +61,11 @@
         }
     }
 
+    /// Adds an entry of another writer to those of the workers.
+    void put_worker_entry(const std::string& key, const std::string& value) {
+        this->store.put("keyed.servers", key, value);
+    }
+
     void kill(int host) { this->processes[static_cast<std::size_t>(host)]->kill(); }
 
     bool wait_ready(int host) {
@@ -168,6 +175,33 @@
     CHECK(cell.call(0, "POST", "short", "{}").status == 400);
 }
 
+// Guards against processes that end, or stop following the list, because of an odd entry of another writer.
+TEST_CASE("odd entries among those of the workers end no process and hide no worker") {
+    constexpr std::size_t levels = 200000;
+    const std::vector<std::string> odd{
+        R"({"service":"svc","address":"127.0.0.1:1","state":"ready","capacity":{},"labels":)" +
+            std::string(levels, '[') + std::string(levels, ']') + "}",
+        R"({"service":"svc","address":"127.0.0.1:1","state":"ready","capacity":{"cpu":1e300}})",
+        R"({"service":"svc","address":"127.0.0.1:99999","state":"ready","capacity":{"cpu":16000}})",
+        R"({"service":"svc","address":"abc:80","state":"ready","capacity":{"cpu":16000}})", "{\xff"};
+    loopback_cell cell{2, 2};
+    const auto put_all = [&](const std::string& prefix) {
+        for (std::size_t i = 0; i < odd.size(); i++) {
+            cell.put_worker_entry(prefix + std::to_string(i), odd[i]);
+        }
+    };
+    put_all("odd-");
+    REQUIRE(cell.wait_ready(0));
+    REQUIRE(cell.wait_ready(1));
+    REQUIRE(cell.submit(0, make_key(1), 4, 100) == 200);
+    CHECK(loopback_cell::wait_for(8s, [&] { return cell.state(0, make_key(1)) == "completed"; }));
+    put_all("w"); // The first two are the keys of the workers.
+    REQUIRE(cell.submit(1, make_key(2), 4, 100) == 200);
+    CHECK(loopback_cell::wait_for(8s, [&] { return cell.state(1, make_key(2)) == "completed"; }));
+    CHECK(cell.wait_ready(0));
+    CHECK(cell.wait_ready(1));
+}
+
 TEST_CASE("after the leader is killed, another host completes the jobs and starts no task twice") {
     loopback_cell cell{3, 3};
     REQUIRE(cell.wait_ready(0));
