--- a/tests/platform/store_topic_test.cpp
+++ b/tests/platform/store_topic_test.cpp
@@ -78,9 +78,9 @@
          {"7", "{}", R"({"key":"a","value":"%%","offset":1})", R"({"key":"a","value":7,"offset":1})",
           R"({"key":"a","value":"eA==","offset":"1"})", "{\"key\":\"\xff\",\"value\":\"%%\",\"offset\":1}"}) {
         CAPTURE(odd);
-        const auto answer = scripted_topic{"200 OK", R"({"items":[)" + odd + "," + good +
-                                                         R"(],"hasMore":false,"endOffset":5})"}
-                                .log.newest(1s);
+        std::string page = R"({"items":[)";
+        page.append(odd).append(",").append(good).append(R"(],"hasMore":false,"endOffset":5})");
+        const auto answer = scripted_topic{"200 OK", page}.log.newest(1s);
         CHECK(answer.status == log_status::done);
         CHECK(answer.next == core::log_offset{5});
         REQUIRE(answer.items.size() == 1);
