Split the callers and the invariants from the simulated cell

What callers do and are told is in simulated_callers now, and the invariants over the observed runs are functions in invariant_checks. The checks are the same; tests use the cell as before.

--- a/tests/control/simulated_cell.cpp
+++ b/tests/control/simulated_cell.cpp
@@ -1,6 +1,9 @@
 #include "tests/control/simulated_cell.h"
 
+#include "tests/control/invariant_checks.h"
+
 #include <algorithm>
+#include <iterator>
 #include <stdexcept>
 #include <utility>
 
@@ -20,15 +23,6 @@
 
 } // namespace
 
-core::job_spec batch_job(const std::string& key, core::milliseconds run_time, std::uint32_t tasks) {
-    return {.id = {.team = core::team_id{"tabua"}, .key = core::request_key{key}},
-            .pool = core::pool_id{"sheets"},
-            .kind = core::work_kind::batch,
-            .tasks = tasks,
-            .each = {.millicores = 2000, .memory_mb = 1024},
-            .payload = std::to_string(run_time.count())};
-}
-
 simulated_cell::control_scope::control_scope(const simulated_cell& cell, int host, bool enters)
     : cell(cell), host(host), enters(enters) {
     this->notify(this->enters);
@@ -45,7 +39,7 @@
 }
 
 simulated_cell::simulated_cell(simulated_cell_options given)
-    : options(std::move(given)), generator(this->options.seed) {
+    : options(std::move(given)), generator(this->options.seed), callers(this->caller_hooks()) {
     const auto& options = this->options;
     this->fleet.version = 1;
     this->fleet.executors = options.executors;
@@ -81,6 +75,19 @@
     }
 }
 
+simulated_callers_hooks simulated_cell::caller_hooks() {
+    return {.now = [this] { return this->time; },
+            .host = [this](int host) { return this->host(host); },
+            .host_count = [this] { return static_cast<int>(this->hosts.size()); },
+            .host_at = [this](const core::endpoint& inner) { return this->host_at(inner); },
+            .delay = [this] { return this->delay(); },
+            .on_host =
+                [this](int host, core::milliseconds after, std::function<void(control::host_control&)> work) {
+                    this->on_host(host, this->hosts[static_cast<std::size_t>(host)].incarnation, after,
+                                  std::move(work));
+                }};
+}
+
 core::data_centre_id simulated_cell::data_centre_of(int number) const {
     std::vector<core::data_centre_id> all;
     for (const auto& region : this->options.regions) {
@@ -459,87 +466,6 @@
     }
 }
 
-void simulated_cell::propose(int host, const release::release_note& note,
-                             std::function<void(core::note_answer)> respond) {
-    this->on_host(host, this->hosts[static_cast<std::size_t>(host)].incarnation, 1ms,
-                  [this, note, respond = std::move(respond)](control::host_control& control) {
-                      control.apply_note(note, 5s, this->time, respond);
-                  });
-}
-
-void simulated_cell::record_answer(const core::job_id& job, const cell::owner_answer& answer) {
-    if (answer.is_owner) {
-        this->submitted[job].answers.push_back(answer.answer);
-        this->submitted[job].accepted = this->submitted[job].accepted ||
-                                        answer.answer.state == core::answer_state::accepted ||
-                                        answer.answer.state == core::answer_state::ended;
-    }
-}
-
-void simulated_cell::submit(int host, const core::job_spec& spec) {
-    this->submitted[spec.id].spec = spec;
-    if (!this->alive(host)) {
-        return;
-    }
-    const auto route = this->host(host)->route(spec.id, this->time);
-    using target = control::job_route::target_type;
-    if (route.target != target::local && route.target != target::peer) {
-        return;
-    }
-    const int owner = route.target == target::local ? host : this->host_at(route.peer);
-    this->on_host(owner, this->hosts[static_cast<std::size_t>(owner)].incarnation, this->delay(),
-                  [this, spec, route](control::host_control& control) {
-                      control.submit(route.shard, spec, core::system_time{}, false, this->time,
-                                     [this, id = spec.id](const cell::owner_answer& answer) {
-                                         this->record_answer(id, answer);
-                                     });
-                  });
-}
-
-void simulated_cell::cancel(int host, const core::job_id& job) {
-    if (!this->alive(host)) {
-        return;
-    }
-    const auto route = this->host(host)->route(job, this->time);
-    if (route.target == control::job_route::target_type::local) {
-        this->submitted[job].cancelled = true;
-        this->on_host(host, this->hosts[static_cast<std::size_t>(host)].incarnation, this->delay(),
-                      [this, job, route](control::host_control& control) {
-                          control.cancel(route.shard, job, this->time, [](const cell::owner_answer&) {});
-                      });
-    }
-}
-
-std::optional<core::job_answer> simulated_cell::status(const core::job_id& job) {
-    for (const auto& state : this->hosts) {
-        if (!state.control) {
-            continue;
-        }
-        auto route = state.control->route(job, this->time);
-        for (int hops = 0; hops < 2 && route.target == control::job_route::target_type::local; ++hops) {
-            std::optional<cell::owner_answer> answer;
-            state.control->status(route.shard, job, this->time,
-                                  [&answer](const cell::owner_answer& given) { answer = given; });
-            if (!answer || !answer->is_owner) {
-                break;
-            }
-            if (!answer->moved_to) {
-                return answer->answer;
-            }
-            for (const auto& other : this->hosts) {
-                if (other.control) {
-                    other.control->status(*answer->moved_to, job, this->time,
-                                          [&answer](const cell::owner_answer& given) {
-                                              answer = given.is_owner ? given : answer;
-                                          });
-                }
-            }
-            return answer->answer;
-        }
-    }
-    return std::nullopt;
-}
-
 std::vector<observed_run> simulated_cell::runs() const {
     std::vector<observed_run> all;
     for (const auto& worker : this->workers) {
@@ -549,47 +475,6 @@
     return all;
 }
 
-void simulated_cell::check_single_runs(std::vector<std::string>& found) {
-    std::map<std::pair<core::job_id, std::uint32_t>, std::vector<observed_run>> by_task;
-    for (const auto& run : this->runs()) {
-        by_task[{run.attempt.job, run.attempt.task}].push_back(run);
-    }
-    for (auto& [task, runs] : by_task) {
-        std::ranges::sort(runs, {}, &observed_run::from);
-        for (std::size_t index = 1; index < runs.size(); ++index) {
-            const auto& before = runs[index - 1];
-            if (!before.to || *before.to > runs[index].from) {
-                found.push_back(before.attempt.text() + " on " + before.worker.value() + " and " +
-                                runs[index].attempt.text() + " on " + runs[index].worker.value() +
-                                " ran at once");
-            }
-        }
-        const auto& job = this->submitted[task.first];
-        if (!job.spec.idempotent && runs.size() > 1) {
-            found.push_back(task.first.text() + " is not idempotent and ran " + std::to_string(runs.size()) +
-                            " times");
-        }
-    }
-}
-
-void simulated_cell::check_answers(std::vector<std::string>& found) {
-    std::set<core::job_id> ran;
-    for (const auto& run : this->runs()) {
-        ran.insert(run.attempt.job);
-    }
-    for (const auto& [id, job] : this->submitted) {
-        const auto last = this->status(id);
-        const bool not_run =
-            last && last->state == core::answer_state::ended && last->result == core::outcome::not_run;
-        if (not_run && ran.contains(id)) {
-            found.push_back(id.text() + " was reported as not_run but ran");
-        }
-        if (job.accepted && last && last->state == core::answer_state::refused) {
-            found.push_back(id.text() + " was accepted but is lost");
-        }
-    }
-}
-
 std::vector<std::string> simulated_cell::violations() {
     std::vector<std::string> found;
     for (const auto& worker : this->workers) {
@@ -597,8 +482,11 @@
             found.push_back(worker->info().name.value() + " was given more work than its capacity");
         }
     }
-    this->check_single_runs(found);
-    this->check_answers(found);
+    const auto runs = this->runs();
+    std::ranges::move(find_repeated_runs(runs, this->jobs()), std::back_inserter(found));
+    std::ranges::move(
+        find_wrong_answers(runs, this->jobs(), [this](const core::job_id& id) { return this->status(id); }),
+        std::back_inserter(found));
     return found;
 }
 
--- a/tests/control/simulated_cell.h
+++ b/tests/control/simulated_cell.h
@@ -2,6 +2,7 @@
 
 #include "control/host_control.h"
 #include "core/core.h"
+#include "tests/control/simulated_callers.h"
 #include "tests/control/simulated_log.h"
 #include "tests/control/simulated_observer.h"
 #include "tests/control/simulated_worker.h"
@@ -44,15 +45,6 @@
     core::attempt_id attempt;
 };
 
-/// One submitted job and the answers that its callers got.
-struct submitted_job {
-    core::job_spec spec;
-    std::vector<core::job_answer> answers;
-    bool accepted = false;
-    bool cancelled = false;
-    bool not_run = false; ///< The caller was told that the job did not run.
-};
-
 /// Several host_controls in one thread and virtual time, with an in-memory platform and injected faults.
 ///
 /// Invariants are checked against what the workers observed, never against what a host reports. Equal options
@@ -83,13 +75,18 @@
     [[nodiscard]] control::host_control* host(int index);
     [[nodiscard]] bool alive(int index) const;
 
-    void submit(int host, const core::job_spec& spec);
-    void cancel(int host, const core::job_id& job);
-    void propose(int host, const release::release_note& note, std::function<void(core::note_answer)> respond);
+    void submit(int host, const core::job_spec& spec) { this->callers.submit(host, spec); }
+    void cancel(int host, const core::job_id& job) { this->callers.cancel(host, job); }
+    void propose(int host, const release::release_note& note,
+                 std::function<void(core::note_answer)> respond) {
+        this->callers.propose(host, note, std::move(respond));
+    }
 
     /// @return the latest answer to a status call through any live host.
-    std::optional<core::job_answer> status(const core::job_id& job);
-    [[nodiscard]] const std::map<core::job_id, submitted_job>& jobs() const { return this->submitted; }
+    [[nodiscard]] std::optional<core::job_answer> status(const core::job_id& job) const {
+        return this->callers.status(job);
+    }
+    [[nodiscard]] const std::map<core::job_id, submitted_job>& jobs() const { return this->callers.jobs(); }
     [[nodiscard]] core::steady_time now() const { return this->time; }
     [[nodiscard]] std::vector<observed_run> runs() const;
     [[nodiscard]] const std::vector<sent_start>& sent_starts() const { return this->starts; }
@@ -134,6 +131,7 @@
         };
     }
 
+    [[nodiscard]] simulated_callers_hooks caller_hooks();
     [[nodiscard]] core::data_centre_id data_centre_of(int number) const;
     void schedule(core::steady_time when, std::function<void()> work);
     void start(int host);
@@ -151,9 +149,6 @@
     void send_lease(int host, std::uint32_t incarnation, const control::lease_order& order);
     void send_start(int host, std::uint32_t incarnation, const control::start_order& order);
     void tick(int host, std::uint32_t incarnation);
-    void record_answer(const core::job_id& job, const cell::owner_answer& answer);
-    void check_single_runs(std::vector<std::string>& found);
-    void check_answers(std::vector<std::string>& found);
 
     simulated_cell_options options;
     std::mt19937 generator;
@@ -168,11 +163,8 @@
     std::map<std::string, simulated_worker*> worker_by_path;
     std::set<core::worker_id> cut_workers;
     std::vector<host_state> hosts;
-    std::map<core::job_id, submitted_job> submitted;
+    simulated_callers callers;
     std::vector<sent_start> starts;
 };
 
-/// @return a batch job of the tests' team.
-core::job_spec batch_job(const std::string& key, core::milliseconds run_time, std::uint32_t tasks = 1);
-
 } // namespace rattanmount::tests
