--- a/src/app/app.h
+++ b/src/app/app.h
@@ -9,6 +9,7 @@
 /// thread. An entry host has a control thread, pools of traffic threads for its orders, and the threads of
 /// its servers.
 
+#include "app/cell_command.h"
 #include "app/command_arguments.h"
 #include "app/command_hooks.h"
 #include "app/command_line.h"
--- a/src/app/command_cancel.cpp
+++ b/src/app/command_cancel.cpp
@@ -1,11 +1,9 @@
 #include "app/command_cancel.h"
 
+#include "app/cell_command.h"
 #include "app/job_text.h"
-#include "front/api_client.h"
 #include "front/json_codec.h"
 
-#include <algorithm>
-
 namespace rattanmount::app {
 
 namespace {
@@ -24,15 +22,13 @@
                              "Cancels a job. The answer tells whether it ran; a job that is over is left."};
     add_cell_options(options);
     add_job_argument(options);
-    const auto parsed = parse_arguments(options, call);
-    if (!parsed) {
+    const auto command = parse_cell_command(options, call);
+    if (!command) {
         return exit_code::ok;
     }
-    const auto cell = read_cell_options(*parsed, call);
-    const auto id = read_job_argument(*parsed);
-    const front::api_client client{{.hosts = cell.hosts}};
-    const auto answer = client.cancel(id, std::min(cell.limit, max_call_timeout));
-    call.hooks.print(cell.json ? front::encode(answer) + "\n" : describe(id, answer));
+    const auto id = read_job_argument(command->arguments);
+    const auto answer = command->client.cancel(id, command->call_limit);
+    call.hooks.print(command->cell.json ? front::encode(answer) + "\n" : describe(id, answer));
     return cancel_exit_code(answer);
 }
 
--- a/src/app/command_hosts.cpp
+++ b/src/app/command_hosts.cpp
@@ -1,12 +1,10 @@
 #include "app/command_hosts.h"
 
-#include "front/api_client.h"
+#include "app/cell_command.h"
 #include "front/json_codec.h"
 
 #include <spdlog/fmt/fmt.h>
 
-#include <algorithm>
-
 namespace rattanmount::app {
 
 namespace {
@@ -39,14 +37,12 @@
                              "Lists the entry hosts as one of them sees them. CONFIG is how much of the "
                              "configuration stream a host has applied."};
     add_cell_options(options);
-    const auto parsed = parse_arguments(options, call);
-    if (!parsed) {
+    const auto command = parse_cell_command(options, call);
+    if (!command) {
         return exit_code::ok;
     }
-    const auto cell = read_cell_options(*parsed, call);
-    const front::api_client client{{.hosts = cell.hosts}};
-    const auto hosts = client.hosts(std::min(cell.limit, max_call_timeout));
-    call.hooks.print(cell.json ? front::encode(hosts) + "\n" : describe(hosts));
+    const auto hosts = command->client.hosts(command->call_limit);
+    call.hooks.print(command->cell.json ? front::encode(hosts) + "\n" : describe(hosts));
     return exit_code::ok;
 }
 
