--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -33,7 +33,7 @@
     this->stop_leading();
     this->state.leading = true;
     this->state.epoch = epoch;
-    this->state.authority.begin(now);
+    this->state.authority.begin(cell.roster(), now);
     this->state.list_complete_at = list_complete_at;
     this->was_fenced = false;
     this->predecessor_settled = false;
--- a/src/dispatch/leader_authority.cpp
+++ b/src/dispatch/leader_authority.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 #include <vector>
 
 namespace rattanmount::dispatch {
@@ -12,8 +13,8 @@
 
 constexpr core::milliseconds count_interval{50};
 constexpr core::milliseconds outage_suspected_after{1000};
-/// Share of the workers that fences a former leader. Larger than one half, because the lists of workers of
-/// two hosts may differ a little.
+/// Share of the workers that fences a former leader. Larger than one half, because the roster may change
+/// while leaders do.
 constexpr double fencing_share = 0.6;
 
 /// @return when the least recent of the most recent answers of more than half of the workers was asked for.
@@ -23,13 +24,25 @@
     return *middle;
 }
 
+/// @return when the last answered hold of each worker that counts was sent; the earliest time for none.
+std::vector<core::steady_time> hold_times(const std::map<core::worker_id, worker_state>& workers,
+                                          const std::function<bool(const worker_state&)>& counts) {
+    std::vector<core::steady_time> times;
+    for (const auto& [id, worker] : workers) {
+        if (counts(worker)) {
+            times.push_back(worker.has_answered ? worker.answered_hold_sent_at : core::steady_time{});
+        }
+    }
+    return times;
+}
+
 } // namespace
 
 leader_authority::leader_authority(authority_options options) : options(options) {}
 
-void leader_authority::begin(core::steady_time now) {
+void leader_authority::begin(std::set<core::worker_id> roster, core::steady_time now) {
+    this->inherited_roster = std::move(roster);
     this->leading_since = now;
-    this->confirmed_by_log_at = now;
     this->confirmed_by_workers_at = {};
     this->predecessor_fenced_at.reset();
     this->counted_at = {};
@@ -45,26 +58,41 @@
         return;
     }
     this->counted_at = now;
-    std::vector<core::steady_time> times;
-    std::size_t answered = 0;
-    for (const auto& [id, worker] : workers) {
-        if (worker.listed) {
-            times.push_back(worker.has_answered ? worker.answered_hold_sent_at : core::steady_time{});
-            answered += worker.has_answered ? 1 : 0;
-        }
+    auto times = hold_times(workers, [](const worker_state& worker) { return worker.in_roster; });
+    if (times.empty()) {
+        times = hold_times(workers, [](const worker_state& worker) { return worker.listed; });
     }
     if (times.empty()) {
         return;
     }
-    const auto all = times.size();
     this->confirmed_by_workers_at =
         std::max(this->confirmed_by_workers_at, asked_majority_at(std::move(times)));
-    if (!this->predecessor_fenced_at &&
-        static_cast<double>(answered) >= static_cast<double>(all) * fencing_share) {
+    if (!this->predecessor_fenced_at && this->knows_token_at_most_workers(workers)) {
         this->predecessor_fenced_at = now;
         telemetry::log_state("fencing token is known to most workers",
-                             {{"answered", std::to_string(answered)}, {"workers", std::to_string(all)}});
+                             {{"roster", std::to_string(this->inherited_roster.size())},
+                              {"workers", std::to_string(workers.size())}});
+    }
+}
+
+bool leader_authority::knows_token_at_most_workers(
+    const std::map<core::worker_id, worker_state>& workers) const {
+    std::size_t all = 0;
+    std::size_t answered = 0;
+    if (this->inherited_roster.empty()) {
+        for (const auto& [id, worker] : workers) {
+            all += worker.listed ? 1 : 0;
+            answered += worker.listed && worker.has_answered ? 1 : 0;
+        }
+    } else {
+        all = this->inherited_roster.size();
+        answered = static_cast<std::size_t>(std::count_if(
+            this->inherited_roster.begin(), this->inherited_roster.end(), [&workers](const auto& id) {
+                const auto place = workers.find(id);
+                return place != workers.end() && place->second.has_answered;
+            }));
     }
+    return static_cast<double>(answered) >= static_cast<double>(all) * fencing_share;
 }
 
 bool leader_authority::is_proven(core::steady_time now) const {
@@ -83,10 +111,12 @@
     const auto longest_lease =
         std::chrono::ceil<core::milliseconds>(this->options.lease_term / worker_clock::slowest_rate) +
         this->options.max_stop_duration + this->options.expiry_margin;
+    const auto latest = this->leading_since + this->options.longest_log_outage + longest_lease;
     if (this->predecessor_fenced_at) {
-        return *this->predecessor_fenced_at + this->options.proof_lifetime + longest_lease;
+        // A token that becomes known late must not revive leases that have expired.
+        return std::min(latest, *this->predecessor_fenced_at + this->options.proof_lifetime + longest_lease);
     }
-    return this->leading_since + this->options.longest_log_outage + longest_lease;
+    return latest;
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/leader_authority.h
+++ b/src/dispatch/leader_authority.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace rattanmount::dispatch {
 
@@ -24,16 +25,17 @@
 /// may have extended have certainly expired.
 ///
 /// The log proves that this host leads. While the log does not answer, answers of more than half of the
-/// workers prove it: a successor that has reached a larger part of them has raised their fencing tokens, so
-/// that they refuse the former leader. Both hosts use the same durations. Part of dispatch_state; used by the
-/// control thread only.
+/// workers prove it: a successor that has reached six tenths of them has raised their fencing tokens, so that
+/// they refuse the former leader. Both hosts use the same durations and count the workers of the roster,
+/// which both know from the log. Part of dispatch_state; used by the control thread only.
 class leader_authority {
 public:
     explicit leader_authority(authority_options options);
 
     /// Called when this host starts to lead.
+    /// @param roster the workers that the log names as those on which a former leader may have started runs.
     /// @param now the current time.
-    void begin(core::steady_time now);
+    void begin(std::set<core::worker_id> roster, core::steady_time now);
 
     /// Called when the log has proved that this host leads.
     /// @param asked_at when the proof was asked for.
@@ -56,7 +58,11 @@
     [[nodiscard]] core::steady_time inherited_leases_expire_at() const;
 
 private:
+    [[nodiscard]] bool
+    knows_token_at_most_workers(const std::map<core::worker_id, worker_state>& workers) const;
+
     authority_options options;
+    std::set<core::worker_id> inherited_roster;
     core::steady_time leading_since;
     core::steady_time confirmed_by_log_at;
     /// The latest time since which more than half of the workers have answered a hold.
--- a/tests/dispatch/leader_authority_test.cpp
+++ b/tests/dispatch/leader_authority_test.cpp
@@ -39,7 +39,8 @@
 
 TEST_CASE("a proof of leadership counts from the time at which it was asked for") {
     leader_authority authority{{}};
-    authority.begin(start);
+    authority.begin({}, start);
+    authority.confirm_by_log(start);
     authority.confirm_by_log(start + 1s);
     CHECK(authority.is_proven(start + 2499ms));
     CHECK_FALSE(authority.is_proven(start + 2500ms));
@@ -49,7 +50,8 @@
 
 TEST_CASE("while the log does not answer, answers of more than half of the workers prove leadership") {
     leader_authority authority{{}};
-    authority.begin(start);
+    authority.begin({}, start);
+    authority.confirm_by_log(start);
     authority.count_answers(workers_answered_at({3s, 3s, 1s, 1s}), start + 3s);
     CHECK_FALSE(authority.is_proven(start + 3s));
     authority.count_answers(workers_answered_at({3s, 3s, 3s, 1s}), start + 4s);
@@ -59,7 +61,8 @@
 
 TEST_CASE("a leader stops when the log has not answered for the longest outage") {
     leader_authority authority{{}};
-    authority.begin(start);
+    authority.begin({}, start);
+    authority.confirm_by_log(start);
     authority.count_answers(workers_answered_at({8900ms, 8900ms, 8900ms}), start + 8950ms);
     CHECK(authority.is_proven(start + 8999ms));
     CHECK_FALSE(authority.is_proven(start + 9s));
@@ -67,7 +70,8 @@
 
 TEST_CASE("inherited leases expire earlier once most workers know the fencing token") {
     leader_authority authority{{}};
-    authority.begin(start);
+    authority.begin({}, start);
+    authority.confirm_by_log(start);
     authority.count_answers(workers_answered_at({0s, 0s, -1ms, -1ms}), start + 100ms);
     const auto before = authority.inherited_leases_expire_at();
     authority.count_answers(workers_answered_at({0s, 0s, 0s, -1ms}), start + 200ms);
@@ -77,6 +81,23 @@
     CHECK(after < start + 7s);
 }
 
+// LOST: a token that became known late revived leases that had expired, and tasks waited once more.
+TEST_CASE("inherited leases that have expired stay expired") {
+    leader_authority authority{{}};
+    authority.begin({}, start);
+    const auto latest = authority.inherited_leases_expire_at();
+    authority.count_answers(workers_answered_at({20s, 20s, 20s}), start + 20s);
+    CHECK(authority.inherited_leases_expire_at() == latest);
+}
+
+// LOST: workers that the platform lists but that no leader ever reached counted as workers that must answer.
+TEST_CASE("only workers of the roster count for the fencing of a former leader") {
+    leader_authority authority{{}};
+    authority.begin({core::worker_id{"w0"}, core::worker_id{"w1"}}, start);
+    authority.count_answers(workers_answered_at({0s, 0s, -1ms, -1ms, -1ms}), start + 100ms);
+    CHECK(authority.inherited_leases_expire_at() < start + 7s);
+}
+
 // TWICE: a former leader that the log does not reach any more extends leases that its successor takes for
 // expired.
 TEST_CASE("a cut-off leader and a successor that reaches fewer workers run no task twice") {
