--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -154,7 +154,7 @@
     bool progress_in_flight = false;
     /// Whether tasks wait because too many orders are in flight.
     bool starts_wait_for_room = false;
-    /// All workers have answered or lost their leases since start_leading().
+    /// All workers of the roster have answered since start_leading(), or all inherited leases have expired.
     bool predecessor_settled = false;
     /// All leases that a former leader may have extended have expired.
     bool inherited_leases_expired = false;
