--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -46,7 +46,7 @@
     for (auto& [id, worker] : workers) {
         if (may_have_unknown_runs(worker)) {
             record.workers.insert(id);
-        } else {
+        } else if (!record.workers.contains(id)) {
             worker.in_roster = false; // It gets no run before it is in the roster again.
         }
     }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -199,6 +199,18 @@
     CHECK(cell.violations().empty());
 }
 
+// SHORT: after a takeover no worker got runs before the new leader had recorded the roster again.
+TEST_CASE("a new leader uses the workers of the recorded roster while the log is down") {
+    simulated_cell cell{{.workers = 3}};
+    cell.run_for(1s);
+    cell.change_leader();
+    cell.set_log_down(true);
+    cell.submit(job("a", {small_step(3, 60s)}), plain_queue());
+    cell.run_for(1s);
+    CHECK(cell.running_of("a") == 3);
+    CHECK(cell.violations().empty());
+}
+
 // SHORT: an entry of the platform's list that never answers held back all inherited tasks at each takeover.
 TEST_CASE("a new leader does not wait for a listed worker that no leader has reached") {
     simulated_cell cell{{.workers = 3}};
