--- a/src/dispatch/advice_manager.cpp
+++ b/src/dispatch/advice_manager.cpp
@@ -67,8 +67,7 @@
     std::size_t free = 0;
     for (const auto& [id, ticket] : step.advice.allowed) {
         const auto worker = this->state.workers.find(id);
-        if (worker != this->state.workers.end() && this->selector.permitted(step, worker->second, now) &&
-            this->selector.suits(step, worker->second, now)) {
+        if (worker != this->state.workers.end() && this->selector.can_take(step, worker->second, now)) {
             free += this->selector.tasks_that_fit(step, worker->second);
         }
     }
--- a/src/dispatch/run_mover.cpp
+++ b/src/dispatch/run_mover.cpp
@@ -87,9 +87,8 @@
 void run_mover::restart(live_step& step, std::uint32_t index, const move& one, core::steady_time now) {
     this->runs.release_place(step, index, one.place);
     const auto place = this->state.workers.find(one.place);
-    const bool suitable = place != this->state.workers.end() &&
-                          this->selector.permitted(step, place->second, now) &&
-                          this->selector.suits(step, place->second, now);
+    const bool suitable =
+        place != this->state.workers.end() && this->selector.can_take(step, place->second, now);
     if (!suitable) {
         step.needs_placement = true;
         return;
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -126,7 +126,7 @@
 
 void task_placer::consider(const live_step& step, std::uint32_t index, const worker_state& worker,
                            core::steady_time now, best_choice& best) const {
-    if (!this->permitted(step, worker, now) || !this->suits(step, worker, now)) {
+    if (!this->can_take(step, worker, now)) {
         return;
     }
     const bool failed_here = step.tasks[index].failed_workers.contains(worker.entry.worker);
@@ -144,7 +144,7 @@
     };
     std::map<core::rack_id, std::vector<candidate>> by_rack;
     for (const auto& [id, worker] : this->state.workers) {
-        if (this->permitted(step, worker, now) && this->suits(step, worker, now)) {
+        if (this->can_take(step, worker, now)) {
             const auto rack = step.request->one_rack ? worker.entry.rack : core::rack_id{};
             by_rack[rack].push_back(
                 {this->cost(step, worker, now), &worker, this->tasks_that_fit(step, worker)});
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -54,6 +54,15 @@
     [[nodiscard]] bool permitted(const live_step& step, const worker_state& worker,
                                  core::steady_time now) const;
 
+    /// @param step a step.
+    /// @param worker a worker.
+    /// @param now the current time.
+    /// @return whether a task of the step may start there now: it suits, and advice permits it.
+    [[nodiscard]] bool can_take(const live_step& step, const worker_state& worker,
+                                core::steady_time now) const {
+        return this->permitted(step, worker, now) && this->suits(step, worker, now);
+    }
+
     /// @param step a step.
     /// @param worker a worker that suits it.
     /// @param now the current time.
