--- a/src/external/http_multiplexer.cpp
+++ b/src/external/http_multiplexer.cpp
@@ -50,14 +50,15 @@
     }
 }
 
-void http_multiplexer::call(const core::endpoint& peer, const http_message& message,
-                            core::steady_time deadline, answer_handler done) {
+void http_multiplexer::call(const core::endpoint& peer, const http_message& message, const call_times& times,
+                            answer_handler done) {
     ++this->traffic.calls;
     auto& state = this->peers.try_emplace(peer, peer, this->options.max_connections).first->second;
-    const auto left = std::chrono::ceil<core::milliseconds>(deadline - std::chrono::steady_clock::now());
+    const auto left =
+        std::chrono::ceil<core::milliseconds>(times.deadline - std::chrono::steady_clock::now());
     this->start(state,
                 {.bytes = encode_request(message, peer.address + ":" + std::to_string(peer.port), left),
-                 .deadline = deadline,
+                 .times = times,
                  .done = std::move(done)});
 }
 
@@ -112,6 +113,7 @@
     auto& connection = *found->second;
     if (!connection.done) {
         // The peer closed an idle connection or sent unsolicited bytes.
+        connection.peer.closed_by_server_at = std::chrono::steady_clock::now();
         std::erase(connection.peer.idle, &connection);
         this->close(connection, false);
         return;
@@ -124,6 +126,9 @@
 }
 
 void http_multiplexer::start(peer_state& peer, pending_call call) {
+    if (this->refuse_outdated(peer, call)) {
+        return;
+    }
     if (!peer.idle.empty()) {
         auto* const connection = peer.idle.back();
         peer.idle.pop_back();
@@ -135,6 +140,20 @@
     }
 }
 
+bool http_multiplexer::refuse_outdated(peer_state& peer, const pending_call& call) {
+    const auto& issued_at = call.times.issued_at;
+    if (!issued_at || !peer.closed_by_server_at || *peer.closed_by_server_at < *issued_at) {
+        return false;
+    }
+    ++this->traffic.failures;
+    report(call.done,
+           {.outcome = exchange_outcome::not_sent,
+            .body = "",
+            .etag = "",
+            .reason = peer.endpoint.text() + " closed a connection after the call had been issued"});
+    return true;
+}
+
 void http_multiplexer::open_connection(peer_state& peer, pending_call call) {
     try {
         auto opened = std::make_unique<connection>(peer, http_channel{peer.endpoint, this->traffic});
@@ -153,7 +172,7 @@
 
 void http_multiplexer::begin_exchange(connection& connection, pending_call call) {
     connection.done = std::move(call.done);
-    connection.due = this->deadlines.emplace(call.deadline, &connection);
+    connection.due = this->deadlines.emplace(call.times.deadline, &connection);
     if (auto answer = connection.channel.begin(std::move(call.bytes), std::chrono::steady_clock::now())) {
         this->finish(connection, std::move(*answer));
     } else {
@@ -171,6 +190,7 @@
 }
 
 void http_multiplexer::finish(connection& connection, http_answer answer) {
+    const auto due = connection.due->first;
     this->deadlines.erase(connection.due);
     const auto done = std::exchange(connection.done, nullptr);
     auto& peer = connection.peer;
@@ -181,6 +201,10 @@
     } else {
         const bool failed = answer.outcome != exchange_outcome::answered;
         this->traffic.failures += failed ? 1 : 0;
+        const bool timed_out = std::chrono::steady_clock::now() >= due;
+        if (failed && !timed_out) {
+            peer.closed_by_server_at = std::chrono::steady_clock::now();
+        }
         const bool reused = connection.channel.reused();
         const auto begun_at = connection.channel.last_begin();
         this->close(connection, failed);
@@ -221,10 +245,12 @@
         }
         auto call = std::move(peer.waiting.front());
         peer.waiting.pop_front();
-        if (peer.idle.empty()) {
-            this->open_connection(peer, std::move(call));
-        } else {
+        if (!peer.idle.empty()) {
             this->start(peer, std::move(call));
+        } else if (this->refuse_outdated(peer, call)) {
+            peer.budget.give_back();
+        } else {
+            this->open_connection(peer, std::move(call));
         }
     }
 }
@@ -257,7 +283,7 @@
 }
 
 void http_multiplexer::fail_expired_waiting(peer_state& peer, core::steady_time now) {
-    while (!peer.waiting.empty() && peer.waiting.front().deadline <= now) {
+    while (!peer.waiting.empty() && peer.waiting.front().times.deadline <= now) {
         const auto done = std::move(peer.waiting.front().done);
         peer.waiting.pop_front();
         ++this->traffic.failures;
--- a/src/external/http_multiplexer.h
+++ b/src/external/http_multiplexer.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -35,12 +36,22 @@
 /// A call that waits for its server occupies a connection but no thread. A connection whose exchange did not
 /// end with a complete answer is closed. If that connection had been reused, the idle connections to its
 /// endpoint that were last verified before the exchange started are closed as well, because a device on the
-/// path may have dropped the state of all of them. Owned by a client; any thread may call post() and
+/// path may have dropped the state of all of them. A call may be limited to the process that serves the
+/// endpoint when the call is issued: see call_times. Owned by a client; any thread may call post() and
 /// counters().
 class http_multiplexer {
 public:
     using answer_handler = std::function<void(http_answer)>;
 
+    /// Times of a call.
+    struct call_times {
+        /// Covers waiting for a connection, connecting, sending and receiving.
+        core::steady_time deadline;
+        /// If set, when the caller decided to make the call. The call is not sent once the server has closed
+        /// a connection after that: the process that serves the endpoint may since have been replaced.
+        std::optional<core::steady_time> issued_at = std::nullopt;
+    };
+
     explicit http_multiplexer(http_multiplexer_options options);
 
     /// Stops the thread. The handlers of pending calls are not called.
@@ -54,9 +65,9 @@
     /// Starts a call. Must be called on the multiplexer's thread, by a posted function or an answer handler.
     /// @param peer the server.
     /// @param message the request.
-    /// @param deadline covers waiting for a connection, connecting, sending and receiving.
+    /// @param times the deadline, and what the call is limited to.
     /// @param done called once with the result, on the multiplexer's thread.
-    void call(const core::endpoint& peer, const http_message& message, core::steady_time deadline,
+    void call(const core::endpoint& peer, const http_message& message, const call_times& times,
               answer_handler done);
 
     /// @return the traffic so far; may be read at any time.
@@ -65,7 +76,7 @@
 private:
     struct pending_call {
         std::string bytes;
-        core::steady_time deadline;
+        call_times times;
         answer_handler done;
     };
     struct peer_state;
@@ -85,6 +96,8 @@
         connection_budget budget;
         std::vector<connection*> idle; ///< Ordered by last use, the most recent at the back.
         std::deque<pending_call> waiting;
+        /// When the server last closed a connection, or a connection to it broke.
+        std::optional<core::steady_time> closed_by_server_at;
     };
 
     void run(const std::stop_token& stop);
@@ -92,6 +105,9 @@
     [[nodiscard]] core::milliseconds next_wait(core::steady_time now) const;
     void on_ready(const Poco::Net::Socket& socket);
     void start(peer_state& peer, pending_call call);
+    /// Reports a call as not sent if it is limited to a process that may have been replaced.
+    /// @return whether it did.
+    bool refuse_outdated(peer_state& peer, const pending_call& call);
     void open_connection(peer_state& peer, pending_call call);
     void begin_exchange(connection& connection, pending_call call);
     void poll_for(connection& connection);
