Keep a job with its shard if its start was recorded and not sent

Seen: tabua/job-49 never ends at seed 1268 of the own interface's random schedules: it is in no queue of its shard. Cause: the runner offered jobs for a move whose tasks had no sent start. The shard's state machine refuses to move a job with a recorded attempt, also one that was abandoned before it was sent; by then the job had left the queue. Change: the runner applies the same condition as the state machine. Evidence: seed 1268 failed before and passes; it is a test of its own now.

--- a/src/control/job_runner.cpp
+++ b/src/control/job_runner.cpp
@@ -424,8 +424,9 @@
     found.insert(found.end(), this->oversized_jobs.begin(), this->oversized_jobs.end());
     std::erase_if(found, [this](const auto& id) {
         const auto job = this->work.jobs.find(id);
-        return job == this->work.jobs.end() || job->second.may_have_started || job->second.cancelled ||
-               job->second.decided_outcome || job->second.has_running_tasks();
+        // The state machine refuses to move a job with a recorded attempt, even if that was never sent.
+        return job == this->work.jobs.end() || job->second.may_have_started || job->second.has_attempts() ||
+               job->second.cancelled || job->second.decided_outcome;
     });
     return found;
 }
--- a/src/control/job_state.cpp
+++ b/src/control/job_state.cpp
@@ -28,6 +28,10 @@
     return waiting;
 }
 
+bool job_state::has_attempts() const {
+    return std::ranges::any_of(this->tasks, [](const auto& task) { return task.attempt > 0; });
+}
+
 bool job_state::has_running_tasks() const {
     return std::ranges::any_of(this->tasks,
                                [](const auto& task) { return task.phase == core::task_phase::started; });
--- a/src/control/job_state.h
+++ b/src/control/job_state.h
@@ -44,6 +44,9 @@
     /// @return the indices of the waiting tasks.
     [[nodiscard]] std::vector<std::uint32_t> waiting_tasks() const;
 
+    /// @return whether an attempt of any task has been recorded or is being recorded, sent or not.
+    [[nodiscard]] bool has_attempts() const;
+
     /// @return whether any task has an attempt that is not known to have ended.
     [[nodiscard]] bool has_running_tasks() const;
 
--- a/tests/control/random_faults_test.cpp
+++ b/tests/control/random_faults_test.cpp
@@ -131,3 +131,9 @@
         run_schedule(seed);
     }
 }
+
+// Guards against jobs that are in no queue: the move of a job whose start had been recorded and not sent was
+// refused by the shard's state machine after the job had left the queue.
+TEST_CASE("a job whose start was recorded but never sent stays with its shard") {
+    run_schedule(1268);
+}
