Compare the roster by count before it is built (control time per round)

Cause: each round of the control thread, every 3 ms, built the set of all workers to compare its size. Change: the members are counted; the record is built only when it is due. No decision changes.

--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -41,19 +41,11 @@
         const auto& worker = place.second;
         return worker.listed && !worker.in_roster && may_have_unknown_runs(worker);
     });
-    // The next leader has to wait for the unsettled workers too.
-    workflow::roster_record record{.workers = this->unsettled_workers};
-    for (auto& [id, worker] : workers) {
-        if (may_have_unknown_runs(worker)) {
-            record.workers.insert(id);
-        } else if (!record.workers.contains(id)) {
-            worker.in_roster = false; // It gets no run before it is in the roster again.
-        }
-    }
-    const bool removed = this->recorded_workers.size() > record.workers.size();
+    const bool removed = this->recorded_workers.size() > this->update_membership();
     if (!added && !(removed && now >= this->record_taken_at + removal_interval)) {
         return std::nullopt;
     }
+    auto record = this->make_record();
     // Until the record is stored, the log surely has only the workers that are in both.
     std::erase_if(this->recorded_workers,
                   [&record](const core::worker_id& id) { return !record.workers.contains(id); });
@@ -62,6 +54,32 @@
     return record;
 }
 
+std::size_t worker_roster::update_membership() {
+    auto count = this->unsettled_workers.size();
+    for (auto& [id, worker] : this->state.workers) {
+        if (this->unsettled_workers.contains(id)) {
+            continue;
+        }
+        if (may_have_unknown_runs(worker)) {
+            count++;
+        } else {
+            worker.in_roster = false; // It gets no run before it is in the roster again.
+        }
+    }
+    return count;
+}
+
+workflow::roster_record worker_roster::make_record() const {
+    // The next leader has to wait for the unsettled workers too.
+    workflow::roster_record record{.workers = this->unsettled_workers};
+    for (const auto& [id, worker] : this->state.workers) {
+        if (may_have_unknown_runs(worker)) {
+            record.workers.insert(id);
+        }
+    }
+    return record;
+}
+
 void worker_roster::recorded(const workflow::roster_record& record) {
     this->record_in_flight = false;
     this->recorded_workers = record.workers;
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -4,6 +4,7 @@
 #include "dispatch/dispatch_state.h"
 #include "workflow/records.h"
 
+#include <cstddef>
 #include <optional>
 #include <set>
 
@@ -43,6 +44,10 @@
 
 private:
     void settle_inherited_workers(core::steady_time now);
+    /// Marks the workers that the next record leaves out, so that they get no runs before one has them again.
+    /// @return the number of workers that the next record has.
+    std::size_t update_membership();
+    [[nodiscard]] workflow::roster_record make_record() const;
 
     dispatch_state& state;
     bool record_in_flight = false; ///< Whether a record is being written to the log.
