Take no answer of an earlier incarnation as one of the restarted worker (TWICE)

Cause: the list stated that a worker had restarted, and an answer of its earlier incarnation arrived after that. The leader took the worker as reachable, started tasks with a lease on the old clock, lost contact, and gave the runs up by that clock, while the restarted worker held a longer lease. Change: a hold that was sent before the restart was listed proves nothing about the new incarnation; the worker gets no starts until it answers the next one.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -100,6 +100,7 @@
             worker.entry.incarnation = known_incarnation;
         }
         worker.has_answered = false; // The answer to the next hold reports the new incarnation.
+        worker.restart_listed = true;
     }
 }
 
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -111,6 +111,7 @@
         order.wait = this->hold_wait(worker, now);
     }
     worker.hold_in_flight = true;
+    worker.restart_listed = false;
     worker.hold_sent_at = now;
     worker.hold_sent_after_expiry = this->lease_expired(worker, now);
     this->state.options.hooks.hold(order);
@@ -148,6 +149,7 @@
     }
     if (reply.incarnation && *reply.incarnation != worker.entry.incarnation) {
         this->begin_incarnation(worker, *reply.incarnation, now);
+        worker.restart_listed = false;
     }
     worker.has_reported_incarnation = worker.has_reported_incarnation || reply.incarnation.has_value();
     const bool first = !worker.has_answered;
@@ -158,7 +160,7 @@
     worker.unanswered_holds = 0;
     worker.hold_failed_after_expiry = false;
     worker.runs_given_up = false;
-    worker.has_answered = true;
+    worker.has_answered = !worker.restart_listed;
     worker.answered_hold_sent_at = worker.hold_sent_at;
     worker.next_hold_at = now + shortest_hold_interval;
     worker.clock.add_reading(reply.clock, reply.received_at);
@@ -177,7 +179,7 @@
     if (reply.ended.size() < most_ends_listed) {
         this->remove_missing_runs(worker, now);
     }
-    if (first) {
+    if (first && worker.has_answered) {
         this->clear_recorded_worker(worker.entry.worker);
     }
 }
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -73,6 +73,9 @@
     bool has_answered = false; ///< Whether it has answered a hold of this epoch.
     /// Whether the worker itself has reported its incarnation, which so far only its entry stated.
     bool has_reported_incarnation = false;
+    /// Whether its entry has stated another incarnation since the last hold was sent, so that the answer to
+    /// that hold may be one of the earlier incarnation.
+    bool restart_listed = false;
     worker_clock clock;
     worker_time lease_until{0}; ///< Latest lease end that was sent to it, on its clock.
     /// Its lease is not treated as expired before this time, because an order for an earlier incarnation may
--- a/tests/dispatch/random_faults_test.cpp
+++ b/tests/dispatch/random_faults_test.cpp
@@ -203,6 +203,14 @@
     run_seeds([](std::uint64_t seed) { run_schedule(seed, 30); }, 20);
 }
 
+// TWICE: workers restart under the same name while orders to them wait in the leader's host, or while an
+// answer of the earlier incarnation is on its way.
+TEST_CASE("a restarted worker is not driven by orders and answers of its earlier incarnation") {
+    for (const std::uint64_t seed : {362, 461, 947, 2723}) {
+        run_schedule(seed, 30);
+    }
+}
+
 // TWICE: runs are stopped and started elsewhere while their workers drain, restart and are cut off.
 TEST_CASE("the guarantees of the dispatcher hold under random faults while workers drain") {
     run_seeds(run_draining_schedule, 40);
