Start first what can still end on time (a backlog made everything late)

Cause: within a priority, steps were started in the order of arrival. Old jobs that could not end on time any more were started before fresh ones that could, so all work was done and all of it late. Change: dispatch/step_order. Within a priority, steps of jobs that can still end within their latency objective come first, then those that end within three times the objective, then the rest; the oldest of the rest gets a turn after eight other starts. The objective is the queue's stretch of the longest chain of estimated work, plus its goal, counted from the time at which the host learned of the job.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -350,7 +350,7 @@
         const auto max_unrecorded_run =
             job.inherited ? static_cast<std::uint32_t>(epochs) * runs_per_epoch : 0;
         const auto occurrence = job.next_occurrence++;
-        add_occurrence(job, occurrence, max_unrecorded_run);
+        add_occurrence(job, occurrence, max_unrecorded_run, request.recurs ? now : job.entry->learned_at);
         this->lifecycle.queue_unblocked_steps(job, occurrence, now);
     }
 }
@@ -368,12 +368,7 @@
     const bool settles = leases_expired || (!this->predecessor_settled && this->has_settled_predecessor(now));
     this->inherited_leases_expired = this->inherited_leases_expired || leases_expired;
     this->predecessor_settled = this->predecessor_settled || settles;
-    std::vector<live_step*> steps;
-    steps.reserve(this->state.ready_steps.size());
-    for (const auto& [order, step] : this->state.ready_steps) {
-        steps.push_back(step);
-    }
-    for (auto* step : steps) {
+    for (auto* step : this->order.arrange(this->state.ready_steps, now)) {
         if (!this->state.orders.has_room()) {
             this->starts_wait_for_room = true;
             step->needs_placement = step->needs_placement || settles || !freed.empty();
@@ -417,6 +412,9 @@
         task.queued = false;
         this->runs.start(step, index, this->state.workers.at(*worker), task.last_run + 1, now);
     }
+    if (left.size() < step.waiting.size()) {
+        this->order.on_started(step, now);
+    }
     step.waiting = std::move(left);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "dispatch/order_retrier.h"
 #include "dispatch/run_manager.h"
 #include "dispatch/run_mover.h"
+#include "dispatch/step_order.h"
 #include "dispatch/task_lifecycle.h"
 #include "dispatch/task_placer.h"
 #include "dispatch/worker_roster.h"
@@ -150,6 +151,7 @@
     task_placer selector;
     advice_manager advice;
     run_mover mover;
+    step_order order;
     bool was_fenced = false;
     bool progress_in_flight = false;
     /// Whether tasks wait because too many orders are in flight.
--- a/src/dispatch/live_job.cpp
+++ b/src/dispatch/live_job.cpp
@@ -15,6 +15,17 @@
     return found == steps.end() ? nullptr : &*found;
 }
 
+/// @return how long a step takes by the job's estimate, with one advice request.
+core::milliseconds expected_time(const workflow::job_accepted& job, const workflow::step_request& step) {
+    constexpr int advised_workers = 30; ///< Workers that the advice request of a step is assumed to name.
+    const auto& advice = job.policy.advice;
+    if (!advice) {
+        return step.estimate;
+    }
+    return step.estimate + advice->base_time +
+           std::chrono::ceil<core::milliseconds>(advice->time_per_worker * advised_workers);
+}
+
 void restore(live_step& step, const workflow::step_progress& recorded) {
     for (std::size_t i = 0; i < step.tasks.size() && i < recorded.done.size(); i++) {
         if (recorded.done[i]) {
@@ -63,8 +74,32 @@
 
 } // namespace
 
-void add_occurrence(live_job& job, std::uint32_t occurrence, std::uint32_t max_unrecorded_run) {
+core::milliseconds longest_chain(const workflow::job_accepted& job, std::uint32_t step) {
+    const auto& steps = job.request.steps;
+    // A step depends on earlier ones only, so all chains through it are known once the later steps are.
+    std::vector<core::milliseconds> chains(steps.size(), core::milliseconds{0});
+    for (auto i = static_cast<std::uint32_t>(steps.size()); i-- > step;) {
+        chains[i] += expected_time(job, steps[i]);
+        for (const auto earlier : steps[i].after) {
+            chains[earlier] = std::max(chains[earlier], chains[i]);
+        }
+    }
+    return chains[step];
+}
+
+core::milliseconds latency_objective_of(const workflow::job_accepted& job) {
+    core::milliseconds longest{0};
+    for (std::uint32_t i = 0; i < job.request.steps.size(); i++) {
+        longest = std::max(longest, longest_chain(job, i));
+    }
+    return std::chrono::duration_cast<core::milliseconds>(longest * job.policy.stretch) +
+           job.policy.latency_goal;
+}
+
+void add_occurrence(live_job& job, std::uint32_t occurrence, std::uint32_t max_unrecorded_run,
+                    core::steady_time due_at) {
     const auto& request = job.entry->accepted.request;
+    job.latency_objective = latency_objective_of(job.entry->accepted);
     auto& place = job.occurrences[occurrence];
     place.steps.resize(request.steps.size());
     for (std::uint32_t i = 0; i < request.steps.size(); i++) {
@@ -72,6 +107,8 @@
         step.job = &job;
         step.request = &request.steps[i];
         step.name = {.job = request.key, .occurrence = occurrence, .step = i};
+        step.due_at = due_at;
+        step.remaining_work = longest_chain(job.entry->accepted, i);
         step.tasks.resize(step.request->tasks);
         for (auto& task : step.tasks) {
             task.last_run = max_unrecorded_run;
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -75,6 +75,8 @@
     std::deque<std::uint32_t> waiting; ///< Indexes of the tasks that wait to be started.
     std::uint32_t done_tasks = 0;
     step_advice advice;
+    core::steady_time due_at; ///< When its occurrence was due: the latency objective counts from then.
+    core::milliseconds remaining_work{0}; ///< Estimate of the longest chain of work from its start on.
     std::map<core::worker_id, std::uint32_t> runs_per_worker; ///< Number of runs of the step per worker.
     bool ready = false;
     bool needs_placement = false; ///< Whether tasks or permitted workers were added since the last placement.
@@ -99,7 +101,8 @@
     std::uint32_t next_occurrence = 0;                    ///< The first that is not due yet.
     std::uint32_t complete_occurrences = 0;
     workflow::job_phase phase = workflow::job_phase::queued;
-    bool dirty = false;     ///< Whether it has unrecorded progress.
+    core::milliseconds latency_objective{0}; ///< Within this time, an occurrence of it should end.
+    bool dirty = false;                      ///< Whether it has unrecorded progress.
     bool inherited = false; ///< Accepted before this host led: a former leader may have started its tasks.
     /// No task is started any more and the runs are being stopped; also set if the job completed or failed.
     bool cancelled = false;
@@ -116,7 +119,19 @@
 /// @param occurrence the number of the occurrence.
 /// @param max_unrecorded_run upper limit of the run numbers that a former leader may have used without
 /// recording them.
-void add_occurrence(live_job& job, std::uint32_t occurrence, std::uint32_t max_unrecorded_run);
+/// @param due_at when the occurrence was due.
+void add_occurrence(live_job& job, std::uint32_t occurrence, std::uint32_t max_unrecorded_run,
+                    core::steady_time due_at);
+
+/// @param job a job with its policy.
+/// @param step one of its steps.
+/// @return an estimate of the longest chain of work from the start of the step to the end of the job, with
+/// one advice request per step.
+[[nodiscard]] core::milliseconds longest_chain(const workflow::job_accepted& job, std::uint32_t step);
+
+/// @param job a job with its policy.
+/// @return the time within which an occurrence of it should end.
+[[nodiscard]] core::milliseconds latency_objective_of(const workflow::job_accepted& job);
 
 /// @param job a job.
 /// @return its progress in the form that is recorded.
--- /dev/null
+++ b/src/dispatch/step_order.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/time.h"
+#include "dispatch/live_job.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace rattanmount::dispatch {
+
+/// What a waiting step can still achieve for the caller of its job.
+enum class step_prospect : std::uint8_t {
+    on_time, ///< The job can still end within its latency objective.
+    late,    ///< It can still end within `late_factor` times the objective.
+    overdue, ///< It cannot.
+};
+
+/// A job that ends after its latency objective, but within so many times the objective, is still of use.
+constexpr int late_factor = 3;
+
+/// @param step a step.
+/// @param now the current time.
+/// @return what it can still achieve if it starts now and takes as long as its job estimates.
+[[nodiscard]] step_prospect prospect_of(const live_step& step, core::steady_time now);
+
+/// Determines the order in which waiting steps are started.
+///
+/// Steps of a higher priority come first. Among those of one priority, steps of jobs that can still end on
+/// time come before late ones, and overdue ones come last, so that a backlog does not make every later job
+/// late as well. The oldest overdue step of each priority regularly gets a turn before the others, so that it
+/// is not starved. Otherwise the order is that of arrival. Owned by the dispatcher; used by the control
+/// thread only.
+class step_order {
+public:
+    /// @param ready the steps that may start, by priority and arrival.
+    /// @param now the current time.
+    /// @return the same steps in the order in which to start them.
+    [[nodiscard]] std::vector<live_step*> arrange(const std::map<step_sort_key, live_step*>& ready,
+                                                  core::steady_time now) const;
+
+    /// Called when tasks of a step are started.
+    /// @param step the step.
+    /// @param now the current time.
+    void on_started(const live_step& step, core::steady_time now);
+
+private:
+    std::uint32_t starts_since_overdue = 0; ///< Starts of other steps since the last one of an overdue step.
+};
+
+} // namespace rattanmount::dispatch
--- a/src/workflow/cell_state.cpp
+++ b/src/workflow/cell_state.cpp
@@ -54,6 +54,7 @@
     place->second = std::make_unique<job_entry>(job_entry{.accepted = record,
                                                           .offset = offset,
                                                           .arrival = ++this->arrivals,
+                                                          .learned_at = now,
                                                           .epoch = this->lead.epoch,
                                                           .progress = {.key = key}});
     if (this->early_cancellations.erase(key) > 0) {
--- a/src/workflow/cell_state.h
+++ b/src/workflow/cell_state.h
@@ -20,8 +20,9 @@
     /// Offset of the acceptance. It is lower if this host knew of the job before it read the acceptance from
     /// the log.
     core::log_offset offset;
-    std::uint64_t arrival = 0; ///< Position in the order in which this host learned of its jobs, from 1.
-    core::epoch_id epoch;      ///< Epoch in which it was accepted.
+    std::uint64_t arrival = 0;    ///< Position in the order in which this host learned of its jobs, from 1.
+    core::steady_time learned_at; ///< When this host learned of it.
+    core::epoch_id epoch;         ///< Epoch in which it was accepted.
     job_progress progress;
     bool cancelled = false;
     core::steady_time ended_at; ///< When this host first saw that it had ended; valid only if it has.
--- a/src/workflow/queue_policy.h
+++ b/src/workflow/queue_policy.h
@@ -28,9 +28,9 @@
     core::service_id service;       ///< The service whose workers run the tasks.
     std::uint32_t priority = 0;     ///< 0 is the highest.
     std::uint32_t max_attempts = 1; ///< Failures of one task before its job fails.
-    /// Factor on a job's critical path in its latency objective. Recorded; not used by the dispatcher.
+    /// Factor on a job's critical path in its latency objective.
     double stretch = 1.0;
-    /// Added to the stretched critical path. Recorded; not used by the dispatcher.
+    /// Added to the stretched critical path.
     core::milliseconds latency_goal{0};
     std::optional<advice_policy> advice; ///< Empty: every worker of the service may run the tasks.
 
