--- a/src/dispatch/advice_manager.cpp
+++ b/src/dispatch/advice_manager.cpp
@@ -32,20 +32,34 @@
 
 } // namespace
 
-bool advice_manager::can_send_request(bool is_long) const {
+bool advice_manager::can_send_request(const workflow::queue_id& queue, bool is_long) const {
+    if (this->requests.size() >= this->max_requests) {
+        return false;
+    }
+    if (!is_long) {
+        return true;
+    }
     const auto reserved =
         this->max_requests > 1 ? std::max(this->max_requests / requests_per_reserved_one, 1U) : 0;
-    return this->requests_in_flight < this->max_requests &&
-           (!is_long || this->long_requests_in_flight + reserved < this->max_requests);
+    const auto limit = this->max_requests - reserved;
+    std::uint32_t all = 0;
+    std::uint32_t of_queue = 0;
+    for (const auto& [step, sent] : this->requests) {
+        all += sent.is_long ? 1 : 0;
+        of_queue += sent.is_long && sent.queue == queue ? 1 : 0;
+    }
+    return all < limit && of_queue < std::max(limit * 2 / 3, 1U);
 }
 
 void advice_manager::ask(live_step& step, std::size_t places, core::steady_time now) {
-    if (!step.job->policy().advice || step.advice.request_in_flight || now < step.advice.retry_at ||
-        !this->can_send_request(takes_long(step.job->policy().advice->base_time + call_margin))) {
+    if (!step.job->policy().advice || step.advice.request_in_flight || now < step.advice.retry_at) {
+        return;
+    }
+    const auto& queue = step.job->policy().queue;
+    if (!this->can_send_request(queue, takes_long(step.job->policy().advice->base_time + call_margin))) {
         return;
     }
-    auto workers = this->has_enough(step, places, now) ? std::vector<core::worker_id>{}
-                                                       : this->workers_to_ask_about(step, places, now);
+    auto workers = this->workers_to_ask_about(step, places, now);
     if (workers.empty()) {
         step.advice.retry_at = now + no_candidate_pause;
         return;
@@ -54,15 +68,14 @@
     const auto& policy = *step.job->policy().advice;
     const auto expected = policy.base_time + std::chrono::ceil<core::milliseconds>(
                                                  policy.time_per_worker * static_cast<int>(workers.size()));
-    this->requests_in_flight++;
-    this->long_requests_in_flight += takes_long(expected + call_margin) ? 1 : 0;
+    this->requests.emplace(step.name, request{.queue = queue, .is_long = takes_long(expected + call_margin)});
     this->state.options.hooks.advise(
         {.step = step.name, .workers = std::move(workers), .timeout = expected + call_margin});
 }
 
 bool advice_manager::has_enough(const live_step& step, std::size_t places, core::steady_time now) const {
     if (step.request->gang) {
-        return false; // Its tasks may need workers of one rack.
+        return this->places_known(step, now) >= places;
     }
     std::size_t free = 0;
     for (const auto& [id, ticket] : step.advice.allowed) {
@@ -76,8 +89,7 @@
 
 void advice_manager::on_reply(const advice_order& order, core::steady_time asked_at,
                               const advice_reply& reply, core::steady_time now) {
-    this->requests_in_flight -= this->requests_in_flight > 0 ? 1 : 0;
-    this->long_requests_in_flight -= takes_long(order.timeout) && this->long_requests_in_flight > 0 ? 1 : 0;
+    this->requests.erase(order.step);
     auto* step = this->state.find_step(order.step);
     if (step == nullptr) {
         return;
@@ -123,36 +135,85 @@
     }
 }
 
-std::vector<core::worker_id> advice_manager::workers_to_ask_about(const live_step& step, std::size_t places,
-                                                                  core::steady_time now) const {
-    struct candidate {
-        double cost;
-        const worker_state* worker;
-        bool known;
-    };
-    std::vector<candidate> candidates;
+std::size_t advice_manager::places_known(const live_step& step, core::steady_time now) const {
+    std::map<core::rack_id, std::size_t> places;
+    for (const auto& [id, ticket] : step.advice.allowed) {
+        const auto worker = this->state.workers.find(id);
+        if (worker != this->state.workers.end() && task_placer::known_allowed(step, worker->second)) {
+            const auto rack = step.request->one_rack ? worker->second.entry.rack : core::rack_id{};
+            places[rack] += this->selector.tasks_that_fit_when_idle(step, worker->second, now);
+        }
+    }
+    const auto most = std::max_element(places.begin(), places.end(),
+                                       [](const auto& a, const auto& b) { return a.second < b.second; });
+    return most == places.end() ? 0 : most->second;
+}
+
+std::vector<core::worker_id> advice_manager::kept_workers_to_ask_about(const live_step& step,
+                                                                       core::steady_time now) const {
+    std::vector<core::worker_id> expired;
+    std::size_t free = 0;
+    for (const auto& id : step.kept_workers) {
+        const auto worker = this->state.workers.find(id);
+        if (worker == this->state.workers.end()) {
+            continue;
+        }
+        free += worker->second.has_room_for_kept_places() ? 1 : 0;
+        const bool named = std::find(expired.begin(), expired.end(), id) != expired.end();
+        if (!named && !this->selector.permitted(step, worker->second, now)) {
+            expired.push_back(id);
+        }
+    }
+    return free * 2 >= step.kept_workers.size() ? expired : std::vector<core::worker_id>{};
+}
+
+std::vector<advice_manager::candidate> advice_manager::candidates_for(const live_step& step,
+                                                                      core::steady_time now) const {
+    std::vector<candidate> found;
     for (const auto& [id, worker] : this->state.workers) {
-        if (!step.advice.denied.contains(id) && this->selector.suits(step, worker, now) &&
-            !this->selector.permitted(step, worker, now)) {
-            const bool known = step.advice.allowed.contains(id);
-            candidates.push_back({this->selector.cost(step, worker, now), &worker, known});
+        if (step.advice.denied.contains(id) || this->selector.permitted(step, worker, now)) {
+            continue;
+        }
+        const bool known = step.advice.allowed.contains(id);
+        if (step.request->gang) {
+            // The tickets of known workers are renewed once places are kept there.
+            const auto count = task_placer::known_allowed(step, worker)
+                                   ? 0
+                                   : this->selector.tasks_that_fit_when_idle(step, worker, now);
+            if (count > 0) {
+                found.push_back({task_placer::missing_share(step, worker), &worker, count, known});
+            }
+        } else if (this->selector.suits(step, worker, now)) {
+            found.push_back({this->selector.cost(step, worker, now), &worker,
+                             this->selector.tasks_that_fit(step, worker), known});
         }
     }
-    std::sort(candidates.begin(), candidates.end(), [](const candidate& a, const candidate& b) {
+    std::sort(found.begin(), found.end(), [](const candidate& a, const candidate& b) {
         return a.known != b.known ? a.known : a.cost < b.cost;
     });
+    return found;
+}
+
+std::vector<core::worker_id> advice_manager::workers_to_ask_about(const live_step& step, std::size_t places,
+                                                                  core::steady_time now) const {
+    if (!step.kept_workers.empty()) {
+        return this->kept_workers_to_ask_about(step, now);
+    }
+    if (this->has_enough(step, places, now)) {
+        return {};
+    }
     const auto found = this->allowed_share.find(step.job->policy().queue);
     const auto share = std::max(found == this->allowed_share.end() ? first_allowed_share : found->second,
                                 least_allowed_share);
     const auto wanted = static_cast<double>(places) * spare_share + spare_tasks;
     std::vector<core::worker_id> named;
-    double expected = 0;
-    for (const auto& one : candidates) {
+    auto expected = step.request->gang ? static_cast<double>(this->places_known(step, now)) : 0.0;
+    for (const auto& one : this->candidates_for(step, now)) {
         if (expected >= wanted || named.size() >= most_workers) {
             break;
         }
         named.push_back(one.worker->entry.worker);
-        expected += (one.known ? 1 : share) * this->selector.tasks_that_fit(step, *one.worker);
+        expected += (one.known ? 1 : share) * one.count;
     }
     return named;
 }
--- a/src/dispatch/advice_manager.h
+++ b/src/dispatch/advice_manager.h
@@ -14,8 +14,10 @@
 ///
 /// Permissions never change, so only expired tickets are requested again. The number of requests in flight is
 /// limited by the number of hosts that can send one. Part of this limit is reserved for short requests, so
-/// that short jobs do not wait behind the slow requests of long jobs. Owned by the dispatcher; used by the
-/// control thread only.
+/// that short jobs do not wait behind the slow requests of long jobs, and one queue may not use all of the
+/// rest. A gang asks about workers that could run it once their present runs have ended, and has the tickets
+/// renewed when the places that are kept for it become free. Owned by the dispatcher; used by the control
+/// thread only.
 class advice_manager {
 public:
     advice_manager(dispatch_state& state, const task_placer& choice) : state(state), selector(choice) {}
@@ -38,10 +40,30 @@
                   core::steady_time now);
 
     /// Forgets the requests in flight. Called when this host no longer leads.
-    void reset() { this->requests_in_flight = this->long_requests_in_flight = 0; }
+    void reset() { this->requests.clear(); }
 
 private:
-    [[nodiscard]] bool can_send_request(bool is_long) const;
+    /// A request in flight.
+    struct request {
+        workflow::queue_id queue;
+        bool is_long = false; ///< Whether it is expected to take long.
+    };
+    struct candidate {
+        double cost;
+        const worker_state* worker;
+        std::uint32_t count; ///< Tasks of the step that fit there.
+        bool known;          ///< Whether advice has permitted the step there before.
+    };
+
+    [[nodiscard]] bool can_send_request(const workflow::queue_id& queue, bool is_long) const;
+    [[nodiscard]] std::vector<candidate> candidates_for(const live_step& step, core::steady_time now) const;
+    /// @return how many tasks of a gang the workers that are allowed could take once their present runs have
+    /// ended.
+    [[nodiscard]] std::size_t places_known(const live_step& step, core::steady_time now) const;
+    /// @return the workers with kept places that need a new ticket; none while most of the places have no
+    /// room.
+    [[nodiscard]] std::vector<core::worker_id> kept_workers_to_ask_about(const live_step& step,
+                                                                         core::steady_time now) const;
     /// @return whether the workers that are already allowed have room for that many tasks of the step.
     [[nodiscard]] bool has_enough(const live_step& step, std::size_t places, core::steady_time now) const;
     [[nodiscard]] std::vector<core::worker_id> workers_to_ask_about(const live_step& step, std::size_t places,
@@ -50,8 +72,7 @@
     dispatch_state& state;
     const task_placer& selector;
     std::uint32_t max_requests = 1;
-    std::uint32_t requests_in_flight = 0;
-    std::uint32_t long_requests_in_flight = 0; ///< Those among them that are expected to take long.
+    std::map<workflow::step_name, request> requests; ///< Those in flight; at most one per step.
     /// Per queue, the share of the requested workers that are allowed; an exponentially weighted mean.
     std::map<workflow::queue_id, double> allowed_share;
 };
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -7,9 +7,10 @@
 /// `dispatcher` is the entry point. It shares `dispatch_state` with `run_manager` (runs and the resources
 /// that they reserve), `task_lifecycle` (state transitions when a run ends), `lease_manager` (leases and the
 /// runs that workers report), `leader_authority` (until when this host may act as the leader, and when the
-/// leases of a former leader have expired), `task_placer` (choice of a worker), `advice_manager` (workers
-/// that a step is permitted to run on), `step_order` (which waiting step is started first), `run_mover` (moves long-running tasks off draining workers) and
-/// `worker_roster` (workers on which tasks may have been started, recorded for the next leader).
+/// leases of a former leader have expired), `step_order` (which waiting step is started first), `task_placer`
+/// (choice of a worker), `gang_placer` (start of gangs, and places that are kept for them), `advice_manager`
+/// (workers that a step is permitted to run on), `run_mover` (moves long-running tasks off draining workers)
+/// and `worker_roster` (workers on which tasks may have been started, recorded for the next leader).
 ///
 /// Depends on: core, workflow, telemetry (for logging).
 /// Threads: the control thread only. The current time is passed to each call. Orders are sent through
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -23,6 +23,10 @@
     : state{.options = std::move(options)}, runs(this->state), lifecycle(this->state, this->runs),
       leases(this->state, this->runs, this->lifecycle), retrier(this->state, this->runs),
       used_workers(this->state), selector(this->state), advice(this->state, this->selector),
+      gangs(this->state, this->runs, this->lifecycle, this->selector,
+            [this](const live_step& step, const live_task& task, core::steady_time now) {
+                return this->may_start(step, task, now);
+            }),
       mover(this->state, this->runs, this->selector, this->advice,
             [this](const live_step& step, const live_task& task, core::steady_time now) {
                 return this->may_start(step, task, now);
@@ -68,6 +72,7 @@
     this->state.record_immediately = false;
     this->progress_in_flight = false;
     this->advice.reset();
+    this->gangs.reset();
     this->mover.reset();
     for (auto& [id, worker] : this->state.workers) {
         worker = worker_state{.entry = worker.entry, .listed = worker.listed};
@@ -260,6 +265,7 @@
     });
     this->leases.tick(now);
     this->retrier.run(now);
+    this->gangs.tick(now);
     this->mover.tick(now);
     if (this->state.can_send_orders(now) && this->state.worker_list_read &&
         now >= this->placed_at + place_interval) {
@@ -377,7 +383,7 @@
         }
         if (step->needs_placement || settles || !freed.empty()) {
             if (step->request->gang) {
-                this->place_gang(*step, now);
+                this->gangs.place(*step, now);
             } else {
                 this->place_step(*step, settles ? std::set<core::worker_id>{} : freed, now);
             }
@@ -386,6 +392,9 @@
             this->state.ready_steps.erase(sort_key_of(*step));
         } else {
             this->advice.ask(*step, step->waiting.size(), now);
+            if (!step->advice.request_in_flight) {
+                this->gangs.yield_to(*step, now); // No worker has room for it.
+            }
         }
     }
 }
@@ -418,35 +427,6 @@
     step.waiting = std::move(left);
 }
 
-void dispatcher::place_gang(live_step& step, core::steady_time now) {
-    step.needs_placement = false;
-    std::uint32_t run = 0;
-    for (const auto& task : step.tasks) {
-        if (!this->may_start(step, task, now)) {
-            return;
-        }
-        run = std::max(run, task.last_run);
-    }
-    if (!has_no_runs(step)) {
-        this->lifecycle.keep_or_stop_gang(step, now);
-        return;
-    }
-    const auto workers = this->selector.choose_gang(step, now);
-    if (workers.empty()) {
-        return;
-    }
-    step.waiting.clear();
-    workflow::checkpoint_id checkpoint;
-    for (const auto& task : step.tasks) {
-        checkpoint = std::max(checkpoint, task.checkpoint);
-    }
-    for (std::uint32_t i = 0; i < step.tasks.size(); i++) {
-        step.tasks[i].queued = false;
-        step.tasks[i].checkpoint = checkpoint;
-        this->runs.start(step, i, this->state.workers.at(workers[i]), run + 1, now);
-    }
-}
-
 bool dispatcher::may_start(const live_step& step, const live_task& task, core::steady_time now) const {
     if (!step.job->inherited) {
         return true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "dispatch/advice_manager.h"
 #include "dispatch/dispatch_state.h"
+#include "dispatch/gang_placer.h"
 #include "dispatch/lease_manager.h"
 #include "dispatch/order_retrier.h"
 #include "dispatch/run_manager.h"
@@ -133,7 +134,6 @@
     void open_due_occurrences(live_job& job, core::steady_time now, core::system_time system);
     void place_all(core::steady_time now);
     void place_step(live_step& step, const std::set<core::worker_id>& freed, core::steady_time now);
-    void place_gang(live_step& step, core::steady_time now);
     [[nodiscard]] bool may_start(const live_step& step, const live_task& task, core::steady_time now) const;
     [[nodiscard]] bool has_settled_predecessor(core::steady_time now);
     /// Counts a reply among the orders in flight.
@@ -150,6 +150,7 @@
     worker_roster used_workers;
     task_placer selector;
     advice_manager advice;
+    gang_placer gangs;
     run_mover mover;
     step_order order;
     bool was_fenced = false;
--- /dev/null
+++ b/src/dispatch/gang_placer.cpp
@@ -0,0 +1,172 @@
+#include "dispatch/gang_placer.h"
+
+#include "telemetry/logging.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace rattanmount::dispatch {
+
+namespace {
+
+/// Places are kept on at most one in so many workers of a service, unless only one gang has places there.
+constexpr std::size_t workers_per_kept_one = 4;
+/// Places are chosen anew after this time: the runs there take longer than other workers' runs.
+constexpr core::milliseconds longest_keep{10000};
+/// Time without kept places after a more urgent step has waited.
+constexpr core::milliseconds yield_pause{1000};
+
+} // namespace
+
+gang_placer::gang_placer(dispatch_state& state, run_manager& runs, task_lifecycle& flow,
+                         const task_placer& choice, start_check may_start)
+    : state(state), runs(runs), lifecycle(flow), selector(choice), may_start(std::move(may_start)) {}
+
+void gang_placer::place(live_step& step, core::steady_time now) {
+    step.needs_placement = false;
+    for (const auto& task : step.tasks) {
+        if (!this->may_start(step, task, now)) {
+            return;
+        }
+    }
+    if (!has_no_runs(step)) {
+        this->release(step);
+        this->lifecycle.keep_or_stop_gang(step, now);
+        return;
+    }
+    const auto workers =
+        this->can_start_on_kept_places(step, now) ? step.kept_workers : this->selector.choose_gang(step, now);
+    if (!workers.empty()) {
+        this->release(step);
+        this->start(step, workers, now);
+    } else if (step.kept_workers.empty()) {
+        this->keep_places(step, now);
+    }
+}
+
+void gang_placer::yield_to(const live_step& step, core::steady_time now) {
+    const auto& policy = step.job->policy();
+    std::vector<live_step*> yielding;
+    for (const auto& [name, since] : this->kept_at) {
+        auto* const gang = this->state.find_step(name);
+        if (gang != nullptr && gang->job->policy().service == policy.service &&
+            gang->job->policy().priority > policy.priority) {
+            yielding.push_back(gang);
+        }
+    }
+    for (auto* const gang : yielding) {
+        this->release(*gang);
+    }
+    if (!yielding.empty()) {
+        this->paused_until[policy.service] = now + yield_pause;
+    }
+}
+
+void gang_placer::tick(core::steady_time now) {
+    this->blocked.clear();
+    const auto kept = this->kept_at;
+    for (const auto& [name, since] : kept) {
+        auto* const step = this->state.find_step(name);
+        if (step == nullptr) {
+            this->kept_at.erase(name);
+        } else if (!this->are_useful(*step, since, now)) {
+            this->release(*step);
+            step->needs_placement = true;
+        }
+    }
+}
+
+void gang_placer::reset() {
+    this->kept_at.clear();
+    this->blocked.clear();
+    this->paused_until.clear();
+}
+
+bool gang_placer::may_keep_places(const live_step& step, core::steady_time now) const {
+    const auto& service = step.job->policy().service;
+    const auto pause = this->paused_until.find(service);
+    if (pause != this->paused_until.end() && now < pause->second) {
+        return false;
+    }
+    std::size_t kept = 0;
+    for (const auto& [name, since] : this->kept_at) {
+        const auto* const gang = this->state.find_step(name);
+        if (gang != nullptr && gang->job->policy().service == service) {
+            kept += gang->kept_workers.size();
+        }
+    }
+    return kept == 0 || (kept + step.tasks.size()) * workers_per_kept_one <= this->workers_of(service);
+}
+
+std::size_t gang_placer::workers_of(const core::service_id& service) const {
+    return static_cast<std::size_t>(
+        std::count_if(this->state.workers.begin(), this->state.workers.end(),
+                      [&service](const auto& place) { return place.second.entry.service == service; }));
+}
+
+void gang_placer::keep_places(live_step& step, core::steady_time now) {
+    const auto workers = this->selector.choose_places_to_keep(step, now);
+    if (workers.empty()) {
+        return;
+    }
+    const auto& service = step.job->policy().service;
+    if (this->blocked.contains(service) || !this->may_keep_places(step, now)) {
+        this->blocked.insert(service);
+        return;
+    }
+    for (std::uint32_t i = 0; i < workers.size(); i++) {
+        this->runs.reserve_place(step, i, this->state.workers.at(workers[i]));
+    }
+    step.kept_workers = workers;
+    this->kept_at.emplace(step.name, now);
+    telemetry::log_state("keeping places for gang", {{"step", step.name.text()},
+                                                     {"tasks", std::to_string(workers.size())},
+                                                     {"gangs", std::to_string(this->kept_at.size())}});
+}
+
+bool gang_placer::can_start_on_kept_places(const live_step& step, core::steady_time now) const {
+    return !step.kept_workers.empty() &&
+           std::all_of(step.kept_workers.begin(), step.kept_workers.end(), [&](const core::worker_id& id) {
+               const auto worker = this->state.workers.find(id);
+               return worker != this->state.workers.end() && worker->second.accepts_starts(now) &&
+                      worker->second.has_room_for_kept_places() &&
+                      this->selector.permitted(step, worker->second, now);
+           });
+}
+
+bool gang_placer::are_useful(const live_step& step, core::steady_time kept_at, core::steady_time now) const {
+    if (step.job->cancelled || workflow::is_over(step.job->phase) || step.waiting.empty() ||
+        now >= kept_at + longest_keep) {
+        return false;
+    }
+    return std::all_of(step.kept_workers.begin(), step.kept_workers.end(), [&](const core::worker_id& id) {
+        const auto worker = this->state.workers.find(id);
+        return worker != this->state.workers.end() && worker->second.accepts_starts(now);
+    });
+}
+
+void gang_placer::release(live_step& step) {
+    const auto workers = std::exchange(step.kept_workers, {});
+    for (std::uint32_t i = 0; i < workers.size(); i++) {
+        this->runs.release_place(step, i, workers[i]);
+    }
+    this->kept_at.erase(step.name);
+}
+
+void gang_placer::start(live_step& step, const std::vector<core::worker_id>& workers, core::steady_time now) {
+    step.waiting.clear();
+    workflow::checkpoint_id checkpoint;
+    std::uint32_t run = 0;
+    for (const auto& task : step.tasks) {
+        checkpoint = std::max(checkpoint, task.checkpoint);
+        run = std::max(run, task.last_run);
+    }
+    for (std::uint32_t i = 0; i < step.tasks.size(); i++) {
+        step.tasks[i].queued = false;
+        step.tasks[i].checkpoint = checkpoint;
+        this->runs.start(step, i, this->state.workers.at(workers[i]), run + 1, now);
+    }
+}
+
+} // namespace rattanmount::dispatch
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -77,6 +77,8 @@
     step_advice advice;
     core::steady_time due_at; ///< When its occurrence was due: the latency objective counts from then.
     core::milliseconds remaining_work{0}; ///< Estimate of the longest chain of work from its start on.
+    /// Workers on which places are kept for the tasks of a waiting gang, by index; empty if there are none.
+    std::vector<core::worker_id> kept_workers;
     std::map<core::worker_id, std::uint32_t> runs_per_worker; ///< Number of runs of the step per worker.
     bool ready = false;
     bool needs_placement = false; ///< Whether tasks or permitted workers were added since the last placement.
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -128,6 +128,9 @@
 void run_manager::reserve_place(live_step& step, std::uint32_t index, worker_state& worker) {
     reserve(step, worker);
     worker.kept_places.insert({.step = step.name, .index = index});
+    if (!step.request->long_running) {
+        worker.committed += reserved_resources(*step.request);
+    }
 }
 
 void run_manager::release_place(live_step& step, std::uint32_t index, const core::worker_id& worker) {
@@ -136,6 +139,9 @@
     if (place != this->state.workers.end() &&
         place->second.kept_places.erase({.step = step.name, .index = index}) > 0) {
         this->release(step, place->second);
+        if (!step.request->long_running) {
+            place->second.committed -= reserved_resources(*step.request);
+        }
     }
     count_one_less(step, worker);
 }
@@ -157,7 +163,10 @@
 
 void run_manager::reserve(live_step& step, worker_state& worker) {
     worker.reserved += reserved_resources(*step.request);
-    worker.long_running_runs += step.request->long_running ? 1 : 0;
+    if (step.request->long_running) {
+        worker.long_running_runs++;
+        worker.committed += reserved_resources(*step.request);
+    }
     if (step.request->uses_leftover) {
         worker.leftover_runs++;
         worker.leftover_millicores += step.request->each.millicores;
@@ -169,7 +178,10 @@
     this->state.freed_workers.insert(worker.entry.worker);
     this->state.placement_needed = true;
     worker.reserved -= reserved_resources(*step.request);
-    worker.long_running_runs -= step.request->long_running ? 1 : 0;
+    if (step.request->long_running) {
+        worker.long_running_runs--;
+        worker.committed -= reserved_resources(*step.request);
+    }
     if (step.request->uses_leftover) {
         worker.leftover_runs--;
         worker.leftover_millicores -= step.request->each.millicores;
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -44,7 +44,8 @@
     /// @param run the number of the run; unknown numbers are ignored.
     void remove(live_step& step, std::uint32_t index, std::uint32_t run);
 
-    /// Reserves the resources of a task on a worker to which it is being moved.
+    /// Reserves the resources of a task on a worker to which it is being moved, or on which its gang waits
+    /// for room.
     /// @param step the step of the task.
     /// @param index the index of the task.
     /// @param worker the worker.
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace rattanmount::dispatch {
 
@@ -44,9 +45,13 @@
 
 } // namespace
 
-bool task_placer::suits(const live_step& step, const worker_state& worker, core::steady_time now) const {
+bool task_placer::is_eligible(const live_step& step, const worker_state& worker, core::steady_time now) {
     return worker.accepts_starts(now) && worker.entry.service == step.job->policy().service &&
-           has_label(worker.entry, step.request->required_label) && this->tasks_that_fit(step, worker) > 0;
+           has_label(worker.entry, step.request->required_label);
+}
+
+bool task_placer::suits(const live_step& step, const worker_state& worker, core::steady_time now) const {
+    return is_eligible(step, worker, now) && this->tasks_that_fit(step, worker) > 0;
 }
 
 bool task_placer::permitted(const live_step& step, const worker_state& worker, core::steady_time now) const {
@@ -58,9 +63,23 @@
            now < found->second.expires_at;
 }
 
+bool task_placer::known_allowed(const live_step& step, const worker_state& worker) {
+    const auto found = step.advice.allowed.find(worker.entry.worker);
+    return found != step.advice.allowed.end() && found->second.incarnation == worker.entry.incarnation;
+}
+
 std::uint32_t task_placer::tasks_that_fit(const live_step& step, const worker_state& worker) const {
+    return tasks_within(step, worker, worker.free_capacity());
+}
+
+std::uint32_t task_placer::tasks_that_fit_when_idle(const live_step& step, const worker_state& worker,
+                                                    core::steady_time now) const {
+    return is_eligible(step, worker, now) ? tasks_within(step, worker, worker.capacity_when_idle()) : 0;
+}
+
+std::uint32_t task_placer::tasks_within(const live_step& step, const worker_state& worker,
+                                        const core::resources& available) {
     const auto amount = reserved_resources(*step.request);
-    const auto available = worker.free_capacity();
     auto count = std::min({times_fitting(amount.millicores, available.millicores),
                            times_fitting(amount.memory_mb, available.memory_mb),
                            times_fitting(amount.accelerators, available.accelerators),
@@ -73,6 +92,16 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
 }
 
+double task_placer::missing_share(const live_step& step, const worker_state& worker) {
+    const auto missing = reserved_resources(*step.request) - worker.free_capacity();
+    const auto& capacity = worker.entry.capacity;
+    const auto share = [](std::int64_t part, std::int64_t whole) {
+        return whole <= 0 || part <= 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+    };
+    return share(missing.millicores, capacity.millicores) + share(missing.memory_mb, capacity.memory_mb) +
+           share(missing.accelerators, capacity.accelerators);
+}
+
 double task_placer::cost(const live_step& step, const worker_state& worker, core::steady_time now) const {
     const auto amount = reserved_resources(*step.request);
     double cost = 0;
@@ -96,19 +125,25 @@
 std::optional<core::worker_id> task_placer::choose(const live_step& step, std::uint32_t index,
                                                    core::steady_time now) const {
     best_choice best;
-    if (step.job->policy().advice) {
-        for (const auto& [id, ticket] : step.advice.allowed) {
-            const auto worker = this->state.workers.find(id);
-            if (worker != this->state.workers.end()) {
-                this->consider(step, index, worker->second, now, best);
-            }
+    this->for_each_allowed(
+        step, [&](const worker_state& worker) { this->consider(step, index, worker, now, best); });
+    return best.worker;
+}
+
+void task_placer::for_each_allowed(const live_step& step,
+                                   const std::function<void(const worker_state&)>& visit) const {
+    if (!step.job->policy().advice) {
+        for (const auto& [id, worker] : this->state.workers) {
+            visit(worker);
         }
-        return best.worker;
+        return;
     }
-    for (const auto& [id, worker] : this->state.workers) {
-        this->consider(step, index, worker, now, best);
+    for (const auto& [id, ticket] : step.advice.allowed) {
+        const auto worker = this->state.workers.find(id);
+        if (worker != this->state.workers.end()) {
+            visit(worker->second);
+        }
     }
-    return best.worker;
 }
 
 std::optional<core::worker_id> task_placer::choose_among(const live_step& step, std::uint32_t index,
@@ -137,22 +172,38 @@
 }
 
 std::vector<core::worker_id> task_placer::choose_gang(const live_step& step, core::steady_time now) const {
-    struct candidate {
-        double cost;
-        const worker_state* worker;
-        std::uint32_t count;
-    };
-    std::map<core::rack_id, std::vector<candidate>> by_rack;
-    for (const auto& [id, worker] : this->state.workers) {
+    std::map<core::rack_id, std::vector<gang_candidate>> by_rack;
+    this->for_each_allowed(step, [&](const worker_state& worker) {
         if (this->can_take(step, worker, now)) {
             const auto rack = step.request->one_rack ? worker.entry.rack : core::rack_id{};
             by_rack[rack].push_back(
                 {this->cost(step, worker, now), &worker, this->tasks_that_fit(step, worker)});
         }
-    }
+    });
+    return cheapest_places(step, std::move(by_rack));
+}
+
+std::vector<core::worker_id> task_placer::choose_places_to_keep(const live_step& step,
+                                                                core::steady_time now) const {
+    std::map<core::rack_id, std::vector<gang_candidate>> by_rack;
+    this->for_each_allowed(step, [&](const worker_state& worker) {
+        if (step.job->policy().advice && !known_allowed(step, worker)) {
+            return;
+        }
+        if (const auto count = this->tasks_that_fit_when_idle(step, worker, now); count > 0) {
+            const auto rack = step.request->one_rack ? worker.entry.rack : core::rack_id{};
+            by_rack[rack].push_back({missing_share(step, worker), &worker, count});
+        }
+    });
+    return cheapest_places(step, std::move(by_rack));
+}
+
+std::vector<core::worker_id>
+task_placer::cheapest_places(const live_step& step,
+                             std::map<core::rack_id, std::vector<gang_candidate>> by_rack) {
     for (auto& [rack, candidates] : by_rack) {
         std::sort(candidates.begin(), candidates.end(),
-                  [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
+                  [](const gang_candidate& a, const gang_candidate& b) { return a.cost < b.cost; });
         std::vector<core::worker_id> chosen;
         for (const auto& one : candidates) {
             const auto wanted = step.tasks.size() - chosen.size();
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -4,7 +4,9 @@
 #include "dispatch/dispatch_state.h"
 
 #include <cstdint>
+#include <functional>
 #include <limits>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -41,6 +43,33 @@
     [[nodiscard]] std::vector<core::worker_id> choose_gang(const live_step& step,
                                                            core::steady_time now) const;
 
+    /// Chooses places for a gang that does not fit now, where it fits once the present short runs have ended.
+    /// @param step a gang whose tasks all wait.
+    /// @param now the current time.
+    /// @return a worker for each task by index, least busy ones first; empty if there is not one for every
+    /// task.
+    [[nodiscard]] std::vector<core::worker_id> choose_places_to_keep(const live_step& step,
+                                                                     core::steady_time now) const;
+
+    /// @param step a step.
+    /// @param worker a worker.
+    /// @param now the current time.
+    /// @return how many of its tasks could run there once the present short runs have ended, regardless of
+    /// advice; 0 if the worker does not accept starts.
+    [[nodiscard]] std::uint32_t tasks_that_fit_when_idle(const live_step& step, const worker_state& worker,
+                                                         core::steady_time now) const;
+
+    /// @param step a step.
+    /// @param worker a worker.
+    /// @return the amounts that have to become free before one of its tasks fits, as shares of the capacity,
+    /// summed.
+    [[nodiscard]] static double missing_share(const live_step& step, const worker_state& worker);
+
+    /// @param step a step.
+    /// @param worker a worker.
+    /// @return whether advice has ever permitted the step there; the ticket may have expired.
+    [[nodiscard]] static bool known_allowed(const live_step& step, const worker_state& worker);
+
     /// @param step a step.
     /// @param worker a worker.
     /// @param now the current time.
@@ -81,6 +110,24 @@
         double cost = std::numeric_limits<double>::max();
     };
 
+    /// A worker for tasks of a gang.
+    struct gang_candidate {
+        double cost;
+        const worker_state* worker;
+        std::uint32_t count; ///< Tasks that fit there.
+    };
+
+    [[nodiscard]] static bool is_eligible(const live_step& step, const worker_state& worker,
+                                          core::steady_time now);
+    [[nodiscard]] static std::uint32_t tasks_within(const live_step& step, const worker_state& worker,
+                                                    const core::resources& available);
+    /// @param by_rack the candidates per rack; all in one group if the gang may span racks.
+    [[nodiscard]] static std::vector<core::worker_id>
+    cheapest_places(const live_step& step, std::map<core::rack_id, std::vector<gang_candidate>> by_rack);
+
+    /// Calls a function for each worker that may permit the step: those that advice has allowed, or all.
+    void for_each_allowed(const live_step& step, const std::function<void(const worker_state&)>& visit) const;
+
     void consider(const live_step& step, std::uint32_t index, const worker_state& worker,
                   core::steady_time now, best_choice& best) const;
 
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -93,8 +93,12 @@
     std::map<std::uint64_t, unknown_end> unknown_ends; ///< By number; those that are not resolved.
     std::uint64_t last_end_recorded = 0; ///< Highest number of an end whose effect is in the log.
     core::resources reserved;            ///< Resources reserved for its runs.
-    std::set<workflow::run_name> runs;   ///< Runs that reserve resources on it.
-    /// Tasks that are being moved to it; they reserve resources as runs do.
+    /// The part of `reserved` that does not become free when its present short runs end: long-running runs
+    /// and kept places.
+    core::resources committed;
+    std::set<workflow::run_name> runs; ///< Runs that reserve resources on it.
+    /// Tasks that are being moved to it or belong to a gang that waits; they reserve resources as runs do,
+    /// also more than are free now.
     std::set<workflow::task_name> kept_places;
     std::uint32_t long_running_runs = 0; ///< Runs of long-running steps.
     std::uint32_t leftover_runs = 0;     ///< Runs of steps that use leftover processor time.
@@ -123,8 +127,18 @@
     /// @return whether most of its recent runs failed.
     [[nodiscard]] bool seems_faulty(core::steady_time now) const;
 
-    /// @return its capacity that is not reserved.
+    /// @return its capacity that is not reserved; negative amounts if kept places wait for runs to end.
     [[nodiscard]] core::resources free_capacity() const { return this->entry.capacity - this->reserved; }
+
+    /// @return whether what is reserved, kept places included, fits within its capacity.
+    [[nodiscard]] bool has_room_for_kept_places() const {
+        return this->reserved.fits_in(this->entry.capacity);
+    }
+
+    /// @return its capacity that is free once its present short runs have ended.
+    [[nodiscard]] core::resources capacity_when_idle() const {
+        return this->entry.capacity - this->committed;
+    }
 };
 
 } // namespace rattanmount::dispatch
