--- a/tests/platform/odd_input_test.cpp
+++ b/tests/platform/odd_input_test.cpp
@@ -1,4 +1,5 @@
 #include "core/errors.h"
+#include "platform/hold_decode.h"
 #include "platform/job_decode.h"
 #include "platform/wire_decode.h"
 
--- a/tests/platform/wire_decode_test.cpp
+++ b/tests/platform/wire_decode_test.cpp
@@ -1,4 +1,5 @@
 #include "core/errors.h"
+#include "platform/hold_decode.h"
 #include "platform/job_decode.h"
 #include "platform/wire_decode.h"
 
@@ -89,6 +90,30 @@
     CHECK_THROWS_AS(platform::decode_hold("{}"), core::invalid_argument);
 }
 
+TEST_CASE("the reply to a hold order may have unknown fields and columns, and null for an empty list") {
+    const auto reply = platform::decode_hold(
+        R"({"running":null,"more":{"running":[[1]],"a":[[2,[3]]]},"finished":[[1,"j.0.0.0",1,"done","",{"a":[1]},7]],"clockMs":5})");
+    CHECK(reply.running.empty());
+    REQUIRE(reply.ended.size() == 1);
+    CHECK(reply.ended[0].run.text() == "j.0.0.0#1");
+    CHECK(!reply.incarnation);
+}
+
+TEST_CASE("the reply to a hold order is refused if a part has another type or is missing") {
+    const std::string text = GENERATE(
+        R"([])", R"("a")", R"({"clockMs":1,"running":[]})", R"({"running":[],"finished":[]})",
+        R"({"clockMs":"1","running":[],"finished":[]})", R"({"clockMs":1,"running":{},"finished":[]})",
+        R"({"clockMs":1,"running":5,"finished":[]})", R"({"clockMs":1,"running":[5],"finished":[]})",
+        R"({"clockMs":1,"running":[{}],"finished":[]})", R"({"clockMs":1,"running":[[]],"finished":[]})",
+        R"({"clockMs":1,"running":[["j.0.0.0",1,[],5]],"finished":[]})",
+        R"({"clockMs":1,"running":[["j.0.0.0",-1,"",5]],"finished":[]})",
+        R"({"clockMs":1,"running":[],"finished":[[1,"j.0.0.0",1,"odd",""]]})",
+        R"({"clockMs":1,"running":[],"finished":[[1,"j",1,"done",""]]})",
+        R"({"clockMs":[1],"running":[],"finished":[]})", R"({"clockMs":1,"running":[],"finished":[)");
+    CAPTURE(text);
+    CHECK_THROWS_AS(platform::decode_hold(text), core::invalid_argument);
+}
+
 TEST_CASE("replies to orders are decoded into distinct results") {
     using dispatch::order_outcome;
     CHECK(platform::decode_order_reply(200, R"({"clockMs":1})").outcome == order_outcome::done);
