Notice the return of the log at once on a large fleet (relayed reads)

Cause: while direct calls fail, each call asks two peers, with the timeout of the call itself (1.4 s for a read). All 97 hosts asked the same first peers, for each of three streams, so those were overloaded and the calls ran out: one cycle of probe and peers took up to 3.5 s. Change: each call begins with a random peer, asks at most three for 0.4 s each, and none for 0.5 s after all have failed. Evidence: the new test, which asks for the order, the timeouts and the pause; the code before has none of these.

--- a/src/runtime/relayed_log.cpp
+++ b/src/runtime/relayed_log.cpp
@@ -4,6 +4,7 @@
 #include "telemetry/logging.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace rattanmount::runtime {
 
@@ -49,7 +50,8 @@
                 items, stamp, probing ? std::min(limit, this->options.probe_timeout) : limit);
         },
         [&](const cell::peer_calls& peer) {
-            return peer.append_log(this->options.stream, items, stamp, limit);
+            return peer.append_log(this->options.stream, items, stamp,
+                                   std::min(limit, this->options.peer_timeout));
         });
 }
 
@@ -61,7 +63,10 @@
                        ? this->options.direct.read(from, core::milliseconds{0}, this->options.probe_timeout)
                        : this->options.direct.read(from, wait, limit);
         },
-        [&](const cell::peer_calls& peer) { return peer.read_log(this->options.stream, from, wait, limit); });
+        [&](const cell::peer_calls& peer) {
+            return peer.read_log(this->options.stream, from, std::min(wait, this->options.peer_read_wait),
+                                 std::min(limit, this->options.peer_timeout));
+        });
 }
 
 cell::log_newest_answer relayed_log::newest(core::milliseconds limit) {
@@ -101,16 +106,7 @@
 template <typename Answer>
 std::optional<Answer> relayed_log::call_peers(const std::function<Answer(const cell::peer_calls&)>& via_peer,
                                               bool& may_be_done) {
-    std::size_t asked = 0;
-    for (const auto& peer : this->options.peers()) {
-        const auto now = std::chrono::steady_clock::now();
-        {
-            const std::lock_guard guard{this->mutex};
-            if (asked >= this->options.max_peers_per_call || now < this->peer_retry_at[peer.incarnation]) {
-                continue;
-            }
-        }
-        asked++;
+    for (const auto& peer : this->peers_to_try(std::chrono::steady_clock::now())) {
         try {
             auto answer = via_peer(peer.calls);
             if (is_answer(answer.status)) {
@@ -123,11 +119,27 @@
             may_be_done = true;
         }
         const std::lock_guard guard{this->mutex};
-        this->peer_retry_at[peer.incarnation] = now + this->options.peer_backoff;
+        this->peer_retry_at[peer.incarnation] = std::chrono::steady_clock::now() + this->options.peer_backoff;
     }
+    const std::lock_guard guard{this->mutex};
+    this->peers_paused_until =
+        std::max(this->peers_paused_until, std::chrono::steady_clock::now() + this->options.peers_pause);
     return std::nullopt;
 }
 
+std::vector<peer_directory::peer> relayed_log::peers_to_try(core::steady_time now) {
+    auto peers = this->options.peers();
+    const std::lock_guard guard{this->mutex};
+    if (peers.empty() || now < this->peers_paused_until) {
+        return {};
+    }
+    const auto first = this->options.random() % peers.size();
+    std::rotate(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(first), peers.end());
+    std::erase_if(peers, [&](const auto& peer) { return now < this->peer_retry_at[peer.incarnation]; });
+    peers.resize(std::min(peers.size(), this->options.max_peers_per_call));
+    return peers;
+}
+
 bool relayed_log::is_direct_failing() {
     const std::lock_guard guard{this->mutex};
     return this->direct_failed_since.has_value();
--- a/src/runtime/relayed_log.h
+++ b/src/runtime/relayed_log.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,16 @@
     /// Timeout of a direct read or append while direct calls fail.
     core::milliseconds probe_timeout{600};
     core::milliseconds peer_backoff{1500}; ///< Time without calls to a peer that failed to relay one.
-    std::size_t max_peers_per_call = 2;    ///< Peers that are tried for one call.
+    /// Time without calls to any peer after all peers that were tried for a call have failed: the log is
+    /// probably down for all hosts, and a host that waits for peers notices its return late.
+    core::milliseconds peers_pause{500};
+    /// Timeout of one call to a peer; a peer that reaches the log answers much sooner.
+    core::milliseconds peer_timeout{400};
+    core::milliseconds peer_read_wait{100}; ///< How long a read through a peer may wait for an entry.
+    std::size_t max_peers_per_call = 3;     ///< Peers that are tried for one call.
+    /// Returns a random number. Each host begins with another peer, so that an outage does not make all hosts
+    /// call the same few.
+    std::function<std::size_t()> random = [] { return std::random_device{}(); };
 };
 
 /// A stream of the log that is reached through a peer while the log does not answer this host.
@@ -56,6 +66,8 @@
     template <typename Answer>
     [[nodiscard]] std::optional<Answer>
     call_peers(const std::function<Answer(const cell::peer_calls&)>& via_peer, bool& may_be_done);
+    /// @return the peers to try for a call, in the order in which to try them.
+    [[nodiscard]] std::vector<peer_directory::peer> peers_to_try(core::steady_time now);
     [[nodiscard]] bool is_direct_failing();
     [[nodiscard]] bool try_begin_probe();
     void record_direct_result(bool reached);
@@ -70,6 +82,7 @@
     bool last_relay_succeeded = false; ///< The last attempt to call through peers was answered.
     bool reported_relayed = false;     ///< The last value passed to relayed_changed.
     std::map<core::incarnation_id, core::steady_time> peer_retry_at; ///< End of the back-off of each peer.
+    core::steady_time peers_paused_until;
 };
 
 } // namespace rattanmount::runtime
--- a/tests/runtime/relayed_log_test.cpp
+++ b/tests/runtime/relayed_log_test.cpp
@@ -3,6 +3,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <string>
+#include <thread>
+#include <vector>
+
 namespace rattanmount::tests {
 
 namespace {
@@ -90,6 +95,44 @@
     CHECK(peer_log.appends == 3);
 }
 
+// An outage of the log for all hosts of a large fleet: every host asked the same two peers, each for longer
+// than a probe takes, and noticed the return of the log up to 3 s late.
+TEST_CASE("in an outage for all hosts, calls to peers are spread, short and rare") {
+    scripted_log own_log{.status = log_status::refused};
+    std::vector<std::string> asked;
+    std::vector<core::milliseconds> limits;
+    const auto silent_peer = [&](const std::string& name) {
+        cell::peer_calls calls;
+        calls.read_log = [&asked, &limits, name](const std::string&, auto, core::milliseconds wait,
+                                                 core::milliseconds limit) -> cell::log_read_answer {
+            asked.push_back(name);
+            limits.push_back(std::max(wait, limit));
+            throw core::outcome_unknown("no answer");
+        };
+        return peer_directory::peer{.incarnation = core::incarnation_id{name}, .calls = calls};
+    };
+    std::size_t drawn = 0;
+    relayed_log log{
+        {.stream = "cell",
+         .direct = own_log.as_log(),
+         .peers =
+             [&] {
+                 return std::vector{silent_peer("a"), silent_peer("b"), silent_peer("c"), silent_peer("d")};
+             },
+         .peers_pause = 50ms,
+         .random = [&] { return drawn += 2; }}};
+    const auto read = [&] { return log.as_log().read(core::log_offset{3}, 700ms, 1400ms).status; };
+    CHECK(read() != log_status::done);
+    CHECK(asked == std::vector<std::string>{"c", "d", "a"});
+    CHECK(*std::max_element(limits.begin(), limits.end()) <= 400ms);
+    CHECK(read() != log_status::done);
+    CHECK(asked.size() == 3); // All peers failed just now.
+    std::this_thread::sleep_for(60ms);
+    own_log.status = log_status::done;
+    CHECK(read() == log_status::done);
+    CHECK(asked.size() == 3);
+}
+
 TEST_CASE("no peer is called while the log answers") {
     scripted_log own_log;
     relayed_log log{
