Give the oldest late job a turn after two other starts

Change: as overdue steps do, the oldest late step of each priority gets a turn, after two starts of other steps.

--- a/src/dispatch/step_order.cpp
+++ b/src/dispatch/step_order.cpp
@@ -1,6 +1,8 @@
 #include "dispatch/step_order.h"
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 #include <optional>
 #include <tuple>
 
@@ -8,9 +10,14 @@
 
 namespace {
 
-/// After so many starts of other steps, the oldest overdue step of each priority comes first.
+/// After so many starts of other steps, the oldest late or overdue step of each priority comes first.
+constexpr std::uint32_t starts_per_late_one = 2;
 constexpr std::uint32_t starts_per_overdue_one = 8;
 
+std::size_t index_of(step_prospect prospect) {
+    return static_cast<std::size_t>(prospect);
+}
+
 } // namespace
 
 step_prospect prospect_of(const live_step& step, core::steady_time now) {
@@ -34,14 +41,14 @@
     };
     std::vector<entry> entries;
     entries.reserve(ready.size());
-    std::optional<std::uint32_t> served_priority; // The last priority whose oldest overdue step got its turn.
+    // The last priority of which a step with this prospect got its turn.
+    std::array<std::optional<std::uint32_t>, 3> served_priority;
     for (const auto& [key, step] : ready) {
         const auto priority = std::get<0>(key);
         auto prospect = prospect_of(*step, now);
-        const bool has_turn = prospect == step_prospect::overdue && served_priority != priority &&
-                              this->starts_since_overdue >= starts_per_overdue_one;
-        if (has_turn) {
-            served_priority = priority;
+        auto& served = served_priority.at(index_of(prospect));
+        if (this->has_turn(prospect) && served != priority) {
+            served = priority;
             prospect = step_prospect::on_time;
         }
         entries.push_back({.priority = priority, .prospect = prospect, .step = step});
@@ -58,11 +65,16 @@
 }
 
 void step_order::on_started(const live_step& step, core::steady_time now) {
-    if (prospect_of(step, now) == step_prospect::overdue) {
-        this->starts_since_overdue = 0;
-    } else {
-        this->starts_since_overdue++;
+    for (auto& count : this->other_starts) {
+        count++;
     }
+    this->other_starts.at(index_of(prospect_of(step, now))) = 0;
+}
+
+bool step_order::has_turn(step_prospect prospect) const {
+    const auto others = this->other_starts.at(index_of(prospect));
+    return (prospect == step_prospect::late && others >= starts_per_late_one) ||
+           (prospect == step_prospect::overdue && others >= starts_per_overdue_one);
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/step_order.h
+++ b/src/dispatch/step_order.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "dispatch/live_job.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -28,9 +29,9 @@
 ///
 /// Steps of a higher priority come first. Among those of one priority, steps of jobs that can still end on
 /// time come before late ones, and overdue ones come last, so that a backlog does not make every later job
-/// late as well. The oldest overdue step of each priority regularly gets a turn before the others, so that it
-/// is not starved. Otherwise the order is that of arrival. Owned by the dispatcher; used by the control
-/// thread only.
+/// late as well. The oldest late step and the oldest overdue step of each priority regularly get a turn
+/// before the others, so that late jobs do not all become overdue and no job is starved. Otherwise the order
+/// is that of arrival. Owned by the dispatcher; used by the control thread only.
 class step_order {
 public:
     /// @param ready the steps that may start, by priority and arrival.
@@ -45,7 +46,10 @@
     void on_started(const live_step& step, core::steady_time now);
 
 private:
-    std::uint32_t starts_since_overdue = 0; ///< Starts of other steps since the last one of an overdue step.
+    [[nodiscard]] bool has_turn(step_prospect prospect) const;
+
+    /// By prospect: starts of other steps since the last one of a step with this prospect.
+    std::array<std::uint32_t, 3> other_starts{};
 };
 
 } // namespace rattanmount::dispatch
