--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -6,7 +6,6 @@
 #include <limits>
 #include <map>
 #include <set>
-#include <utility>
 
 namespace rattanmount::dispatch {
 
@@ -180,7 +179,7 @@
                 {this->cost(step, worker, now), &worker, this->tasks_that_fit(step, worker)});
         }
     });
-    return cheapest_places(step, std::move(by_rack));
+    return cheapest_places(step, by_rack);
 }
 
 std::vector<core::worker_id> task_placer::choose_places_to_keep(const live_step& step,
@@ -195,12 +194,12 @@
             by_rack[rack].push_back({missing_share(step, worker), &worker, count});
         }
     });
-    return cheapest_places(step, std::move(by_rack));
+    return cheapest_places(step, by_rack);
 }
 
 std::vector<core::worker_id>
 task_placer::cheapest_places(const live_step& step,
-                             std::map<core::rack_id, std::vector<gang_candidate>> by_rack) {
+                             std::map<core::rack_id, std::vector<gang_candidate>>& by_rack) {
     for (auto& [rack, candidates] : by_rack) {
         std::sort(candidates.begin(), candidates.end(),
                   [](const gang_candidate& a, const gang_candidate& b) { return a.cost < b.cost; });
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -121,9 +121,9 @@
                                           core::steady_time now);
     [[nodiscard]] static std::uint32_t tasks_within(const live_step& step, const worker_state& worker,
                                                     const core::resources& available);
-    /// @param by_rack the candidates per rack; all in one group if the gang may span racks.
+    /// @param by_rack the candidates per rack; all in one group if the gang may span racks. They get sorted.
     [[nodiscard]] static std::vector<core::worker_id>
-    cheapest_places(const live_step& step, std::map<core::rack_id, std::vector<gang_candidate>> by_rack);
+    cheapest_places(const live_step& step, std::map<core::rack_id, std::vector<gang_candidate>>& by_rack);
 
     /// Calls a function for each worker that may permit the step: those that advice has allowed, or all.
     void for_each_allowed(const live_step& step, const std::function<void(const worker_state&)>& visit) const;
