Place waiting gangs again with time, and renew their tickets together (LOST)

Cause, by reading: (a) a gang that could not keep places (after it had yielded, or beside other gangs' places) was looked at again only when something else ended, which in an idle cell never happens; (b) its tickets were renewed only for kept places; (c) tickets were renewed one after the other, so that those of many workers were never valid together. Change: a waiting gang is placed again every 100 ms; places that have room are kept whatever the limit; tickets that would expire before the answer are renewed with the others; a worker that advice denies is no longer taken for allowed.

--- a/src/dispatch/advice_manager.cpp
+++ b/src/dispatch/advice_manager.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace rattanmount::dispatch {
 
@@ -30,6 +31,12 @@
     return timeout - call_margin > long_request_threshold;
 }
 
+/// @return the response time that the service states for a request.
+core::milliseconds expected_time(const workflow::advice_policy& policy, std::size_t workers) {
+    return policy.base_time +
+           std::chrono::ceil<core::milliseconds>(policy.time_per_worker * static_cast<int>(workers));
+}
+
 } // namespace
 
 bool advice_manager::can_send_request(const workflow::queue_id& queue, bool is_long) const {
@@ -66,8 +73,7 @@
     }
     step.advice.request_in_flight = true;
     const auto& policy = *step.job->policy().advice;
-    const auto expected = policy.base_time + std::chrono::ceil<core::milliseconds>(
-                                                 policy.time_per_worker * static_cast<int>(workers.size()));
+    const auto expected = expected_time(policy, workers.size());
     this->requests.emplace(step.name, request{.queue = queue, .is_long = takes_long(expected + call_margin)});
     this->state.options.hooks.advise(
         {.step = step.name, .workers = std::move(workers), .timeout = expected + call_margin});
@@ -123,6 +129,7 @@
     for (const auto& worker : order.workers) {
         if (!allowed.contains(worker)) {
             step->advice.denied.insert(worker);
+            step->advice.allowed.erase(worker);
             newly_decided++;
         }
     }
@@ -151,20 +158,23 @@
 
 std::vector<core::worker_id> advice_manager::kept_workers_to_ask_about(const live_step& step,
                                                                        core::steady_time now) const {
+    const std::set<core::worker_id> kept{step.kept_workers.begin(), step.kept_workers.end()};
+    // All tickets have to be valid at a time, so those that expire before the answer are renewed with the
+    // others.
+    const auto answered_at = now + expected_time(*step.job->policy().advice, kept.size());
     std::vector<core::worker_id> expired;
     std::size_t free = 0;
-    for (const auto& id : step.kept_workers) {
+    for (const auto& id : kept) {
         const auto worker = this->state.workers.find(id);
         if (worker == this->state.workers.end()) {
             continue;
         }
         free += worker->second.has_room_for_kept_places() ? 1 : 0;
-        const bool named = std::find(expired.begin(), expired.end(), id) != expired.end();
-        if (!named && !this->selector.permitted(step, worker->second, now)) {
+        if (!this->selector.permitted(step, worker->second, answered_at)) {
             expired.push_back(id);
         }
     }
-    return free * 2 >= step.kept_workers.size() ? expired : std::vector<core::worker_id>{};
+    return free * 2 >= kept.size() ? expired : std::vector<core::worker_id>{};
 }
 
 std::vector<advice_manager::candidate> advice_manager::candidates_for(const live_step& step,
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -381,7 +381,8 @@
             this->advice.ask(*step, step->waiting.size(), now);
             continue;
         }
-        if (step->needs_placement || settles || !freed.empty()) {
+        const bool due = step->request->gang && now >= step->place_again_at;
+        if (step->needs_placement || settles || !freed.empty() || due) {
             if (step->request->gang) {
                 this->gangs.place(*step, now);
             } else {
--- a/src/dispatch/gang_placer.cpp
+++ b/src/dispatch/gang_placer.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t workers_per_kept_one = 4;
 /// Places are chosen anew after this time: the runs there take longer than other workers' runs.
 constexpr core::milliseconds longest_keep{10000};
+/// A waiting gang is placed again after this time, as tickets, pauses and limits change with time alone.
+constexpr core::milliseconds place_interval{100};
 /// Time without kept places after a more urgent step has waited.
 constexpr core::milliseconds yield_pause{1000};
 
@@ -25,6 +27,7 @@
 
 void gang_placer::place(live_step& step, core::steady_time now) {
     step.needs_placement = false;
+    step.place_again_at = now + place_interval;
     for (const auto& task : step.tasks) {
         if (!this->may_start(step, task, now)) {
             return;
@@ -111,7 +114,11 @@
         return;
     }
     const auto& service = step.job->policy().service;
-    if (this->blocked.contains(service) || !this->may_keep_places(step, now)) {
+    // Places with room only wait for tickets, so they hold nothing back for long.
+    const bool has_room = std::all_of(workers.begin(), workers.end(), [&](const core::worker_id& id) {
+        return task_placer::missing_share(step, this->state.workers.at(id)) <= 0;
+    });
+    if (!has_room && (this->blocked.contains(service) || !this->may_keep_places(step, now))) {
         this->blocked.insert(service);
         return;
     }
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -79,6 +79,7 @@
     core::milliseconds remaining_work{0}; ///< Estimate of the longest chain of work from its start on.
     /// Workers on which places are kept for the tasks of a waiting gang, by index; empty if there are none.
     std::vector<core::worker_id> kept_workers;
+    core::steady_time place_again_at; ///< When a waiting gang is placed again although nothing has changed.
     std::map<core::worker_id, std::uint32_t> runs_per_worker; ///< Number of runs of the step per worker.
     bool ready = false;
     bool needs_placement = false; ///< Whether tasks or permitted workers were added since the last placement.
--- a/tests/dispatch/gang_test.cpp
+++ b/tests/dispatch/gang_test.cpp
@@ -99,6 +99,26 @@
     CHECK(cell.violations().empty());
 }
 
+// LOST: gangs that had yielded to urgent tasks were not placed again once nothing else happened in the cell.
+TEST_CASE("gangs start once the cell is idle, also those with many tasks and tickets that expire soon") {
+    simulated_cell cell{{.workers = 60, .capacity = worker_capacity, .allowed_share = 0.5}};
+    cell.run_for(1s);
+    constexpr int gangs = 12;
+    for (int i = 0; i < gangs; i++) {
+        cell.submit(render("g" + std::to_string(i), i % 2 == 0 ? 4 : 20, 8), queue_of("renders", 1, 715ms));
+        cell.submit(preview("p" + std::to_string(i)), queue_of("previews", 2, 195ms));
+        cell.submit(job_of("u" + std::to_string(i), 30,
+                           {.millicores = 40000, .memory_mb = 1000, .accelerators = 2}, 500ms, false),
+                    queue_of("urgent", 0, 20ms));
+        cell.run_for(100ms);
+    }
+    cell.run_for(45s);
+    for (int i = 0; i < gangs; i++) {
+        CHECK(workflow::is_over(cell.phase_of("g" + std::to_string(i))));
+    }
+    CHECK(cell.violations().empty());
+}
+
 // Urgent tasks do not wait for places that are kept for less urgent gangs.
 TEST_CASE("a gang gives up its kept places when urgent tasks wait") {
     simulated_cell cell{{.workers = 4, .capacity = worker_capacity, .allowed_share = 1}};
