Move a waiting gang's places to workers that have become free (LOST)

Change: when some kept places are still busy and there are free ones for the rest, the gang takes those.

--- a/src/dispatch/gang_placer.cpp
+++ b/src/dispatch/gang_placer.cpp
@@ -44,7 +44,10 @@
         this->release(step);
         this->start(step, workers, now);
     } else if (step.kept_workers.empty()) {
-        this->keep_places(step, now);
+        this->keep_places(step, this->selector.choose_places_to_keep(step, now), now);
+    } else if (const auto free = this->selector.choose_free_places(step, now); !free.empty()) {
+        this->release(step);
+        this->keep_places(step, free, now);
     }
 }
 
@@ -108,8 +111,8 @@
                       [&service](const auto& place) { return place.second.entry.service == service; }));
 }
 
-void gang_placer::keep_places(live_step& step, core::steady_time now) {
-    const auto workers = this->selector.choose_places_to_keep(step, now);
+void gang_placer::keep_places(live_step& step, const std::vector<core::worker_id>& workers,
+                              core::steady_time now) {
     if (workers.empty()) {
         return;
     }
--- a/src/dispatch/gang_placer.h
+++ b/src/dispatch/gang_placer.h
@@ -50,7 +50,8 @@
 private:
     [[nodiscard]] bool may_keep_places(const live_step& step, core::steady_time now) const;
     [[nodiscard]] std::size_t workers_of(const core::service_id& service) const;
-    void keep_places(live_step& step, core::steady_time now);
+    /// @param workers a worker for each task by index; none if there are no places.
+    void keep_places(live_step& step, const std::vector<core::worker_id>& workers, core::steady_time now);
     /// @return whether all kept places have room and valid tickets.
     [[nodiscard]] bool can_start_on_kept_places(const live_step& step, core::steady_time now) const;
     [[nodiscard]] bool are_useful(const live_step& step, core::steady_time kept_at,
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -197,6 +197,29 @@
     return cheapest_places(step, by_rack);
 }
 
+std::vector<core::worker_id> task_placer::choose_free_places(const live_step& step,
+                                                             core::steady_time now) const {
+    std::vector<core::worker_id> chosen;
+    for (const auto& id : step.kept_workers) {
+        const auto worker = this->state.workers.find(id);
+        if (worker != this->state.workers.end() && worker->second.has_room_for_kept_places()) {
+            chosen.push_back(id);
+        }
+    }
+    if (chosen.size() == step.kept_workers.size() || step.request->one_rack) {
+        return {};
+    }
+    this->for_each_allowed(step, [&](const worker_state& worker) {
+        const bool usable = !step.job->policy().advice || known_allowed(step, worker);
+        if (usable && this->suits(step, worker, now)) {
+            const auto wanted = step.tasks.size() - chosen.size();
+            const auto count = std::min<std::size_t>(this->tasks_that_fit(step, worker), wanted);
+            chosen.insert(chosen.end(), count, worker.entry.worker);
+        }
+    });
+    return chosen.size() == step.tasks.size() ? chosen : std::vector<core::worker_id>{};
+}
+
 std::vector<core::worker_id>
 task_placer::cheapest_places(const live_step& step,
                              std::map<core::rack_id, std::vector<gang_candidate>>& by_rack) {
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -51,6 +51,14 @@
     [[nodiscard]] std::vector<core::worker_id> choose_places_to_keep(const live_step& step,
                                                                      core::steady_time now) const;
 
+    /// Chooses places with room now for a gang that has places kept on workers some of which are still busy.
+    /// @param step a gang with kept places.
+    /// @param now the current time.
+    /// @return a worker for each task by index, kept places with room first; empty if all kept places have
+    /// room or there is not a free place for every task.
+    [[nodiscard]] std::vector<core::worker_id> choose_free_places(const live_step& step,
+                                                                  core::steady_time now) const;
+
     /// @param step a step.
     /// @param worker a worker.
     /// @param now the current time.
--- a/tests/dispatch/gang_test.cpp
+++ b/tests/dispatch/gang_test.cpp
@@ -119,6 +119,24 @@
     CHECK(cell.violations().empty());
 }
 
+// LOST: a gang waited for the busy workers on which its places were kept, while others had become free.
+TEST_CASE("a gang whose kept places stay busy starts on workers that become free elsewhere") {
+    simulated_cell cell{{.workers = 8, .capacity = worker_capacity, .allowed_share = 1}};
+    cell.run_for(1s);
+    // Four workers are busy for 4 s and look less busy than the others, which are busy for 1 s.
+    cell.submit(job_of("long", 4, {.millicores = 70000, .memory_mb = 1000, .accelerators = 2}, 9000ms, false),
+                queue_of("batches", 2, 0ms));
+    cell.run_for(500ms);
+    cell.submit(
+        job_of("short", 4, {.millicores = 120000, .memory_mb = 400000, .accelerators = 7}, 1500ms, false),
+        queue_of("batches", 2, 0ms));
+    cell.run_for(500ms);
+    cell.submit(render("gang", 4, 8), queue_of("renders", 1, 100ms));
+    cell.run_for(20s);
+    CHECK(cell.time_taken("gang") < 3600ms + 1500ms + 3000ms);
+    CHECK(cell.violations().empty());
+}
+
 // Urgent tasks do not wait for places that are kept for less urgent gangs.
 TEST_CASE("a gang gives up its kept places when urgent tasks wait") {
     simulated_cell cell{{.workers = 4, .capacity = worker_capacity, .allowed_share = 1}};
