--- a/src/dispatch/gang_placer.cpp
+++ b/src/dispatch/gang_placer.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Places are kept on at most one in so many workers of a service, unless only one gang has places there.
-constexpr std::size_t workers_per_kept_one = 4;
+constexpr std::size_t workers_per_kept_one = 2;
 /// Places are chosen anew after this time: the runs there take longer than other workers' runs.
 constexpr core::milliseconds longest_keep{10000};
 /// A waiting gang is placed again after this time, as tickets, pauses and limits change with time alone.
