Prefer the best fit among places for gangs that have room

Cause: workers for gangs were ordered only by what has to become free there, so all workers with room were alike, and gangs of small tasks took places on empty workers that gangs of large tasks need. Change: among workers with the same missing share, the cost of other placements decides, which is lower for a better fit.

--- a/src/dispatch/advice_manager.cpp
+++ b/src/dispatch/advice_manager.cpp
@@ -191,7 +191,7 @@
                                    ? 0
                                    : this->selector.tasks_that_fit_when_idle(step, worker, now);
             if (count > 0) {
-                found.push_back({task_placer::missing_share(step, worker), &worker, count, known});
+                found.push_back({this->selector.gang_cost(step, worker, now), &worker, count, known});
             }
         } else if (this->selector.suits(step, worker, now)) {
             found.push_back({this->selector.cost(step, worker, now), &worker,
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -16,6 +16,7 @@
 constexpr double failure_cost = 2;
 constexpr double interference_cost = 1.5;
 constexpr double failed_here_cost = 8;
+constexpr double missing_cost = 10; ///< Per missing_share().
 
 bool has_label(const worker_entry& worker, const workflow::worker_label& label) {
     return label.empty() ||
@@ -121,6 +122,11 @@
     return cost;
 }
 
+double task_placer::gang_cost(const live_step& step, const worker_state& worker,
+                              core::steady_time now) const {
+    return missing_cost * missing_share(step, worker) + this->cost(step, worker, now);
+}
+
 std::optional<core::worker_id> task_placer::choose(const live_step& step, std::uint32_t index,
                                                    core::steady_time now) const {
     best_choice best;
@@ -191,7 +197,7 @@
         }
         if (const auto count = this->tasks_that_fit_when_idle(step, worker, now); count > 0) {
             const auto rack = step.request->one_rack ? worker.entry.rack : core::rack_id{};
-            by_rack[rack].push_back({missing_share(step, worker), &worker, count});
+            by_rack[rack].push_back({this->gang_cost(step, worker, now), &worker, count});
         }
     });
     return cheapest_places(step, by_rack);
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -73,6 +73,14 @@
     /// summed.
     [[nodiscard]] static double missing_share(const live_step& step, const worker_state& worker);
 
+    /// @param step a gang.
+    /// @param worker a worker, which may be busy.
+    /// @param now the current time.
+    /// @return the cost of keeping a place there, lower is better: what has to become free first, then
+    /// cost().
+    [[nodiscard]] double gang_cost(const live_step& step, const worker_state& worker,
+                                   core::steady_time now) const;
+
     /// @param step a step.
     /// @param worker a worker.
     /// @return whether advice has ever permitted the step there; the ticket may have expired.
