Ask about free workers when a gang's permitted ones stay busy (LOST)

Cause, by reading: a gang asked about no more workers once those it was allowed could hold it when idle; a straggler there (3% of the tasks take seven times as long) held it back, while free workers were never asked about. Change: if the permitted workers have no room for all tasks now, and unknown workers with room are expected to complete the places, advice is asked about these.

--- a/src/dispatch/advice_manager.cpp
+++ b/src/dispatch/advice_manager.cpp
@@ -177,6 +177,40 @@
     return free * 2 >= kept.size() ? expired : std::vector<core::worker_id>{};
 }
 
+std::vector<core::worker_id> advice_manager::free_workers_to_ask_about(const live_step& step,
+                                                                       std::size_t places,
+                                                                       core::steady_time now) const {
+    std::size_t known_places = 0;
+    std::size_t unknown_places = 0;
+    std::vector<candidate> unknown;
+    for (const auto& id : step.kept_workers) {
+        const auto worker = this->state.workers.find(id);
+        const bool has_room =
+            worker != this->state.workers.end() && worker->second.has_room_for_kept_places();
+        known_places += has_room ? 1 : 0;
+    }
+    for (const auto& [id, worker] : this->state.workers) {
+        if (step.advice.denied.contains(id) || !this->selector.suits(step, worker, now)) {
+            continue;
+        }
+        const auto count = this->selector.tasks_that_fit(step, worker);
+        if (task_placer::known_allowed(step, worker)) {
+            known_places += count;
+        } else {
+            unknown_places += count;
+            unknown.push_back({this->selector.cost(step, worker, now), &worker, count, false});
+        }
+    }
+    const auto share = this->share_allowed(step);
+    const auto possible = static_cast<double>(known_places) + share * static_cast<double>(unknown_places);
+    if (known_places >= places || possible < static_cast<double>(places)) {
+        return {};
+    }
+    std::sort(unknown.begin(), unknown.end(),
+              [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
+    return name_workers(unknown, places, static_cast<double>(known_places), share);
+}
+
 std::vector<advice_manager::candidate> advice_manager::candidates_for(const live_step& step,
                                                                       core::steady_time now) const {
     std::vector<candidate> found;
@@ -206,19 +240,32 @@
 
 std::vector<core::worker_id> advice_manager::workers_to_ask_about(const live_step& step, std::size_t places,
                                                                   core::steady_time now) const {
+    if (step.request->gang) {
+        if (auto free = this->free_workers_to_ask_about(step, places, now); !free.empty()) {
+            return free;
+        }
+    }
     if (!step.kept_workers.empty()) {
         return this->kept_workers_to_ask_about(step, now);
     }
     if (this->has_enough(step, places, now)) {
         return {};
     }
+    const auto known = step.request->gang ? static_cast<double>(this->places_known(step, now)) : 0.0;
+    return name_workers(this->candidates_for(step, now), places, known, this->share_allowed(step));
+}
+
+double advice_manager::share_allowed(const live_step& step) const {
     const auto found = this->allowed_share.find(step.job->policy().queue);
-    const auto share = std::max(found == this->allowed_share.end() ? first_allowed_share : found->second,
-                                least_allowed_share);
+    return std::max(found == this->allowed_share.end() ? first_allowed_share : found->second,
+                    least_allowed_share);
+}
+
+std::vector<core::worker_id> advice_manager::name_workers(const std::vector<candidate>& candidates,
+                                                          std::size_t places, double expected, double share) {
     const auto wanted = static_cast<double>(places) * spare_share + spare_tasks;
     std::vector<core::worker_id> named;
-    auto expected = step.request->gang ? static_cast<double>(this->places_known(step, now)) : 0.0;
-    for (const auto& one : this->candidates_for(step, now)) {
+    for (const auto& one : candidates) {
         if (expected >= wanted || named.size() >= most_workers) {
             break;
         }
--- a/src/dispatch/advice_manager.h
+++ b/src/dispatch/advice_manager.h
@@ -66,6 +66,17 @@
                                                                          core::steady_time now) const;
     /// @return whether the workers that are already allowed have room for that many tasks of the step.
     [[nodiscard]] bool has_enough(const live_step& step, std::size_t places, core::steady_time now) const;
+    /// @return workers with room now that would complete the places of a gang whose permitted workers are
+    /// busy; none if the gang is not expected to fit on them either.
+    [[nodiscard]] std::vector<core::worker_id>
+    free_workers_to_ask_about(const live_step& step, std::size_t places, core::steady_time now) const;
+    /// @return the share of the workers that advice is expected to allow the step.
+    [[nodiscard]] double share_allowed(const live_step& step) const;
+    /// @param expected the places that are known already.
+    /// @param share the share of unknown workers that advice is expected to allow.
+    /// @return the first workers that together are expected to give the places, and some to spare.
+    [[nodiscard]] static std::vector<core::worker_id>
+    name_workers(const std::vector<candidate>& candidates, std::size_t places, double expected, double share);
     [[nodiscard]] std::vector<core::worker_id> workers_to_ask_about(const live_step& step, std::size_t places,
                                                                     core::steady_time now) const;
 
--- a/tests/dispatch/gang_test.cpp
+++ b/tests/dispatch/gang_test.cpp
@@ -119,6 +119,25 @@
     CHECK(cell.violations().empty());
 }
 
+// LOST: the workers that advice had permitted were held by stragglers, and the gang asked about no others.
+TEST_CASE("a gang whose permitted workers stay busy asks about workers that are free") {
+    simulated_cell cell{{.workers = 16, .capacity = worker_capacity, .allowed_share = 0.6}};
+    cell.run_for(1s);
+    // Until all workers are busy, nothing tells the gang which of them will be busy for long.
+    cell.work_time = [](const workflow::task_name& task, const workflow::step_request& step,
+                        std::uint32_t worker) {
+        return task.step.job.value() == "filler" && worker < 8 ? core::milliseconds{25000} : step.estimate;
+    };
+    cell.submit(
+        job_of("filler", 16, {.millicores = 100000, .memory_mb = 1000, .accelerators = 8}, 2000ms, false),
+        queue_of("batches", 2, 0ms));
+    cell.run_for(1s);
+    cell.submit(render("gang", 4, 8), queue_of("renders", 1, 700ms));
+    cell.run_for(40s);
+    CHECK(cell.time_taken("gang") < 2000ms + 3600ms + 4000ms);
+    CHECK(cell.violations().empty());
+}
+
 // LOST: a gang waited for the busy workers on which its places were kept, while others had become free.
 TEST_CASE("a gang whose kept places stay busy starts on workers that become free elsewhere") {
     simulated_cell cell{{.workers = 8, .capacity = worker_capacity, .allowed_share = 1}};
