--- a/tests/dispatch/gang_test.cpp
+++ b/tests/dispatch/gang_test.cpp
@@ -123,7 +123,7 @@
 TEST_CASE("a gang whose permitted workers stay busy asks about workers that are free") {
     simulated_cell cell{{.workers = 16, .capacity = worker_capacity, .allowed_share = 0.6}};
     cell.run_for(1s);
-    // Until all workers are busy, nothing tells the gang which of them will be busy for long.
+    // Nothing tells the gang which workers will be busy for long.
     cell.work_time = [](const workflow::task_name& task, const workflow::step_request& step,
                         std::uint32_t worker) {
         return task.step.job.value() == "filler" && worker < 8 ? core::milliseconds{25000} : step.estimate;
@@ -142,7 +142,7 @@
 TEST_CASE("a gang whose kept places stay busy starts on workers that become free elsewhere") {
     simulated_cell cell{{.workers = 8, .capacity = worker_capacity, .allowed_share = 1}};
     cell.run_for(1s);
-    // Four workers are busy for 4 s and look less busy than the others, which are busy for 1 s.
+    // Four workers look less busy and stay so for 9 s; the others are free after 1.5 s.
     cell.submit(job_of("long", 4, {.millicores = 70000, .memory_mb = 1000, .accelerators = 2}, 9000ms, false),
                 queue_of("batches", 2, 0ms));
     cell.run_for(500ms);
