Let the answers of a multiplexer test outlive its multiplexer

Cause: in the test of calls to a restarted server, the last call is still open at the end. The server's socket is closed first, the multiplexer reports the call as broken, and the list of answers may be destroyed by then. Change: the answers are declared before the multiplexer, so they are destroyed after it. The product's code is not concerned.

--- a/tests/external/http_multiplexer_test.cpp
+++ b/tests/external/http_multiplexer_test.cpp
@@ -170,8 +170,8 @@
 TEST_CASE("a call that waited is not sent to the process that replaced its server") {
     auto server = std::make_unique<Poco::Net::ServerSocket>(Poco::Net::SocketAddress{"127.0.0.1", 0});
     const core::endpoint at{.address = "127.0.0.1", .port = server->address().port()};
+    answers received; // Outlives the multiplexer, whose last call ends when the server is destroyed.
     external::http_multiplexer calls{{.max_connections = 1}};
-    answers received;
     const auto call_now = [&](const std::string& target) {
         const auto now = std::chrono::steady_clock::now();
         calls.post([&calls, at, target, now, handler = received.handler()] {
