--- a/src/dispatch/advice_manager.cpp
+++ b/src/dispatch/advice_manager.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ratio>
 #include <set>
 
 namespace rattanmount::dispatch {
@@ -23,6 +24,8 @@
 constexpr core::milliseconds long_request_threshold{200};
 /// One in this many requests, and at least one, is reserved for short requests.
 constexpr std::uint32_t requests_per_reserved_one = 4;
+/// The most of the long requests that one queue may have in flight.
+using queue_share = std::ratio<2, 3>;
 /// Delay before the next search for candidates if none was found or none is needed.
 constexpr core::milliseconds no_candidate_pause{50};
 
@@ -31,12 +34,6 @@
     return timeout - call_margin > long_request_threshold;
 }
 
-/// @return the response time that the service states for a request.
-core::milliseconds expected_time(const workflow::advice_policy& policy, std::size_t workers) {
-    return policy.base_time +
-           std::chrono::ceil<core::milliseconds>(policy.time_per_worker * static_cast<int>(workers));
-}
-
 } // namespace
 
 bool advice_manager::can_send_request(const workflow::queue_id& queue, bool is_long) const {
@@ -55,7 +52,8 @@
         all += sent.is_long ? 1 : 0;
         of_queue += sent.is_long && sent.queue == queue ? 1 : 0;
     }
-    return all < limit && of_queue < std::max(limit * 2 / 3, 1U);
+    const auto queue_limit = static_cast<std::uint32_t>(limit * queue_share::num / queue_share::den);
+    return all < limit && of_queue < std::max(queue_limit, 1U);
 }
 
 void advice_manager::ask(live_step& step, std::size_t places, core::steady_time now) {
@@ -72,24 +70,19 @@
         return;
     }
     step.advice.request_in_flight = true;
-    const auto& policy = *step.job->policy().advice;
-    const auto expected = expected_time(policy, workers.size());
+    const auto expected = step.job->policy().advice->response_time(workers.size());
     this->requests.emplace(step.name, request{.queue = queue, .is_long = takes_long(expected + call_margin)});
     this->state.options.hooks.advise(
         {.step = step.name, .workers = std::move(workers), .timeout = expected + call_margin});
 }
 
 bool advice_manager::has_enough(const live_step& step, std::size_t places, core::steady_time now) const {
-    if (step.request->gang) {
-        return this->places_known(step, now) >= places;
-    }
     std::size_t free = 0;
-    for (const auto& [id, ticket] : step.advice.allowed) {
-        const auto worker = this->state.workers.find(id);
-        if (worker != this->state.workers.end() && this->selector.can_take(step, worker->second, now)) {
-            free += this->selector.tasks_that_fit(step, worker->second);
+    this->selector.for_each_allowed(step, [&](const worker_state& worker) {
+        if (this->selector.can_take(step, worker, now)) {
+            free += this->selector.tasks_that_fit(step, worker);
         }
-    }
+    });
     return free >= places;
 }
 
@@ -144,13 +137,10 @@
 
 std::size_t advice_manager::places_known(const live_step& step, core::steady_time now) const {
     std::map<core::rack_id, std::size_t> places;
-    for (const auto& [id, ticket] : step.advice.allowed) {
-        const auto worker = this->state.workers.find(id);
-        if (worker != this->state.workers.end() && task_placer::known_allowed(step, worker->second)) {
-            const auto rack = step.request->one_rack ? worker->second.entry.rack : core::rack_id{};
-            places[rack] += this->selector.tasks_that_fit_when_idle(step, worker->second, now);
-        }
-    }
+    this->selector.for_each_allowed(step, [&](const worker_state& worker) {
+        places[task_placer::rack_group(step, worker)] +=
+            this->selector.tasks_that_fit_when_idle(step, worker, now);
+    });
     const auto most = std::max_element(places.begin(), places.end(),
                                        [](const auto& a, const auto& b) { return a.second < b.second; });
     return most == places.end() ? 0 : most->second;
@@ -161,7 +151,7 @@
     const std::set<core::worker_id> kept{step.kept_workers.begin(), step.kept_workers.end()};
     // All tickets have to be valid at a time, so those that expire before the answer are renewed with the
     // others.
-    const auto answered_at = now + expected_time(*step.job->policy().advice, kept.size());
+    const auto answered_at = now + step.job->policy().advice->response_time(kept.size());
     std::vector<core::worker_id> expired;
     std::size_t free = 0;
     for (const auto& id : kept) {
@@ -180,15 +170,9 @@
 std::vector<core::worker_id> advice_manager::free_workers_to_ask_about(const live_step& step,
                                                                        std::size_t places,
                                                                        core::steady_time now) const {
-    std::size_t known_places = 0;
+    auto known_places = this->selector.kept_places_with_room(step).size();
     std::size_t unknown_places = 0;
     std::vector<candidate> unknown;
-    for (const auto& id : step.kept_workers) {
-        const auto worker = this->state.workers.find(id);
-        const bool has_room =
-            worker != this->state.workers.end() && worker->second.has_room_for_kept_places();
-        known_places += has_room ? 1 : 0;
-    }
     for (const auto& [id, worker] : this->state.workers) {
         if (step.advice.denied.contains(id) || !this->selector.suits(step, worker, now)) {
             continue;
@@ -241,18 +225,29 @@
 std::vector<core::worker_id> advice_manager::workers_to_ask_about(const live_step& step, std::size_t places,
                                                                   core::steady_time now) const {
     if (step.request->gang) {
-        if (auto free = this->free_workers_to_ask_about(step, places, now); !free.empty()) {
-            return free;
-        }
+        return this->gang_workers_to_ask_about(step, places, now);
+    }
+    if (this->has_enough(step, places, now)) {
+        return {};
+    }
+    return name_workers(this->candidates_for(step, now), places, 0, this->share_allowed(step));
+}
+
+std::vector<core::worker_id> advice_manager::gang_workers_to_ask_about(const live_step& step,
+                                                                       std::size_t places,
+                                                                       core::steady_time now) const {
+    if (auto free = this->free_workers_to_ask_about(step, places, now); !free.empty()) {
+        return free;
     }
     if (!step.kept_workers.empty()) {
         return this->kept_workers_to_ask_about(step, now);
     }
-    if (this->has_enough(step, places, now)) {
+    const auto known = this->places_known(step, now);
+    if (known >= places) {
         return {};
     }
-    const auto known = step.request->gang ? static_cast<double>(this->places_known(step, now)) : 0.0;
-    return name_workers(this->candidates_for(step, now), places, known, this->share_allowed(step));
+    return name_workers(this->candidates_for(step, now), places, static_cast<double>(known),
+                        this->share_allowed(step));
 }
 
 double advice_manager::share_allowed(const live_step& step) const {
--- a/src/dispatch/advice_manager.h
+++ b/src/dispatch/advice_manager.h
@@ -77,6 +77,8 @@
     /// @return the first workers that together are expected to give the places, and some to spare.
     [[nodiscard]] static std::vector<core::worker_id>
     name_workers(const std::vector<candidate>& candidates, std::size_t places, double expected, double share);
+    [[nodiscard]] std::vector<core::worker_id>
+    gang_workers_to_ask_about(const live_step& step, std::size_t places, core::steady_time now) const;
     [[nodiscard]] std::vector<core::worker_id> workers_to_ask_about(const live_step& step, std::size_t places,
                                                                     core::steady_time now) const;
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -23,14 +23,8 @@
     : state{.options = std::move(options)}, runs(this->state), lifecycle(this->state, this->runs),
       leases(this->state, this->runs, this->lifecycle), retrier(this->state, this->runs),
       used_workers(this->state), selector(this->state), advice(this->state, this->selector),
-      gangs(this->state, this->runs, this->lifecycle, this->selector,
-            [this](const live_step& step, const live_task& task, core::steady_time now) {
-                return this->may_start(step, task, now);
-            }),
-      mover(this->state, this->runs, this->selector, this->advice,
-            [this](const live_step& step, const live_task& task, core::steady_time now) {
-                return this->may_start(step, task, now);
-            }) {}
+      gangs(this->state, this->runs, this->lifecycle, this->selector, this->make_start_check()),
+      mover(this->state, this->runs, this->selector, this->advice, this->make_start_check()) {}
 
 void dispatcher::start_leading(core::epoch_id epoch, const workflow::cell_state& cell, core::steady_time now,
                                core::steady_time list_complete_at) {
@@ -428,6 +422,12 @@
     step.waiting = std::move(left);
 }
 
+start_check dispatcher::make_start_check() const {
+    return [this](const live_step& step, const live_task& task, core::steady_time now) {
+        return this->may_start(step, task, now);
+    };
+}
+
 bool dispatcher::may_start(const live_step& step, const live_task& task, core::steady_time now) const {
     if (!step.job->inherited) {
         return true;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -134,6 +134,7 @@
     void open_due_occurrences(live_job& job, core::steady_time now, core::system_time system);
     void place_all(core::steady_time now);
     void place_step(live_step& step, const std::set<core::worker_id>& freed, core::steady_time now);
+    [[nodiscard]] start_check make_start_check() const;
     [[nodiscard]] bool may_start(const live_step& step, const live_task& task, core::steady_time now) const;
     [[nodiscard]] bool has_settled_predecessor(core::steady_time now);
     /// Counts a reply among the orders in flight.
--- a/src/dispatch/gang_placer.cpp
+++ b/src/dispatch/gang_placer.cpp
@@ -53,38 +53,40 @@
 
 void gang_placer::yield_to(const live_step& step, core::steady_time now) {
     const auto& policy = step.job->policy();
-    std::vector<live_step*> yielding;
-    for (const auto& [name, since] : this->kept_at) {
-        auto* const gang = this->state.find_step(name);
-        if (gang != nullptr && gang->job->policy().service == policy.service &&
-            gang->job->policy().priority > policy.priority) {
-            yielding.push_back(gang);
-        }
-    }
-    for (auto* const gang : yielding) {
-        this->release(*gang);
-    }
-    if (!yielding.empty()) {
+    const auto released = this->release_if([&policy](const live_step& gang, core::steady_time) {
+        return gang.job->policy().service == policy.service && gang.job->policy().priority > policy.priority;
+    });
+    if (!released.empty()) {
         this->paused_until[policy.service] = now + yield_pause;
     }
 }
 
 void gang_placer::tick(core::steady_time now) {
     this->blocked.clear();
-    const auto kept = this->kept_at;
-    for (const auto& [name, since] : kept) {
-        auto* const step = this->state.find_step(name);
-        if (step == nullptr) {
-            this->kept_at.erase(name);
-        } else if (!this->are_useful(*step, since, now)) {
-            this->release(*step);
-            step->needs_placement = true;
+    const auto released = this->release_if([this, now](const live_step& gang, core::steady_time kept_at) {
+        return !this->are_useful(gang, kept_at, now);
+    });
+    for (auto* const gang : released) {
+        gang->needs_placement = true;
+    }
+}
+
+std::vector<live_step*>
+gang_placer::release_if(const std::function<bool(const live_step&, core::steady_time)>& condition) {
+    std::vector<live_step*> released;
+    for (const auto& [gang, kept_at] : this->kept) {
+        if (condition(*gang, kept_at)) {
+            released.push_back(gang);
         }
     }
+    for (auto* const gang : released) {
+        this->release(*gang);
+    }
+    return released;
 }
 
 void gang_placer::reset() {
-    this->kept_at.clear();
+    this->kept.clear();
     this->blocked.clear();
     this->paused_until.clear();
 }
@@ -95,14 +97,11 @@
     if (pause != this->paused_until.end() && now < pause->second) {
         return false;
     }
-    std::size_t kept = 0;
-    for (const auto& [name, since] : this->kept_at) {
-        const auto* const gang = this->state.find_step(name);
-        if (gang != nullptr && gang->job->policy().service == service) {
-            kept += gang->kept_workers.size();
-        }
+    std::size_t places = 0;
+    for (const auto& [gang, kept_at] : this->kept) {
+        places += gang->job->policy().service == service ? gang->kept_workers.size() : 0;
     }
-    return kept == 0 || (kept + step.tasks.size()) * workers_per_kept_one <= this->workers_of(service);
+    return places == 0 || (places + step.tasks.size()) * workers_per_kept_one <= this->workers_of(service);
 }
 
 std::size_t gang_placer::workers_of(const core::service_id& service) const {
@@ -129,10 +128,10 @@
         this->runs.reserve_place(step, i, this->state.workers.at(workers[i]));
     }
     step.kept_workers = workers;
-    this->kept_at.emplace(step.name, now);
+    this->kept.emplace(&step, now);
     telemetry::log_state("keeping places for gang", {{"step", step.name.text()},
                                                      {"tasks", std::to_string(workers.size())},
-                                                     {"gangs", std::to_string(this->kept_at.size())}});
+                                                     {"gangs", std::to_string(this->kept.size())}});
 }
 
 bool gang_placer::can_start_on_kept_places(const live_step& step, core::steady_time now) const {
@@ -161,7 +160,7 @@
     for (std::uint32_t i = 0; i < workers.size(); i++) {
         this->runs.release_place(step, i, workers[i]);
     }
-    this->kept_at.erase(step.name);
+    this->kept.erase(&step);
 }
 
 void gang_placer::start(live_step& step, const std::vector<core::worker_id>& workers, core::steady_time now) {
--- a/src/dispatch/gang_placer.h
+++ b/src/dispatch/gang_placer.h
@@ -22,9 +22,6 @@
 /// higher priority. Owned by the dispatcher; used by the control thread only.
 class gang_placer {
 public:
-    /// Returns whether a task may start now as far as a former leader's runs are concerned.
-    using start_check = std::function<bool(const live_step&, const live_task&, core::steady_time)>;
-
     gang_placer(dispatch_state& state, run_manager& runs, task_lifecycle& flow, const task_placer& choice,
                 start_check may_start);
 
@@ -57,6 +54,11 @@
     [[nodiscard]] bool are_useful(const live_step& step, core::steady_time kept_at,
                                   core::steady_time now) const;
     void release(live_step& step);
+    /// Releases the places of all gangs that meet a condition.
+    /// @param condition called with the gang and the time since which its places are kept.
+    /// @return these gangs.
+    std::vector<live_step*>
+    release_if(const std::function<bool(const live_step&, core::steady_time)>& condition);
     void start(live_step& step, const std::vector<core::worker_id>& workers, core::steady_time now);
 
     dispatch_state& state;
@@ -64,7 +66,9 @@
     task_lifecycle& lifecycle;
     const task_placer& selector;
     start_check may_start;
-    std::map<workflow::step_name, core::steady_time> kept_at; ///< The gangs with kept places, and since when.
+    /// The gangs with kept places, and since when. tick() removes those of jobs that are over before the
+    /// dispatcher forgets the jobs.
+    std::map<live_step*, core::steady_time> kept;
     /// Services on whose workers a gang that comes first in this round could not keep places; later ones wait
     /// for it.
     std::set<core::service_id> blocked;
--- a/src/dispatch/live_job.cpp
+++ b/src/dispatch/live_job.cpp
@@ -17,13 +17,9 @@
 
 /// @return how long a step takes by the job's estimate, with one advice request.
 core::milliseconds expected_time(const workflow::job_accepted& job, const workflow::step_request& step) {
-    constexpr int advised_workers = 30; ///< Workers that the advice request of a step is assumed to name.
+    constexpr std::size_t advised_workers = 30; // What the request of a step is assumed to name.
     const auto& advice = job.policy.advice;
-    if (!advice) {
-        return step.estimate;
-    }
-    return step.estimate + advice->base_time +
-           std::chrono::ceil<core::milliseconds>(advice->time_per_worker * advised_workers);
+    return step.estimate + (advice ? advice->response_time(advised_workers) : core::milliseconds{0});
 }
 
 void restore(live_step& step, const workflow::step_progress& recorded) {
@@ -74,25 +70,24 @@
 
 } // namespace
 
-core::milliseconds longest_chain(const workflow::job_accepted& job, std::uint32_t step) {
+std::vector<core::milliseconds> longest_chains(const workflow::job_accepted& job) {
     const auto& steps = job.request.steps;
     // A step depends on earlier ones only, so all chains through it are known once the later steps are.
     std::vector<core::milliseconds> chains(steps.size(), core::milliseconds{0});
-    for (auto i = static_cast<std::uint32_t>(steps.size()); i-- > step;) {
+    for (auto i = steps.size(); i-- > 0;) {
         chains[i] += expected_time(job, steps[i]);
         for (const auto earlier : steps[i].after) {
             chains[earlier] = std::max(chains[earlier], chains[i]);
         }
     }
-    return chains[step];
+    return chains;
 }
 
 core::milliseconds latency_objective_of(const workflow::job_accepted& job) {
-    core::milliseconds longest{0};
-    for (std::uint32_t i = 0; i < job.request.steps.size(); i++) {
-        longest = std::max(longest, longest_chain(job, i));
-    }
-    return std::chrono::duration_cast<core::milliseconds>(longest * job.policy.stretch) +
+    const auto chains = longest_chains(job);
+    const auto longest = std::max_element(chains.begin(), chains.end());
+    const auto work = longest == chains.end() ? core::milliseconds{0} : *longest;
+    return std::chrono::duration_cast<core::milliseconds>(work * job.policy.stretch) +
            job.policy.latency_goal;
 }
 
@@ -100,6 +95,7 @@
                     core::steady_time due_at) {
     const auto& request = job.entry->accepted.request;
     job.latency_objective = latency_objective_of(job.entry->accepted);
+    const auto chains = longest_chains(job.entry->accepted);
     auto& place = job.occurrences[occurrence];
     place.steps.resize(request.steps.size());
     for (std::uint32_t i = 0; i < request.steps.size(); i++) {
@@ -108,7 +104,7 @@
         step.request = &request.steps[i];
         step.name = {.job = request.key, .occurrence = occurrence, .step = i};
         step.due_at = due_at;
-        step.remaining_work = longest_chain(job.entry->accepted, i);
+        step.remaining_work = chains[i];
         step.tasks.resize(step.request->tasks);
         for (auto& task : step.tasks) {
             task.last_run = max_unrecorded_run;
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -117,6 +118,9 @@
     [[nodiscard]] const workflow::job_key& key() const { return this->entry->accepted.request.key; }
 };
 
+/// Returns whether a task may start now as far as a former leader's runs are concerned.
+using start_check = std::function<bool(const live_step&, const live_task&, core::steady_time)>;
+
 /// Adds an occurrence to a job, with the progress that the log has of it.
 /// @param job the job; its entry must be set.
 /// @param occurrence the number of the occurrence.
@@ -127,10 +131,9 @@
                     core::steady_time due_at);
 
 /// @param job a job with its policy.
-/// @param step one of its steps.
-/// @return an estimate of the longest chain of work from the start of the step to the end of the job, with
-/// one advice request per step.
-[[nodiscard]] core::milliseconds longest_chain(const workflow::job_accepted& job, std::uint32_t step);
+/// @return by step, an estimate of the longest chain of work from its start to the end of the job, with one
+/// advice request per step.
+[[nodiscard]] std::vector<core::milliseconds> longest_chains(const workflow::job_accepted& job);
 
 /// @param job a job with its policy.
 /// @return the time within which an occurrence of it should end.
--- a/src/dispatch/run_mover.h
+++ b/src/dispatch/run_mover.h
@@ -21,9 +21,6 @@
 /// end by themselves are not moved. Owned by the dispatcher; used by the control thread only.
 class run_mover {
 public:
-    /// Returns whether a task without a run may be started.
-    using start_check = std::function<bool(const live_step&, const live_task&, core::steady_time)>;
-
     /// @param state the shared state.
     /// @param runs sends the orders and reserves the places.
     /// @param selector chooses the places.
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -58,9 +58,7 @@
     if (!step.job->policy().advice) {
         return true;
     }
-    const auto found = step.advice.allowed.find(worker.entry.worker);
-    return found != step.advice.allowed.end() && found->second.incarnation == worker.entry.incarnation &&
-           now < found->second.expires_at;
+    return known_allowed(step, worker) && now < step.advice.allowed.at(worker.entry.worker).expires_at;
 }
 
 bool task_placer::known_allowed(const live_step& step, const worker_state& worker) {
@@ -145,7 +143,7 @@
     }
     for (const auto& [id, ticket] : step.advice.allowed) {
         const auto worker = this->state.workers.find(id);
-        if (worker != this->state.workers.end()) {
+        if (worker != this->state.workers.end() && known_allowed(step, worker->second)) {
             visit(worker->second);
         }
     }
@@ -177,47 +175,37 @@
 }
 
 std::vector<core::worker_id> task_placer::choose_gang(const live_step& step, core::steady_time now) const {
-    std::map<core::rack_id, std::vector<gang_candidate>> by_rack;
-    this->for_each_allowed(step, [&](const worker_state& worker) {
-        if (this->can_take(step, worker, now)) {
-            const auto rack = step.request->one_rack ? worker.entry.rack : core::rack_id{};
-            by_rack[rack].push_back(
-                {this->cost(step, worker, now), &worker, this->tasks_that_fit(step, worker)});
-        }
+    return this->choose_for_gang(step, now, [&](const worker_state& worker) {
+        return this->can_take(step, worker, now) ? this->tasks_that_fit(step, worker) : 0;
     });
-    return cheapest_places(step, by_rack);
 }
 
 std::vector<core::worker_id> task_placer::choose_places_to_keep(const live_step& step,
                                                                 core::steady_time now) const {
-    std::map<core::rack_id, std::vector<gang_candidate>> by_rack;
-    this->for_each_allowed(step, [&](const worker_state& worker) {
-        if (step.job->policy().advice && !known_allowed(step, worker)) {
-            return;
-        }
-        if (const auto count = this->tasks_that_fit_when_idle(step, worker, now); count > 0) {
-            const auto rack = step.request->one_rack ? worker.entry.rack : core::rack_id{};
-            by_rack[rack].push_back({this->gang_cost(step, worker, now), &worker, count});
-        }
+    return this->choose_for_gang(step, now, [&](const worker_state& worker) {
+        return this->tasks_that_fit_when_idle(step, worker, now);
     });
-    return cheapest_places(step, by_rack);
 }
 
-std::vector<core::worker_id> task_placer::choose_free_places(const live_step& step,
-                                                             core::steady_time now) const {
-    std::vector<core::worker_id> chosen;
+std::vector<core::worker_id> task_placer::kept_places_with_room(const live_step& step) const {
+    std::vector<core::worker_id> found;
     for (const auto& id : step.kept_workers) {
         const auto worker = this->state.workers.find(id);
         if (worker != this->state.workers.end() && worker->second.has_room_for_kept_places()) {
-            chosen.push_back(id);
+            found.push_back(id);
         }
     }
+    return found;
+}
+
+std::vector<core::worker_id> task_placer::choose_free_places(const live_step& step,
+                                                             core::steady_time now) const {
+    auto chosen = this->kept_places_with_room(step);
     if (chosen.size() == step.kept_workers.size() || step.request->one_rack) {
         return {};
     }
     this->for_each_allowed(step, [&](const worker_state& worker) {
-        const bool usable = !step.job->policy().advice || known_allowed(step, worker);
-        if (usable && this->suits(step, worker, now)) {
+        if (this->suits(step, worker, now)) {
             const auto wanted = step.tasks.size() - chosen.size();
             const auto count = std::min<std::size_t>(this->tasks_that_fit(step, worker), wanted);
             chosen.insert(chosen.end(), count, worker.entry.worker);
@@ -226,12 +214,27 @@
     return chosen.size() == step.tasks.size() ? chosen : std::vector<core::worker_id>{};
 }
 
+core::rack_id task_placer::rack_group(const live_step& step, const worker_state& worker) {
+    return step.request->one_rack ? worker.entry.rack : core::rack_id{};
+}
+
 std::vector<core::worker_id>
-task_placer::cheapest_places(const live_step& step,
-                             std::map<core::rack_id, std::vector<gang_candidate>>& by_rack) {
-    for (auto& [rack, candidates] : by_rack) {
+task_placer::choose_for_gang(const live_step& step, core::steady_time now,
+                             const std::function<std::uint32_t(const worker_state&)>& fitting) const {
+    struct candidate {
+        double cost;
+        const worker_state* worker;
+        std::uint32_t count;
+    };
+    std::map<core::rack_id, std::vector<candidate>> groups;
+    this->for_each_allowed(step, [&](const worker_state& worker) {
+        if (const auto count = fitting(worker); count > 0) {
+            groups[rack_group(step, worker)].push_back({this->gang_cost(step, worker, now), &worker, count});
+        }
+    });
+    for (auto& [rack, candidates] : groups) {
         std::sort(candidates.begin(), candidates.end(),
-                  [](const gang_candidate& a, const gang_candidate& b) { return a.cost < b.cost; });
+                  [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
         std::vector<core::worker_id> chosen;
         for (const auto& one : candidates) {
             const auto wanted = step.tasks.size() - chosen.size();
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
-#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -59,6 +58,22 @@
     [[nodiscard]] std::vector<core::worker_id> choose_free_places(const live_step& step,
                                                                   core::steady_time now) const;
 
+    /// @param step a gang.
+    /// @return the workers of its kept places that have room, one for each place.
+    [[nodiscard]] std::vector<core::worker_id> kept_places_with_room(const live_step& step) const;
+
+    /// Calls a function for each worker on which advice has permitted the step, with a valid ticket or
+    /// without; for all workers if the queue needs no advice.
+    /// @param step a step.
+    /// @param visit the function.
+    void for_each_allowed(const live_step& step, const std::function<void(const worker_state&)>& visit) const;
+
+    /// @param step a gang.
+    /// @param worker a worker.
+    /// @return the group of workers within which all tasks of the gang have to run: its rack, or one for all
+    /// workers.
+    [[nodiscard]] static core::rack_id rack_group(const live_step& step, const worker_state& worker);
+
     /// @param step a step.
     /// @param worker a worker.
     /// @param now the current time.
@@ -126,23 +141,16 @@
         double cost = std::numeric_limits<double>::max();
     };
 
-    /// A worker for tasks of a gang.
-    struct gang_candidate {
-        double cost;
-        const worker_state* worker;
-        std::uint32_t count; ///< Tasks that fit there.
-    };
-
     [[nodiscard]] static bool is_eligible(const live_step& step, const worker_state& worker,
                                           core::steady_time now);
     [[nodiscard]] static std::uint32_t tasks_within(const live_step& step, const worker_state& worker,
                                                     const core::resources& available);
-    /// @param by_rack the candidates per rack; all in one group if the gang may span racks. They get sorted.
-    [[nodiscard]] static std::vector<core::worker_id>
-    cheapest_places(const live_step& step, std::map<core::rack_id, std::vector<gang_candidate>>& by_rack);
-
-    /// Calls a function for each worker that may permit the step: those that advice has allowed, or all.
-    void for_each_allowed(const live_step& step, const std::function<void(const worker_state&)>& visit) const;
+    /// @param fitting returns how many tasks of the gang a worker could take.
+    /// @return a worker for each task by index, those with the lowest gang_cost(); empty if there is not one
+    /// for every task.
+    [[nodiscard]] std::vector<core::worker_id>
+    choose_for_gang(const live_step& step, core::steady_time now,
+                    const std::function<std::uint32_t(const worker_state&)>& fitting) const;
 
     void consider(const live_step& step, std::uint32_t index, const worker_state& worker,
                   core::steady_time now, best_choice& best) const;
--- a/src/workflow/queue_policy.h
+++ b/src/workflow/queue_policy.h
@@ -19,6 +19,13 @@
     std::chrono::microseconds time_per_worker{0}; ///< Additional time per worker in the call.
     core::milliseconds ticket_lifetime{0};        ///< Recorded; not used by the dispatcher.
 
+    /// @param workers the number of workers that a call names.
+    /// @return the response time that the service states for it.
+    [[nodiscard]] core::milliseconds response_time(std::size_t workers) const {
+        return this->base_time + std::chrono::ceil<core::milliseconds>(this->time_per_worker *
+                                                                       static_cast<std::int64_t>(workers));
+    }
+
     friend bool operator==(const advice_policy&, const advice_policy&) = default;
 };
 
--- a/tests/dispatch/backlog_test.cpp
+++ b/tests/dispatch/backlog_test.cpp
@@ -52,7 +52,7 @@
 
 TEST_CASE("the latency objective is the stretched longest chain of work and the goal of the queue") {
     CHECK(objective() == core::milliseconds{(2 * (work + advice_time) * 3) / 2} + 300ms);
-    CHECK(dispatch::longest_chain({.request = quick_job("x"), .policy = quick_queue()}, 1) ==
+    CHECK(dispatch::longest_chains({.request = quick_job("x"), .policy = quick_queue()}).at(1) ==
           work + advice_time);
 }
 
