--- a/review/2/main.cpp
+++ b/review/2/main.cpp
@@ -69,7 +69,8 @@
             cell.record.line(leader.id() + " is started again");
         }
         std::this_thread::sleep_for(milliseconds{round_end - now_ms()});
-        cell.record.line("the job is shown as '" + cell.state_of(job_id(static_cast<std::uint64_t>(n)), 1) + "'");
+        cell.record.line("the job is shown as '" + cell.state_of(job_id(static_cast<std::uint64_t>(n)), 1) +
+                         "'");
     }
     std::size_t twice = 0;
     const auto starts = cell.seen.all_starts();
@@ -83,10 +84,11 @@
         }
         for (const auto& start : starts_of[end.task]) {
             if (start.at_ms > end.listed_ms && start.run != end.run && ++twice <= 20) {
-                cell.record.line("TWICE: " + end.task + " run " + std::to_string(end.run) + " ended done on " +
-                                 end.executor + " at " + std::to_string(end.listed_ms) + " ms (taken note of at " +
-                                 std::to_string(end.noted_ms) + " ms); run " + std::to_string(start.run) +
-                                 " started on " + start.executor + " at " + std::to_string(start.at_ms) + " ms");
+                cell.record.line("TWICE: " + end.task + " run " + std::to_string(end.run) +
+                                 " ended done on " + end.executor + " at " + std::to_string(end.listed_ms) +
+                                 " ms (taken note of at " + std::to_string(end.noted_ms) + " ms); run " +
+                                 std::to_string(start.run) + " started on " + start.executor + " at " +
+                                 std::to_string(start.at_ms) + " ms");
             }
         }
     }
--- a/review/3/main.cpp
+++ b/review/3/main.cpp
@@ -101,9 +101,10 @@
         const int tasks = id == job_id(large_job_number) ? 16000 : 4;
         if (!over && !active.contains(id) && starts_of[id] < tasks) {
             lost++;
-            cell.record.line("LOST: " + id + " was accepted, is shown as '" + state + "', had nothing running for " +
-                             std::to_string(watch_ms) + " ms, and of its " + std::to_string(tasks) + " tasks " +
-                             std::to_string(starts_of[id]) + " have been started");
+            cell.record.line("LOST: " + id + " was accepted, is shown as '" + state +
+                             "', had nothing running for " + std::to_string(watch_ms) + " ms, and of its " +
+                             std::to_string(tasks) + " tasks " + std::to_string(starts_of[id]) +
+                             " have been started");
         }
     }
     for (const auto& [state, count] : shown) {
--- a/review/stand_in/executor.h
+++ b/review/stand_in/executor.h
@@ -127,19 +127,19 @@
     [[nodiscard]] std::int64_t clock() const { return now_ms() - this->created_ms; }
 
     void beat() {
-        const json body{{"service", this->entry.service},
-                        {"address", "127.0.0.1:" + std::to_string(this->port())},
-                        {"zone", "zone-a"},
-                        {"version", "v1"},
-                        {"slots", 8},
-                        {"state", "ready"},
-                        {"coldRemainingMs", 0},
-                        {"capacity",
-                         {{"cpu", this->entry.cpu}, {"memMb", this->entry.memory_mb}, {"gpus", 0}}},
-                        {"labels", {this->entry.kind, this->entry.rack}},
-                        {"born", this->born},
-                        {"clockMs", this->clock()},
-                        {"sequence", ++this->beats}};
+        const json body{
+            {"service", this->entry.service},
+            {"address", "127.0.0.1:" + std::to_string(this->port())},
+            {"zone", "zone-a"},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"coldRemainingMs", 0},
+            {"capacity", {{"cpu", this->entry.cpu}, {"memMb", this->entry.memory_mb}, {"gpus", 0}}},
+            {"labels", {this->entry.kind, this->entry.rack}},
+            {"born", this->born},
+            {"clockMs", this->clock()},
+            {"sequence", ++this->beats}};
         this->platform.put_by_call("keyed.servers", this->entry.id, body.dump());
     }
 
@@ -161,11 +161,8 @@
 
     void add_end(const std::string& task, const run& of, const std::string& how) {
         const auto number = ++this->last_end;
-        const auto in_journal = this->seen.ended({.listed_ms = now_ms(),
-                                                  .executor = this->entry.id,
-                                                  .task = task,
-                                                  .run = of.number,
-                                                  .how = how});
+        const auto in_journal = this->seen.ended(
+            {.listed_ms = now_ms(), .executor = this->entry.id, .task = task, .run = of.number, .how = how});
         this->ends.push_back({number, task, of.number, how, of.checkpoint, in_journal});
         auto& highest = this->closed_runs[task];
         highest = std::max(highest, of.number);
@@ -310,9 +307,8 @@
     store& platform;
     journal& seen;
     const std::int64_t created_ms = now_ms();
-    const std::int64_t born = std::chrono::duration_cast<milliseconds>(
-                                  std::chrono::system_clock::now().time_since_epoch())
-                                  .count();
+    const std::int64_t born =
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     std::mutex mutex;
     std::condition_variable_any changed;
     std::uint64_t beats = 0;
--- a/review/stand_in/http.h
+++ b/review/stand_in/http.h
@@ -93,8 +93,7 @@
 
     struct request_handler : Poco::Net::HTTPRequestHandler {
         explicit request_handler(const handler& handle) : handle(handle) {}
-        void handleRequest(Poco::Net::HTTPServerRequest& from,
-                           Poco::Net::HTTPServerResponse& to) override {
+        void handleRequest(Poco::Net::HTTPServerRequest& from, Poco::Net::HTTPServerResponse& to) override {
             const Poco::URI uri{from.getURI()};
             request received{.method = from.getMethod(), .path = uri.getPath()};
             for (const auto& [name, value] : uri.getQueryParameters()) {
--- a/review/stand_in/small_cell.h
+++ b/review/stand_in/small_cell.h
@@ -63,8 +63,8 @@
 
     /// Asks one host for the state of a job; empty if there is no state in the answer.
     std::string state_of(const std::string& id, std::size_t at) {
-        const auto answer = call(this->hosts[at % this->hosts.size()]->port(), "GET", queue_prefix + id,
-                                 queue_host);
+        const auto answer =
+            call(this->hosts[at % this->hosts.size()]->port(), "GET", queue_prefix + id, queue_host);
         const auto body = json::parse(answer.body, nullptr, false);
         return answer.status == 200 && body.is_object() ? body.value("state", "") : "";
     }
@@ -90,13 +90,19 @@
 
 private:
     void configure() {
-        const json route{{"name", "r-batch"},       {"host", queue_host},   {"pathPrefix", queue_prefix},
-                         {"type", "non_idempotent"}, {"timeoutMs", 3000},   {"targetLatencyMs", 1200},
-                         {"priority", 0},            {"service", "workers"}, {"maxAttempts", 3},
+        const json route{{"name", "r-batch"},
+                         {"host", queue_host},
+                         {"pathPrefix", queue_prefix},
+                         {"type", "non_idempotent"},
+                         {"timeoutMs", 3000},
+                         {"targetLatencyMs", 1200},
+                         {"priority", 0},
+                         {"service", "workers"},
+                         {"maxAttempts", 3},
                          {"stretch", 2.2}};
-        const json service{{"name", "workers"},       {"healthPath", "/health"}, {"maxConnections", 64},
-                           {"protocol", "h1"},        {"tls", false},            {"enforcesCapacity", false},
-                           {"standby", false}};
+        const json service{
+            {"name", "workers"}, {"healthPath", "/health"},   {"maxConnections", 64}, {"protocol", "h1"},
+            {"tls", false},      {"enforcesCapacity", false}, {"standby", false}};
         this->platform.put("keyed.op", "config",
                            json{{"version", 1},
                                 {"routes", {route}},
--- a/review/stand_in/store.h
+++ b/review/stand_in/store.h
@@ -2,6 +2,8 @@
 
 #include "http.h"
 
+#include <Poco/Base64Encoder.h>
+
 #include <atomic>
 #include <condition_variable>
 #include <deque>
@@ -9,8 +11,6 @@
 #include <thread>
 #include <vector>
 
-#include <Poco/Base64Encoder.h>
-
 namespace review {
 
 /// The platform's metadata store: its log calls, as PROTOCOL.md states them.
