Fix tasks that ran twice after a takeover when a worker lists its ends in several answers (TWICE)

Cause: worker_state::has_answered stood for two facts, that the worker knows the leader's token and that all it had is known. A worker lists at most 500 ends at a time, so its first answer shows the first fact only; the successor took the tasks of the other ends as not there.

Change: the proofs are kept apart, for one incarnation (incarnation_proofs: knows_token, inventory_complete). The adapter says whether a reply lists all ends. Only a complete inventory or the end of a lease settles a worker, and no time does once it has answered, since it may then hold a lease of the present leader. Ends that were left out are asked for as soon as the log has those before. An index by worker replaces the walk over all tasks of all jobs for each worker. A log line names workers with more ends than one answer lists.

Why it works: a task that the log has on a worker, or that a predecessor may have started there unrecorded, becomes free only after an answer that was not cut, and after the worker knows the token, so that nothing can be added to its list by a predecessor.

Related paths, found by the same tests: a worker without runs that left the platform's list was forgotten with its ends; a draining one could leave the roster before the log had its last ends; the expiry of former leases counted although the successor had extended them.

--- a/src/dispatch/dispatch_state.cpp
+++ b/src/dispatch/dispatch_state.cpp
@@ -2,6 +2,20 @@
 
 namespace rattanmount::dispatch {
 
+bool dispatch_state::inherited_runs_ended(const core::worker_id& worker, core::steady_time now) const {
+    const auto place = this->workers.find(worker);
+    if (place != this->workers.end() && place->second.answered_holds > 0) {
+        return place->second.runs_given_up;
+    }
+    return now >= this->inherited_leases_expire_at();
+}
+
+bool dispatch_state::is_settled(const core::worker_id& worker, core::steady_time now) const {
+    const auto place = this->workers.find(worker);
+    const bool listed_all = place != this->workers.end() && place->second.proven.inventory_complete;
+    return listed_all || this->inherited_runs_ended(worker, now);
+}
+
 live_step* dispatch_state::find_step(const workflow::step_name& name) {
     const auto job = this->jobs.find(name.job);
     if (job == this->jobs.end()) {
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -66,7 +66,9 @@
     bool worker_list_read = false; ///< Whether the platform's list has been read completely.
     std::map<core::worker_id, worker_state> workers;
     std::unordered_map<workflow::job_key, std::unique_ptr<live_job>> jobs;
-    std::map<step_sort_key, live_step*> ready_steps;       ///< Steps with tasks that wait to be started.
+    std::map<step_sort_key, live_step*> ready_steps; ///< Steps with tasks that wait to be started.
+    /// By worker, the tasks that the log has running on it and of which its inventory has shown nothing yet.
+    std::map<core::worker_id, std::vector<workflow::task_name>> recorded_tasks;
     std::set<workflow::job_key> dirty_jobs;                ///< Jobs with unrecorded progress.
     std::set<workflow::job_key> jobs_awaiting_occurrences; ///< Jobs with occurrences that are not yet opened.
     /// Ended jobs that are removed once none of their runs is left.
@@ -93,6 +95,19 @@
         return this->authority.inherited_leases_expire_at();
     }
 
+    /// @param worker a worker, which need not be known.
+    /// @param now the current time.
+    /// @return whether all runs that a former leader started on it have certainly ended, because their leases
+    /// have expired. A worker that has answered may hold a lease of this leader, so the expiry of the former
+    /// leaders' leases proves nothing about it.
+    [[nodiscard]] bool inherited_runs_ended(const core::worker_id& worker, core::steady_time now) const;
+
+    /// @param worker a worker, which need not be known.
+    /// @param now the current time.
+    /// @return whether the runs that a former leader started on it are known, because it has listed its whole
+    /// inventory, or have certainly ended.
+    [[nodiscard]] bool is_settled(const core::worker_id& worker, core::steady_time now) const;
+
     /// @param name a step.
     /// @return the step, or null if its job is unknown or was removed, or if the occurrence is not due.
     [[nodiscard]] live_step* find_step(const workflow::step_name& name);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -60,6 +60,7 @@
     this->state.closing_jobs.clear();
     this->state.closed_jobs.clear();
     this->state.freed_workers.clear();
+    this->state.recorded_tasks.clear();
     this->state.orders = order_window{};
     this->state.round_trips.clear();
     this->state.retries.clear();
@@ -98,7 +99,7 @@
         if (worker.has_reported_incarnation) {
             worker.entry.incarnation = known_incarnation;
         }
-        worker.has_answered = false; // The answer to the next hold reports the new incarnation.
+        worker.proven = {}; // The answer to the next hold reports the new incarnation.
         worker.restart_listed = true;
     }
 }
@@ -301,7 +302,7 @@
         if (worker.last_resolved_end() > worker.last_end_recorded) {
             batch.ends.emplace(id, std::pair{worker.entry.incarnation, worker.last_resolved_end()});
         }
-        if (worker.entry.draining) {
+        if (worker.entry.draining && worker.proven.inventory_complete) {
             batch.draining.emplace(id, worker.drains);
         }
     }
@@ -327,7 +328,11 @@
     for (const auto& [id, end] : batch.ends) {
         const auto place = this->state.workers.find(id);
         if (place != this->state.workers.end() && place->second.entry.incarnation == end.first) {
-            place->second.last_end_recorded = std::max(place->second.last_end_recorded, end.second);
+            auto& worker = place->second;
+            worker.last_end_recorded = std::max(worker.last_end_recorded, end.second);
+            if (worker.more_ends_follow) {
+                worker.next_hold_at = {}; // Due now.
+            }
         }
     }
 }
@@ -351,10 +356,21 @@
             job.inherited ? static_cast<std::uint32_t>(epochs) * runs_per_epoch : 0;
         const auto occurrence = job.next_occurrence++;
         add_occurrence(job, occurrence, max_unrecorded_run, request.recurs ? now : job.entry->learned_at);
+        this->index_recorded_tasks(job.occurrences.at(occurrence));
         this->lifecycle.queue_unblocked_steps(job, occurrence, now);
     }
 }
 
+void dispatcher::index_recorded_tasks(const live_occurrence& occurrence) {
+    for (const auto& step : occurrence.steps) {
+        for (std::uint32_t i = 0; i < step.tasks.size(); i++) {
+            if (const auto& worker = step.tasks[i].recorded_worker; !worker.empty()) {
+                this->state.recorded_tasks[worker].push_back({.step = step.name, .index = i});
+            }
+        }
+    }
+}
+
 void dispatcher::place_all(core::steady_time now) {
     this->starts_wait_for_room = !this->state.orders.has_room();
     if (this->starts_wait_for_room) {
@@ -365,9 +381,11 @@
     this->state.placement_needed = false;
     const bool leases_expired =
         !this->inherited_leases_expired && now >= this->state.inherited_leases_expire_at();
-    const bool settles = leases_expired || (!this->predecessor_settled && this->has_settled_predecessor(now));
+    const bool workers_settled =
+        !this->predecessor_settled && this->used_workers.inherited_workers_settled(now);
     this->inherited_leases_expired = this->inherited_leases_expired || leases_expired;
-    this->predecessor_settled = this->predecessor_settled || settles;
+    this->predecessor_settled = this->predecessor_settled || workers_settled;
+    const bool settles = leases_expired || workers_settled;
     for (auto* step : this->order.arrange(this->state.ready_steps, now)) {
         if (!this->state.orders.has_room()) {
             this->starts_wait_for_room = true;
@@ -432,15 +450,9 @@
     if (!step.job->inherited) {
         return true;
     }
-    if (!task.recorded_worker.empty() && now < this->state.inherited_leases_expire_at()) {
-        return false;
-    }
-    return this->predecessor_settled;
-}
-
-bool dispatcher::has_settled_predecessor(core::steady_time now) {
-    return now >= this->state.inherited_leases_expire_at() ||
-           this->used_workers.inherited_workers_settled(now);
+    const bool may_run =
+        !task.recorded_worker.empty() && !this->state.inherited_runs_ended(task.recorded_worker, now);
+    return this->predecessor_settled && !may_run;
 }
 
 void dispatcher::forget_over_jobs() {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -132,11 +132,11 @@
 private:
     void open_job(const workflow::job_entry& entry);
     void open_due_occurrences(live_job& job, core::steady_time now, core::system_time system);
+    void index_recorded_tasks(const live_occurrence& occurrence);
     void place_all(core::steady_time now);
     void place_step(live_step& step, const std::set<core::worker_id>& freed, core::steady_time now);
     [[nodiscard]] start_check make_start_check() const;
     [[nodiscard]] bool may_start(const live_step& step, const live_task& task, core::steady_time now) const;
-    [[nodiscard]] bool has_settled_predecessor(core::steady_time now);
     /// Counts a reply among the orders in flight.
     /// @return whether it belongs to an order of this epoch.
     bool count_reply(const order_target& target, const order_reply& reply, core::steady_time sent_at,
@@ -158,7 +158,7 @@
     bool progress_in_flight = false;
     /// Whether tasks wait because too many orders are in flight.
     bool starts_wait_for_room = false;
-    /// All workers of the roster have answered since start_leading(), or all inherited leases have expired.
+    /// All workers of the roster in the log at start_leading() are settled (dispatch_state::is_settled()).
     bool predecessor_settled = false;
     /// All leases that a former leader may have extended have expired.
     bool inherited_leases_expired = false;
--- a/src/dispatch/leader_authority.cpp
+++ b/src/dispatch/leader_authority.cpp
@@ -30,7 +30,7 @@
     std::vector<core::steady_time> times;
     for (const auto& [id, worker] : workers) {
         if (counts(worker)) {
-            times.push_back(worker.has_answered ? worker.answered_hold_sent_at : core::steady_time{});
+            times.push_back(worker.proven.knows_token ? worker.answered_hold_sent_at : core::steady_time{});
         }
     }
     return times;
@@ -82,14 +82,14 @@
     if (this->inherited_roster.empty()) {
         for (const auto& [id, worker] : workers) {
             all += worker.listed ? 1 : 0;
-            answered += worker.listed && worker.has_answered ? 1 : 0;
+            answered += worker.listed && worker.proven.knows_token ? 1 : 0;
         }
     } else {
         all = this->inherited_roster.size();
         answered = static_cast<std::size_t>(std::count_if(
             this->inherited_roster.begin(), this->inherited_roster.end(), [&workers](const auto& id) {
                 const auto place = workers.find(id);
-                return place != workers.end() && place->second.has_answered;
+                return place != workers.end() && place->second.proven.knows_token;
             }));
     }
     return static_cast<double>(answered) >= static_cast<double>(all) * fencing_share;
--- a/src/dispatch/leader_authority.h
+++ b/src/dispatch/leader_authority.h
@@ -26,8 +26,9 @@
 ///
 /// The log proves that this host leads. While the log does not answer, answers of more than half of the
 /// workers prove it: a successor that has reached six tenths of them has raised their fencing tokens, so that
-/// they refuse the former leader. Both hosts use the same durations and count the workers of the roster,
-/// which both know from the log. Part of dispatch_state; used by the control thread only.
+/// they refuse the former leader; whether an answer listed all ends does not matter for that. Both hosts use
+/// the same durations and count the workers of the roster, which both know from the log. Part of
+/// dispatch_state; used by the control thread only.
 class leader_authority {
 public:
     explicit leader_authority(authority_options options);
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Most ended runs that a worker lists in one answer. An answer with this many may be incomplete.
-constexpr std::size_t most_ends_listed = 500;
 /// Workers without runs need no lease and are polled less often.
 constexpr core::milliseconds idle_hold_wait{2000};
 /// Longest wait of holds while the log seems to be down, since only recent answers prove that this host
@@ -28,7 +26,7 @@
 
 /// @return whether the worker has answered the last hold.
 bool answers(const worker_state& worker) {
-    return worker.unanswered_holds == 0 && worker.has_answered;
+    return worker.unanswered_holds == 0 && worker.proven.knows_token;
 }
 
 } // namespace
@@ -44,7 +42,7 @@
             this->runs_certainly_ended(worker, now)) {
             this->give_up_runs(worker, now);
         }
-        if (!worker.listed && worker.runs.empty() && !worker.hold_in_flight) {
+        if (!worker.listed && worker.runs.empty() && !worker.hold_in_flight && !worker.may_hide_runs()) {
             place = this->state.workers.erase(place);
             continue;
         }
@@ -118,6 +116,9 @@
 }
 
 core::milliseconds lease_manager::hold_wait(const worker_state& worker, core::steady_time now) const {
+    if (worker.more_ends_follow) {
+        return core::milliseconds{0}; // The next hold is to be sent as soon as the log has the listed ends.
+    }
     const bool outage = this->state.authority.suspects_log_outage(now);
     if (worker.runs.empty()) {
         return outage ? outage_hold_wait : idle_hold_wait;
@@ -152,7 +153,7 @@
         worker.restart_listed = false;
     }
     worker.has_reported_incarnation = worker.has_reported_incarnation || reply.incarnation.has_value();
-    const bool first = !worker.has_answered;
+    const bool first = !worker.proven.knows_token;
     if (worker.unanswered_holds > 0 || first) {
         telemetry::log_state("worker reachable", {{"worker", worker.entry.worker.value()}});
     }
@@ -160,9 +161,8 @@
     worker.unanswered_holds = 0;
     worker.hold_failed_after_expiry = false;
     worker.runs_given_up = false;
-    worker.has_answered = !worker.restart_listed;
+    worker.proven.knows_token = !worker.restart_listed;
     worker.answered_hold_sent_at = worker.hold_sent_at;
-    worker.next_hold_at = now + shortest_hold_interval;
     worker.clock.add_reading(reply.clock, reply.received_at);
     if (order.wait.count() == 0) {
         this->state.add_round_trip(worker, worker.hold_sent_at, now);
@@ -176,12 +176,32 @@
     for (const auto& row : reply.running) {
         this->apply_running(worker, row, now);
     }
-    if (reply.ended.size() < most_ends_listed) {
-        this->remove_missing_runs(worker, now);
+    worker.more_ends_follow = !reply.lists_all_ends;
+    worker.next_hold_at = this->next_hold_after(order, worker, now);
+    if (worker.more_ends_follow) {
+        telemetry::log_state("worker may have more ended runs than its answer lists",
+                             {{"worker", worker.entry.worker.value()},
+                              {"listed", std::to_string(reply.ended.size())},
+                              {"last_listed", std::to_string(worker.last_end_applied)},
+                              {"acknowledged", std::to_string(order.acknowledged_ends)}});
+        this->state.record_immediately = true;
+        return;
+    }
+    this->remove_missing_runs(worker, now);
+    if (worker.proven.knows_token) {
+        worker.proven.inventory_complete = true;
+        this->clear_recorded_tasks(worker.entry.worker);
     }
-    if (first && worker.has_answered) {
-        this->clear_recorded_worker(worker.entry.worker);
+}
+
+core::steady_time lease_manager::next_hold_after(const hold_order& order, const worker_state& worker,
+                                                 core::steady_time now) const {
+    if (!worker.more_ends_follow) {
+        return now + shortest_hold_interval;
     }
+    // Without a further acknowledgement, the worker would list the same ends again.
+    const bool acknowledges_more = order.acknowledged_ends < worker.last_end_recorded;
+    return acknowledges_more ? now : now + this->state.options.hold_retry_interval;
 }
 
 core::steady_time lease_manager::next_due(core::steady_time now) const {
@@ -222,7 +242,7 @@
     worker.last_end_applied = 0;
     worker.unknown_ends.clear();
     worker.last_end_recorded = 0;
-    worker.has_answered = false;
+    worker.proven = {};
 }
 
 void lease_manager::apply_running(worker_state& worker, const reported_run& row, core::steady_time now) {
@@ -319,23 +339,23 @@
             this->lifecycle.run_lost(*step, name.task.index, name.run, now);
         }
     }
-    this->clear_recorded_worker(worker.entry.worker);
+    this->clear_recorded_tasks(worker.entry.worker);
     worker.runs_given_up = true;
 }
 
-void lease_manager::clear_recorded_worker(const core::worker_id& worker) {
-    for (auto& [key, job] : this->state.jobs) {
-        for (auto& [number, occurrence] : job->occurrences) {
-            for (auto& step : occurrence.steps) {
-                for (auto& task : step.tasks) {
-                    if (task.recorded_worker == worker) {
-                        task.recorded_worker = {};
-                        step.needs_placement = true;
-                        this->state.placement_needed = true;
-                    }
-                }
-            }
+void lease_manager::clear_recorded_tasks(const core::worker_id& worker) {
+    const auto recorded = this->state.recorded_tasks.extract(worker);
+    if (recorded.empty()) {
+        return;
+    }
+    for (const auto& name : recorded.mapped()) {
+        auto* step = this->state.find_step(name.step);
+        if (step == nullptr || step->tasks[name.index].recorded_worker != worker) {
+            continue;
         }
+        step->tasks[name.index].recorded_worker = {};
+        step->needs_placement = true;
+        this->state.placement_needed = true;
     }
 }
 
--- a/src/dispatch/lease_manager.h
+++ b/src/dispatch/lease_manager.h
@@ -16,8 +16,10 @@
 /// extends the lease only if the previous one was answered, so that the lease of an unreachable worker
 /// expires within a known time. The runs are given up only after a further hold, sent after the expiry, has
 /// failed as well: a busy host may have lost an answer that reported their ends. Holds to workers that have
-/// not answered the last one, as all of them at a takeover, are spread over time. Owned by the dispatcher;
-/// used by the control thread only.
+/// not answered the last one, as all of them at a takeover, are spread over time.
+///
+/// A worker that leaves out ends of an answer is asked again as soon as the log has those that it listed.
+/// Owned by the dispatcher; used by the control thread only.
 class lease_manager {
 public:
     lease_manager(dispatch_state& state, run_manager& runs, task_lifecycle& flow)
@@ -51,7 +53,12 @@
     /// Applies kept ends whose tasks are now known, and drops those whose tasks do not exist.
     void resolve_unknown_ends(worker_state& worker, core::steady_time now);
     void give_up_runs(worker_state& worker, core::steady_time now);
-    void clear_recorded_worker(const core::worker_id& worker);
+    /// Called when the runs of a former leader on a worker are known or have ended: tasks that the log has
+    /// there and that have not been found there may be started elsewhere.
+    void clear_recorded_tasks(const core::worker_id& worker);
+    /// @return when the next hold is due after an answer.
+    [[nodiscard]] core::steady_time next_hold_after(const hold_order& order, const worker_state& worker,
+                                                    core::steady_time now) const;
     /// @return whether all runs under the worker's lease have certainly ended.
     [[nodiscard]] bool runs_certainly_ended(const worker_state& worker, core::steady_time now) const;
     [[nodiscard]] bool lease_expired(const worker_state& worker, core::steady_time now) const;
--- a/src/dispatch/orders.h
+++ b/src/dispatch/orders.h
@@ -139,6 +139,9 @@
     worker_time clock{0};
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
+    /// Whether `ended` certainly has all ends that the worker keeps. A worker may list a part of them; it
+    /// lists the others once these are acknowledged.
+    bool lists_all_ends = false;
 };
 
 /// A worker that is permitted to run a step, with its ticket.
--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -12,7 +12,7 @@
 /// @return whether it may get or have runs that are not in the log. A worker that does not answer gets none,
 /// and one that drains gets no more.
 bool may_have_unknown_runs(const worker_state& worker) {
-    return (worker.has_answered || !worker.runs.empty()) && !worker.drained_runs_recorded;
+    return (worker.proven.knows_token || !worker.runs.empty()) && !worker.drained_runs_recorded;
 }
 
 } // namespace
@@ -94,21 +94,18 @@
         return this->unsettled_workers.empty();
     }
     const auto& workers = this->state.workers;
-    return now >= this->state.list_complete_at &&
-           std::all_of(workers.begin(), workers.end(), [](const auto& place) {
-               return place.second.has_answered || place.second.runs_given_up || !place.second.listed;
+    const bool list_complete =
+        now >= this->state.list_complete_at || now >= this->state.inherited_leases_expire_at();
+    return list_complete && std::all_of(workers.begin(), workers.end(), [&](const auto& place) {
+               const auto& worker = place.second;
+               const bool counts = worker.listed || worker.may_hide_runs();
+               return !counts || this->state.is_settled(place.first, now);
            });
 }
 
 void worker_roster::settle_inherited_workers(core::steady_time now) {
-    if (now >= this->state.inherited_leases_expire_at()) {
-        this->unsettled_workers.clear();
-    }
-    std::erase_if(this->unsettled_workers, [this](const core::worker_id& id) {
-        const auto place = this->state.workers.find(id);
-        return place != this->state.workers.end() &&
-               (place->second.has_answered || place->second.runs_given_up);
-    });
+    std::erase_if(this->unsettled_workers,
+                  [this, now](const core::worker_id& id) { return this->state.is_settled(id, now); });
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/worker_roster.h
+++ b/src/dispatch/worker_roster.h
@@ -35,11 +35,11 @@
     void recorded(const workflow::roster_record& record);
 
     /// A worker that is missing from the platform's list may still run tasks or list their ends, because its
-    /// entry can expire while it lives: only its answer or the expiry of its lease settles it.
+    /// entry can expire while it lives: only its complete inventory or the expiry of its lease settles it.
     /// @param now the current time.
-    /// @return whether each worker of the roster in the log at begin() has since answered, or its runs have
-    /// certainly ended. If that roster was empty, whether the platform's list counts as complete and that
-    /// holds for each worker in it.
+    /// @return whether each worker of the roster in the log at begin() is settled, as
+    /// dispatch_state::is_settled() defines. If that roster was empty, whether the platform's list counts as
+    /// complete and that holds for each worker in it.
     [[nodiscard]] bool inherited_workers_settled(core::steady_time now);
 
 private:
@@ -54,7 +54,7 @@
     std::set<core::worker_id>
         recorded_workers;          ///< Workers that the log's roster has, also if a record is in flight.
     bool inherited_roster = false; ///< Whether the log had a roster at begin().
-    /// Workers of the roster in the log at begin() that have neither answered nor been given up since.
+    /// Workers of the roster in the log at begin() that have not been settled since.
     std::set<core::worker_id> unsettled_workers;
     core::steady_time record_taken_at; ///< When the last record was returned by take_record().
 };
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -61,6 +61,17 @@
     core::steady_time reported_at;
 };
 
+/// What the answers of one incarnation of a worker have proved to the leader of this epoch.
+///
+/// A value type; a new incarnation begins without any proof.
+struct incarnation_proofs {
+    /// It has answered under the leader's fencing token, so it refuses the orders of a former leader.
+    bool knows_token = false;
+    /// All runs and ends that it had when it learned the token have been listed, so that a task that a former
+    /// leader started there, and that was not listed, neither runs nor has ended there.
+    bool inventory_complete = false;
+};
+
 /// State of a worker as the dispatcher knows it.
 struct worker_state {
     worker_entry entry;
@@ -70,7 +81,7 @@
     /// Whether it drains and the log has all runs that were started on it, so that it can leave the roster.
     bool drained_runs_recorded = false;
     std::uint32_t drains = 0;  ///< How often it has begun to drain.
-    bool has_answered = false; ///< Whether it has answered a hold of this epoch.
+    incarnation_proofs proven; ///< Proofs by the present incarnation, in this epoch.
     /// Whether the worker itself has reported its incarnation, which so far only its entry stated.
     bool has_reported_incarnation = false;
     /// Whether its entry has stated another incarnation since the last hold was sent, so that the answer to
@@ -84,7 +95,8 @@
     bool hold_in_flight = false;             ///< Whether a hold has been sent and not answered.
     bool hold_sent_after_expiry = false;     ///< Whether the last hold was sent after the lease had expired.
     bool hold_failed_after_expiry = false;   ///< Whether a hold sent after the expiry got no answer.
-    std::uint64_t answered_holds = 0;        ///< Number of answers to holds.
+    std::uint64_t answered_holds = 0;        ///< Number of answers to holds in this epoch.
+    bool more_ends_follow = false;           ///< Whether its last answer may have left out ends.
     core::steady_time hold_sent_at;          ///< When the last hold was sent.
     core::steady_time answered_hold_sent_at; ///< When the last hold that was answered was sent.
     core::steady_time next_hold_at;          ///< Earliest time of the next hold.
@@ -114,9 +126,15 @@
 
     /// @return whether tasks may be started on it, regardless of capacity, labels and advice.
     [[nodiscard]] bool accepts_starts(core::steady_time now) const {
-        return this->listed && this->in_roster && this->has_answered && !this->has_unknown_runs &&
-               !this->entry.draining && !this->suspected_faulty && this->unanswered_holds == 0 &&
-               now >= this->avoid_until;
+        return this->listed && this->in_roster && this->proven.inventory_complete &&
+               !this->has_unknown_runs && !this->entry.draining && !this->suspected_faulty &&
+               this->unanswered_holds == 0 && now >= this->avoid_until;
+    }
+
+    /// @return whether it may keep runs or ends of a former leader that it has not listed, under a lease that
+    /// this leader may have extended.
+    [[nodiscard]] bool may_hide_runs() const {
+        return this->answered_holds > 0 && !this->proven.inventory_complete && !this->runs_given_up;
     }
 
     /// @return the highest number up to which the effects of all ends are known.
--- a/tests/dispatch/leader_authority_test.cpp
+++ b/tests/dispatch/leader_authority_test.cpp
@@ -17,7 +17,7 @@
     std::map<core::worker_id, worker_state> workers;
     for (const auto time : times) {
         const core::worker_id name{"w" + std::to_string(workers.size())};
-        workers[name] = {.has_answered = time >= 0ms, .answered_hold_sent_at = start + time};
+        workers[name] = {.proven = {.knows_token = time >= 0ms}, .answered_hold_sent_at = start + time};
     }
     return workers;
 }
@@ -98,6 +98,16 @@
     CHECK(authority.inherited_leases_expire_at() < start + 7s);
 }
 
+// A worker that has listed a part of its ends refuses the orders of a former leader as any other does.
+TEST_CASE("workers with an incomplete inventory count for the fencing of a former leader") {
+    leader_authority authority{{}};
+    authority.begin({core::worker_id{"w0"}, core::worker_id{"w1"}}, start);
+    auto workers = workers_answered_at({0s, 0s});
+    REQUIRE_FALSE(workers.begin()->second.proven.inventory_complete);
+    authority.count_answers(workers, start + 100ms);
+    CHECK(authority.inherited_leases_expire_at() < start + 7s);
+}
+
 // TWICE: a former leader that the log does not reach any more extends leases that its successor takes for
 // expired.
 TEST_CASE("a cut-off leader and a successor that reaches fewer workers run no task twice") {
--- a/tests/dispatch/random_faults_test.cpp
+++ b/tests/dispatch/random_faults_test.cpp
@@ -82,7 +82,8 @@
 /// Runs one random schedule of jobs and faults, then a period without new faults in which every job must end.
 /// @param seed of the schedule.
 /// @param calls_per_second that a leader's host can make; 0: any number.
-void run_schedule(std::uint64_t seed, std::uint32_t calls_per_second) {
+/// @param max_ends_per_answer that a worker lists.
+void run_schedule(std::uint64_t seed, std::uint32_t calls_per_second, std::size_t max_ends_per_answer = 500) {
     CAPTURE(seed);
     constexpr std::uint32_t workers = 6;
     constexpr std::uint32_t jobs = 25;
@@ -92,6 +93,7 @@
                          .lost_share = 0.01,
                          .late_share = 0.02,
                          .allowed_share = 0.7,
+                         .max_ends_per_answer = max_ends_per_answer,
                          .calls_per_second = calls_per_second}};
     workflow::queue_policy policy{
         .queue = workflow::queue_id{"queue"}, .service = core::service_id{"service"}, .max_attempts = 4};
@@ -203,6 +205,11 @@
     run_seeds([](std::uint64_t seed) { run_schedule(seed, 30); }, 20);
 }
 
+// TWICE: a worker that had listed a part of its ends counted as one whose state is known.
+TEST_CASE("the guarantees of the dispatcher hold under random faults while workers list few ends at a time") {
+    run_seeds([](std::uint64_t seed) { run_schedule(seed, 0, 1 + seed % 3); }, 40);
+}
+
 // TWICE: workers restart under the same name while orders to them wait in the leader's host, or while an
 // answer of the earlier incarnation is on its way.
 TEST_CASE("a restarted worker is not driven by orders and answers of its earlier incarnation") {
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -526,7 +526,9 @@
     for (const auto& [name, run] : worker.runs) {
         reply.running.push_back({.run = name});
     }
-    reply.ended = worker.ended;
+    const auto listed = std::min(worker.ended.size(), this->options.max_ends_per_answer);
+    reply.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    reply.lists_all_ends = listed < this->options.max_ends_per_answer;
     const auto leader = order.target.fencing_token.value();
     if (!reaches(worker, leader)) {
         this->schedule(this->time + order_limit,
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -28,6 +28,7 @@
     core::milliseconds late_time{3000}; ///< Longest delay of late orders.
     double allowed_share = 1;           ///< Share of the workers that advice allows, for queues that need it.
     core::milliseconds advice_time{40};
+    std::size_t max_ends_per_answer = 500; ///< Ends that a worker lists in one answer to a hold.
     /// Calls to workers, with their answers, that a leader's host can make in a second; 0: any number. With a
     /// bound, calls also have the timeouts that the orders ask for.
     std::uint32_t calls_per_second = 0;
--- a/tests/dispatch/unknown_job_test.cpp
+++ b/tests/dispatch/unknown_job_test.cpp
@@ -58,7 +58,8 @@
     }
 
     void answer_hold(std::vector<reported_end> ended) {
-        hold_reply reply{.answered = true, .incarnation = incarnation, .ended = std::move(ended)};
+        hold_reply reply{
+            .answered = true, .incarnation = incarnation, .ended = std::move(ended), .lists_all_ends = true};
         reply.received_at = this->now;
         this->leader.on_hold_reply(this->holds.back(), reply, this->now);
     }
--- a/tests/platform/wire_decode_test.cpp
+++ b/tests/platform/wire_decode_test.cpp
@@ -90,6 +90,20 @@
     CHECK_THROWS_AS(platform::decode_hold("{}"), core::invalid_argument);
 }
 
+// TWICE: a reply with as many ends as the platform lists at a time may leave out others.
+TEST_CASE("a reply with 500 ended runs may leave out others, one with fewer does not") {
+    const auto reply_with = [](int ends) {
+        std::string rows;
+        for (int i = 1; i <= ends; i++) {
+            rows += (i == 1 ? "[" : ",[") + std::to_string(i) + R"(,"j.0.0.0",1,"done",""])";
+        }
+        return platform::decode_hold(R"({"clockMs":5,"running":[],"finished":[)" + rows + "]}");
+    };
+    CHECK(reply_with(0).lists_all_ends);
+    CHECK(reply_with(499).lists_all_ends);
+    CHECK_FALSE(reply_with(500).lists_all_ends);
+}
+
 TEST_CASE("the reply to a hold order may have unknown fields and columns, and null for an empty list") {
     const auto reply = platform::decode_hold(
         R"({"running":null,"more":{"running":[[1]],"a":[[2,[3]]]},"finished":[[1,"j.0.0.0",1,"done","",{"a":[1]},7]],"clockMs":5})");
