--- a/src/dispatch/dispatch_state.cpp
+++ b/src/dispatch/dispatch_state.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/dispatch_state.h"
 
+#include "dispatch/progress_records.h"
+
 namespace rattanmount::dispatch {
 
 bool dispatch_state::inherited_runs_ended(const core::worker_id& worker, core::steady_time now) const {
@@ -62,6 +64,11 @@
     this->dirty_jobs.insert(job.key());
 }
 
+void dispatch_state::mark_dirty(live_step& step, std::uint32_t task) {
+    add_changed_part(step, task);
+    this->mark_dirty(*step.job);
+}
+
 order_target dispatch_state::target_of(const worker_state& worker) const {
     return {.worker = worker.entry.worker,
             .incarnation = worker.entry.incarnation,
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -44,6 +44,12 @@
     std::uint32_t max_start_tries = 3;            ///< Tries per run; after the last one the run is stopped.
 };
 
+/// An ended job of which only the phase is kept.
+struct closed_job {
+    workflow::job_phase phase = workflow::job_phase::cancelled;
+    std::vector<workflow::part_id> parts; ///< Parts that may still have records in the log.
+};
+
 /// State shared by the classes of this package.
 ///
 /// Owned by the dispatcher; used by the control thread only.
@@ -74,7 +80,7 @@
     /// Ended jobs that are removed once none of their runs is left.
     std::set<workflow::job_key> closing_jobs;
     /// Ended jobs that have not yet been recorded as closed.
-    std::map<workflow::job_key, workflow::job_phase> closed_jobs;
+    std::map<workflow::job_key, closed_job> closed_jobs;
     bool placement_needed = false;           ///< Whether a change may allow a waiting task to start.
     std::set<core::worker_id> freed_workers; ///< Workers that have gained capacity since the last placement.
     bool record_immediately = false;         ///< Whether a dirty job has changed its phase.
@@ -135,6 +141,11 @@
     /// Marks a job as having unrecorded progress.
     void mark_dirty(live_job& job);
 
+    /// Marks a task as having unrecorded progress.
+    /// @param step the step of the task.
+    /// @param task the index of the task.
+    void mark_dirty(live_step& step, std::uint32_t task);
+
     /// @param worker a worker.
     /// @return the target of orders to it.
     [[nodiscard]] order_target target_of(const worker_state& worker) const;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Shortest time between two records of progress that changes no job's phase.
-constexpr core::milliseconds record_interval{100};
 /// Shortest time between two placements, so that ends of runs in quick succession are handled by one
 /// placement.
 constexpr core::milliseconds place_interval{4};
@@ -22,7 +20,8 @@
 dispatcher::dispatcher(dispatch_options options)
     : state{.options = std::move(options)}, runs(this->state), lifecycle(this->state, this->runs),
       leases(this->state, this->runs, this->lifecycle), retrier(this->state, this->runs),
-      used_workers(this->state), selector(this->state), advice(this->state, this->selector),
+      recorder(this->state), used_workers(this->state), selector(this->state),
+      advice(this->state, this->selector),
       gangs(this->state, this->runs, this->lifecycle, this->selector, this->make_start_check()),
       mover(this->state, this->runs, this->selector, this->advice, this->make_start_check()) {}
 
@@ -41,8 +40,12 @@
         if (!workflow::is_over(entry->phase())) {
             this->open_job(*entry);
             this->state.jobs.at(key)->inherited = true;
-        } else if (!entry->accepted.request.steps.empty()) {
-            this->state.closed_jobs.emplace(key, entry->phase());
+        } else if (!entry->accepted.request.steps.empty() || !entry->parts.empty()) {
+            closed_job closed{.phase = entry->phase()};
+            for (const auto& [part, steps] : entry->parts) {
+                closed.parts.push_back(part);
+            }
+            this->state.closed_jobs.emplace(key, std::move(closed));
         }
     }
     telemetry::log_state("started to lead the cell",
@@ -65,7 +68,7 @@
     this->state.round_trips.clear();
     this->state.retries.clear();
     this->state.record_immediately = false;
-    this->progress_in_flight = false;
+    this->recorder.reset();
     this->advice.reset();
     this->gangs.reset();
     this->mover.reset();
@@ -147,6 +150,12 @@
     place->second = std::make_unique<live_job>();
     place->second->entry = &entry;
     place->second->phase = entry.progress.phase;
+    place->second->layout.emplace(entry.accepted);
+    place->second->recorded_in_parts = entry.progress.in_parts;
+    place->second->folded_occurrences = entry.progress.complete_occurrences;
+    for (const auto& [part, steps] : entry.parts) {
+        place->second->recorded_parts.insert(part);
+    }
     this->state.jobs_awaiting_occurrences.insert(key);
 }
 
@@ -267,7 +276,7 @@
         this->placed_at = now;
         this->place_all(now);
     }
-    this->forget_over_jobs();
+    this->recorder.close_ended_jobs();
 }
 
 core::steady_time dispatcher::next_due(core::steady_time now) const {
@@ -279,64 +288,6 @@
     return this->state.placement_needed ? std::min(due, this->placed_at + place_interval) : due;
 }
 
-std::optional<progress_batch> dispatcher::take_progress(core::steady_time now) {
-    const bool due = this->state.record_immediately || now >= this->recorded_at + record_interval;
-    if (!this->state.leading || this->progress_in_flight || !due ||
-        (this->state.dirty_jobs.empty() && this->state.closed_jobs.empty() &&
-         this->state.unrecorded_ends == 0)) {
-        return std::nullopt;
-    }
-    progress_batch batch{.epoch = this->state.epoch};
-    for (const auto& key : this->state.dirty_jobs) {
-        const auto job = this->state.jobs.find(key);
-        if (job != this->state.jobs.end()) {
-            job->second->dirty = false;
-            batch.jobs.push_back(progress_of(*job->second));
-        }
-    }
-    for (const auto& [key, phase] : std::exchange(this->state.closed_jobs, {})) {
-        batch.jobs.push_back({.key = key, .phase = phase});
-        batch.closed.push_back(key);
-    }
-    for (const auto& [id, worker] : this->state.workers) {
-        if (worker.last_resolved_end() > worker.last_end_recorded) {
-            batch.ends.emplace(id, std::pair{worker.entry.incarnation, worker.last_resolved_end()});
-        }
-        if (worker.entry.draining && worker.proven.inventory_complete) {
-            batch.draining.emplace(id, worker.drains);
-        }
-    }
-    this->state.dirty_jobs.clear();
-    this->state.record_immediately = false;
-    this->state.unrecorded_ends = 0;
-    this->progress_in_flight = true;
-    this->recorded_at = now;
-    return batch;
-}
-
-void dispatcher::progress_recorded(const progress_batch& batch) {
-    if (!this->state.leading || batch.epoch != this->state.epoch) {
-        return;
-    }
-    this->progress_in_flight = false;
-    for (const auto& [id, drains] : batch.draining) {
-        const auto place = this->state.workers.find(id);
-        if (place != this->state.workers.end() && place->second.drains == drains) {
-            place->second.drained_runs_recorded = place->second.entry.draining;
-        }
-    }
-    for (const auto& [id, end] : batch.ends) {
-        const auto place = this->state.workers.find(id);
-        if (place != this->state.workers.end() && place->second.entry.incarnation == end.first) {
-            auto& worker = place->second;
-            worker.last_end_recorded = std::max(worker.last_end_recorded, end.second);
-            if (worker.more_ends_follow) {
-                worker.next_hold_at = {}; // Due now.
-            }
-        }
-    }
-}
-
 void dispatcher::roster_recorded(core::epoch_id epoch, const workflow::roster_record& record) {
     if (this->state.leading && epoch == this->state.epoch) {
         this->used_workers.recorded(record);
@@ -355,6 +306,10 @@
         const auto max_unrecorded_run =
             job.inherited ? static_cast<std::uint32_t>(epochs) * runs_per_epoch : 0;
         const auto occurrence = job.next_occurrence++;
+        if (occurrence < job.folded_occurrences.size() && job.folded_occurrences[occurrence]) {
+            job.complete_occurrences++;
+            continue;
+        }
         add_occurrence(job, occurrence, max_unrecorded_run, request.recurs ? now : job.entry->learned_at);
         this->index_recorded_tasks(job.occurrences.at(occurrence));
         this->lifecycle.queue_unblocked_steps(job, occurrence, now);
@@ -455,30 +410,4 @@
     return this->predecessor_settled && !may_run;
 }
 
-void dispatcher::forget_over_jobs() {
-    std::erase_if(this->state.closing_jobs, [this](const workflow::job_key& key) {
-        const auto place = this->state.jobs.find(key);
-        if (place == this->state.jobs.end()) {
-            return true;
-        }
-        const auto& job = *place->second;
-        if (job.dirty) {
-            return false;
-        }
-        for (const auto& [number, occurrence] : job.occurrences) {
-            for (const auto& step : occurrence.steps) {
-                for (const auto& task : step.tasks) {
-                    if (!task.runs.empty()) {
-                        return false;
-                    }
-                }
-            }
-        }
-        this->state.closed_jobs.emplace(key, workflow::is_over(job.phase) ? job.phase
-                                                                          : workflow::job_phase::cancelled);
-        this->state.jobs.erase(place);
-        return true;
-    });
-}
-
 } // namespace rattanmount::dispatch
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatch/gang_placer.h"
 #include "dispatch/lease_manager.h"
 #include "dispatch/order_retrier.h"
+#include "dispatch/progress_recorder.h"
 #include "dispatch/run_manager.h"
 #include "dispatch/run_mover.h"
 #include "dispatch/step_order.h"
@@ -22,17 +23,6 @@
 
 namespace rattanmount::dispatch {
 
-/// Progress to be written to the log, and the ends of runs that are acknowledged once it is stored.
-struct progress_batch {
-    core::epoch_id epoch; ///< Epoch of the leader that made the batch.
-    std::vector<workflow::job_progress> jobs;
-    std::vector<workflow::job_key> closed; ///< Ended jobs of which only the outcome is kept from now on.
-    /// Per worker, its incarnation and the highest end that it may discard.
-    std::map<core::worker_id, std::pair<worker_incarnation_id, std::uint64_t>> ends;
-    /// Workers that drained when the batch was made, with the number of times that they had begun to.
-    std::map<core::worker_id, std::uint32_t> draining;
-};
-
 /// Schedules the jobs of the cell while this host leads.
 ///
 /// Pass workers, jobs and cancellations to it as they become known. It keeps the workers also while it does
@@ -108,11 +98,19 @@
     [[nodiscard]] core::steady_time next_due(core::steady_time now) const;
 
     /// @param now the current time.
-    /// @return the progress to record now, if any; no further batch until progress_recorded() is called.
-    [[nodiscard]] std::optional<progress_batch> take_progress(core::steady_time now);
+    /// @return the progress to record now, if any; no further batch until progress_recorded() or
+    /// progress_rejected() is called.
+    [[nodiscard]] std::optional<progress_batch> take_progress(core::steady_time now) {
+        return this->recorder.take(now);
+    }
 
     /// Called when a batch of progress is in the log.
-    void progress_recorded(const progress_batch& batch);
+    void progress_recorded(const progress_batch& batch) { this->recorder.recorded(batch); }
+
+    /// Called when the log has rejected a record of a batch.
+    void progress_rejected(const progress_batch& batch, core::steady_time now) {
+        this->recorder.rejected(batch, now);
+    }
 
     /// @param now the current time.
     /// @return the roster to record, if it has changed; no further one until roster_recorded() is called.
@@ -141,13 +139,13 @@
     /// @return whether it belongs to an order of this epoch.
     bool count_reply(const order_target& target, const order_reply& reply, core::steady_time sent_at,
                      core::steady_time now);
-    void forget_over_jobs();
 
     dispatch_state state;
     run_manager runs;
     task_lifecycle lifecycle;
     lease_manager leases;
     order_retrier retrier;
+    progress_recorder recorder;
     worker_roster used_workers;
     task_placer selector;
     advice_manager advice;
@@ -155,14 +153,12 @@
     run_mover mover;
     step_order order;
     bool was_fenced = false;
-    bool progress_in_flight = false;
     /// Whether tasks wait because too many orders are in flight.
     bool starts_wait_for_room = false;
     /// All workers of the roster in the log at start_leading() are settled (dispatch_state::is_settled()).
     bool predecessor_settled = false;
     /// All leases that a former leader may have extended have expired.
     bool inherited_leases_expired = false;
-    core::steady_time recorded_at;
     core::steady_time placed_at;
 };
 
--- a/src/dispatch/live_job.cpp
+++ b/src/dispatch/live_job.cpp
@@ -6,15 +6,6 @@
 
 namespace {
 
-const workflow::step_progress* recorded_step(const live_job& job, std::uint32_t occurrence,
-                                             std::uint32_t step) {
-    const auto& steps = job.entry->progress.steps;
-    const auto found = std::find_if(steps.begin(), steps.end(), [&](const workflow::step_progress& one) {
-        return one.occurrence == occurrence && one.step == step;
-    });
-    return found == steps.end() ? nullptr : &*found;
-}
-
 /// @return how long a step takes by the job's estimate, with one advice request.
 core::milliseconds expected_time(const workflow::job_accepted& job, const workflow::step_request& step) {
     constexpr std::size_t advised_workers = 30; // What the request of a step is assumed to name.
@@ -23,11 +14,8 @@
 }
 
 void restore(live_step& step, const workflow::step_progress& recorded) {
-    for (std::size_t i = 0; i < step.tasks.size() && i < recorded.done.size(); i++) {
-        if (recorded.done[i]) {
-            step.tasks[i].done = true;
-            step.done_tasks++;
-        }
+    for (std::size_t i = 0; i < recorded.done.size() && recorded.first + i < step.tasks.size(); i++) {
+        step.tasks[recorded.first + i].done = recorded.done[i];
     }
     for (const auto& [index, progress] : recorded.open) {
         if (index >= step.tasks.size()) {
@@ -42,30 +30,30 @@
     }
 }
 
-workflow::task_progress progress_of(const live_task& task) {
-    workflow::task_progress progress{.failed_runs = task.failed_runs,
-                                     .last_run = task.last_run,
-                                     .ended_run = task.ended_run,
-                                     .checkpoint = task.checkpoint,
-                                     .worker = task.recorded_worker};
-    if (!task.runs.empty()) {
-        progress.worker = task.runs.back().worker;
+/// Restores the recorded progress of the steps that belong to an occurrence.
+void restore(live_occurrence& place, std::uint32_t occurrence,
+             const std::vector<workflow::step_progress>& recorded) {
+    for (const auto& one : recorded) {
+        if (one.occurrence == occurrence && one.step < place.steps.size()) {
+            restore(place.steps[one.step], one);
+        }
     }
-    return progress;
 }
 
-workflow::step_progress progress_of(const live_step& step) {
-    workflow::step_progress progress{.occurrence = step.name.occurrence, .step = step.name.step};
-    progress.done.reserve(step.tasks.size());
-    for (std::uint32_t i = 0; i < step.tasks.size(); i++) {
-        const auto& task = step.tasks[i];
-        progress.done.push_back(task.done);
-        const auto open = progress_of(task);
-        if (!task.done && open != workflow::task_progress{}) {
-            progress.open.emplace(i, open);
+/// Completes the restored state of a step. The tasks of a gang are done together: if the log has some of them
+/// as done, the record of the others was not stored, and the workers list the ends again.
+void finish_restore(live_step& step, std::uint32_t max_unrecorded_run) {
+    const auto is_done = [](const live_task& task) { return task.done; };
+    if (step.request->gang && !std::all_of(step.tasks.begin(), step.tasks.end(), is_done)) {
+        for (auto& task : step.tasks) {
+            task.done = false;
         }
     }
-    return progress;
+    for (auto& task : step.tasks) {
+        task.last_run = std::max(task.last_run, max_unrecorded_run);
+    }
+    step.done_tasks =
+        static_cast<std::uint32_t>(std::count_if(step.tasks.begin(), step.tasks.end(), is_done));
 }
 
 } // namespace
@@ -106,38 +94,18 @@
         step.due_at = due_at;
         step.remaining_work = chains[i];
         step.tasks.resize(step.request->tasks);
-        for (auto& task : step.tasks) {
-            task.last_run = max_unrecorded_run;
-        }
-        if (const auto* recorded = recorded_step(job, occurrence, i)) {
-            restore(step, *recorded);
-        }
-        for (auto& task : step.tasks) {
-            task.last_run = std::max(task.last_run, max_unrecorded_run);
-        }
-        if (step.complete()) {
-            place.complete_steps++;
-        }
     }
-    if (place.complete_steps == place.steps.size()) {
-        job.complete_occurrences++;
+    restore(place, occurrence, job.entry->progress.steps);
+    for (const auto& [part, steps] : job.entry->parts) {
+        restore(place, occurrence, steps);
     }
-}
-
-workflow::job_progress progress_of(const live_job& job) {
-    workflow::job_progress progress{.key = job.key(), .phase = job.phase};
-    if (workflow::is_over(job.phase)) {
-        return progress;
+    for (auto& step : place.steps) {
+        finish_restore(step, max_unrecorded_run);
+        place.complete_steps += step.complete() ? 1 : 0;
     }
-    for (const auto& [number, occurrence] : job.occurrences) {
-        for (const auto& step : occurrence.steps) {
-            auto one = progress_of(step);
-            if (step.done_tasks > 0 || !one.open.empty()) {
-                progress.steps.push_back(std::move(one));
-            }
-        }
+    if (place.complete_steps == place.steps.size()) {
+        job.complete_occurrences++;
     }
-    return progress;
 }
 
 bool has_no_runs(const live_step& step) {
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "dispatch/orders.h"
 #include "workflow/cell_state.h"
+#include "workflow/progress_layout.h"
 
 #include <cstdint>
 #include <deque>
@@ -101,12 +102,22 @@
 /// State of a job that has not ended or still has runs.
 struct live_job {
     const workflow::job_entry* entry = nullptr;
-    std::map<std::uint32_t, live_occurrence> occurrences; ///< Occurrences that are due, by number.
-    std::uint32_t next_occurrence = 0;                    ///< The first that is not due yet.
+    /// Occurrences that are due, by number, without those that are folded.
+    std::map<std::uint32_t, live_occurrence> occurrences;
+    std::uint32_t next_occurrence = 0; ///< The first that is not due yet.
     std::uint32_t complete_occurrences = 0;
     workflow::job_phase phase = workflow::job_phase::queued;
-    core::milliseconds latency_objective{0}; ///< Within this time, an occurrence of it should end.
-    bool dirty = false;                      ///< Whether it has unrecorded progress.
+    core::milliseconds latency_objective{0};         ///< Within this time, an occurrence of it should end.
+    bool dirty = false;                              ///< Whether it has unrecorded progress.
+    std::optional<workflow::progress_layout> layout; ///< Set together with `entry`.
+    std::set<workflow::part_id> changed_parts;       ///< Parts with unrecorded progress.
+    std::set<workflow::part_id> recorded_parts;      ///< Parts that may have records of their own in the log.
+    bool recorded_in_parts =
+        false; ///< Whether the log holds the progress of later parts in records of their own.
+    /// The record of the job that was last made in this epoch.
+    std::optional<workflow::job_progress> record;
+    /// By number, the occurrences that are complete and no longer in `occurrences`.
+    std::vector<bool> folded_occurrences;
     bool inherited = false; ///< Accepted before this host led: a former leader may have started its tasks.
     /// No task is started any more and the runs are being stopped; also set if the job completed or failed.
     bool cancelled = false;
@@ -139,10 +150,6 @@
 /// @return the time within which an occurrence of it should end.
 [[nodiscard]] core::milliseconds latency_objective_of(const workflow::job_accepted& job);
 
-/// @param job a job.
-/// @return its progress in the form that is recorded.
-[[nodiscard]] workflow::job_progress progress_of(const live_job& job);
-
 /// @param step a step.
 /// @return whether none of its tasks has a run.
 [[nodiscard]] bool has_no_runs(const live_step& step);
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -28,7 +28,7 @@
     if (step.job->phase == workflow::job_phase::queued) {
         step.job->phase = workflow::job_phase::running;
     }
-    this->state.mark_dirty(*step.job);
+    this->state.mark_dirty(step, index);
     this->send_start(step, index, added, now);
 }
 
@@ -44,7 +44,7 @@
     if (step.job->phase == workflow::job_phase::queued) {
         step.job->phase = workflow::job_phase::running;
     }
-    this->state.mark_dirty(*step.job);
+    this->state.mark_dirty(step, index);
     return run;
 }
 
--- a/src/dispatch/task_lifecycle.cpp
+++ b/src/dispatch/task_lifecycle.cpp
@@ -55,7 +55,7 @@
     if (!end.checkpoint.empty()) {
         task.checkpoint = end.checkpoint;
     }
-    this->state.mark_dirty(*step->job);
+    this->state.mark_dirty(*step, name.index);
     if (task.done || step->job->cancelled) {
         return;
     }
@@ -87,7 +87,7 @@
     }
     this->runs.remove(step, index, run);
     task.ended_run = std::max(task.ended_run, run);
-    this->state.mark_dirty(*step.job);
+    this->state.mark_dirty(step, index);
     this->requeue(step, index, now);
 }
 
--- a/src/inner/gen/workflow_types.cpp
+++ b/src/inner/gen/workflow_types.cpp
@@ -1561,6 +1561,11 @@
 void wf_step_progress::__set_open(const std::vector<wf_task_progress> & val) {
   this->open = val;
 }
+
+void wf_step_progress::__set_first(const int32_t val) {
+  this->first = val;
+__isset.first = true;
+}
 std::ostream& operator<<(std::ostream& out, const wf_step_progress& obj)
 {
   obj.printTo(out);
@@ -1641,6 +1646,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1686,6 +1699,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.first) {
+    xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->first);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1698,6 +1716,7 @@
   swap(a.tasks, b.tasks);
   swap(a.done, b.done);
   swap(a.open, b.open);
+  swap(a.first, b.first);
   swap(a.__isset, b.__isset);
 }
 
@@ -1707,6 +1726,7 @@
   tasks = other48.tasks;
   done = other48.done;
   open = other48.open;
+  first = other48.first;
   __isset = other48.__isset;
 }
 wf_step_progress::wf_step_progress(wf_step_progress&& other49) noexcept {
@@ -1715,6 +1735,7 @@
   tasks = other49.tasks;
   done = std::move(other49.done);
   open = std::move(other49.open);
+  first = other49.first;
   __isset = other49.__isset;
 }
 wf_step_progress& wf_step_progress::operator=(const wf_step_progress& other50) {
@@ -1723,6 +1744,7 @@
   tasks = other50.tasks;
   done = other50.done;
   open = other50.open;
+  first = other50.first;
   __isset = other50.__isset;
   return *this;
 }
@@ -1732,6 +1754,7 @@
   tasks = other51.tasks;
   done = std::move(other51.done);
   open = std::move(other51.open);
+  first = other51.first;
   __isset = other51.__isset;
   return *this;
 }
@@ -1743,6 +1766,7 @@
   out << ", " << "tasks=" << to_string(tasks);
   out << ", " << "done=" << to_string(done);
   out << ", " << "open=" << to_string(open);
+  out << ", " << "first="; (__isset.first ? (out << to_string(first)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1759,6 +1783,21 @@
   this->steps = val;
 __isset.steps = true;
 }
+
+void wf_progress::__set_complete_occurrences(const std::string& val) {
+  this->complete_occurrences = val;
+__isset.complete_occurrences = true;
+}
+
+void wf_progress::__set_occurrences(const int32_t val) {
+  this->occurrences = val;
+__isset.occurrences = true;
+}
+
+void wf_progress::__set_in_parts(const bool val) {
+  this->in_parts = val;
+__isset.in_parts = true;
+}
 std::ostream& operator<<(std::ostream& out, const wf_progress& obj)
 {
   obj.printTo(out);
@@ -1815,6 +1854,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->complete_occurrences);
+          this->__isset.complete_occurrences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->occurrences);
+          this->__isset.occurrences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->in_parts);
+          this->__isset.in_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1849,6 +1912,21 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.complete_occurrences) {
+    xfer += oprot->writeFieldBegin("complete_occurrences", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeBinary(this->complete_occurrences);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.occurrences) {
+    xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->occurrences);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.in_parts) {
+    xfer += oprot->writeFieldBegin("in_parts", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->in_parts);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1858,28 +1936,43 @@
   using ::std::swap;
   swap(a.phase, b.phase);
   swap(a.steps, b.steps);
+  swap(a.complete_occurrences, b.complete_occurrences);
+  swap(a.occurrences, b.occurrences);
+  swap(a.in_parts, b.in_parts);
   swap(a.__isset, b.__isset);
 }
 
 wf_progress::wf_progress(const wf_progress& other58) {
   phase = other58.phase;
   steps = other58.steps;
+  complete_occurrences = other58.complete_occurrences;
+  occurrences = other58.occurrences;
+  in_parts = other58.in_parts;
   __isset = other58.__isset;
 }
 wf_progress::wf_progress(wf_progress&& other59) noexcept {
   phase = other59.phase;
   steps = std::move(other59.steps);
+  complete_occurrences = std::move(other59.complete_occurrences);
+  occurrences = other59.occurrences;
+  in_parts = other59.in_parts;
   __isset = other59.__isset;
 }
 wf_progress& wf_progress::operator=(const wf_progress& other60) {
   phase = other60.phase;
   steps = other60.steps;
+  complete_occurrences = other60.complete_occurrences;
+  occurrences = other60.occurrences;
+  in_parts = other60.in_parts;
   __isset = other60.__isset;
   return *this;
 }
 wf_progress& wf_progress::operator=(wf_progress&& other61) noexcept {
   phase = other61.phase;
   steps = std::move(other61.steps);
+  complete_occurrences = std::move(other61.complete_occurrences);
+  occurrences = other61.occurrences;
+  in_parts = other61.in_parts;
   __isset = other61.__isset;
   return *this;
 }
@@ -1888,6 +1981,130 @@
   out << "wf_progress(";
   out << "phase=" << to_string(phase);
   out << ", " << "steps="; (__isset.steps ? (out << to_string(steps)) : (out << "<null>"));
+  out << ", " << "complete_occurrences="; (__isset.complete_occurrences ? (out << to_string(complete_occurrences)) : (out << "<null>"));
+  out << ", " << "occurrences="; (__isset.occurrences ? (out << to_string(occurrences)) : (out << "<null>"));
+  out << ", " << "in_parts="; (__isset.in_parts ? (out << to_string(in_parts)) : (out << "<null>"));
+  out << ")";
+}
+
+
+wf_part::~wf_part() noexcept {
+}
+
+
+void wf_part::__set_steps(const std::vector<wf_step_progress> & val) {
+  this->steps = val;
+}
+std::ostream& operator<<(std::ostream& out, const wf_part& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t wf_part::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->steps.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->steps.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              xfer += this->steps[_i66].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.steps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t wf_part::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("wf_part");
+
+  xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
+    std::vector<wf_step_progress> ::const_iterator _iter67;
+    for (_iter67 = this->steps.begin(); _iter67 != this->steps.end(); ++_iter67)
+    {
+      xfer += (*_iter67).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(wf_part &a, wf_part &b) {
+  using ::std::swap;
+  swap(a.steps, b.steps);
+  swap(a.__isset, b.__isset);
+}
+
+wf_part::wf_part(const wf_part& other68) {
+  steps = other68.steps;
+  __isset = other68.__isset;
+}
+wf_part::wf_part(wf_part&& other69) noexcept {
+  steps = std::move(other69.steps);
+  __isset = other69.__isset;
+}
+wf_part& wf_part::operator=(const wf_part& other70) {
+  steps = other70.steps;
+  __isset = other70.__isset;
+  return *this;
+}
+wf_part& wf_part::operator=(wf_part&& other71) noexcept {
+  steps = std::move(other71.steps);
+  __isset = other71.__isset;
+  return *this;
+}
+void wf_part::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "wf_part(";
+  out << "steps=" << to_string(steps);
   out << ")";
 }
 
@@ -2022,34 +2239,34 @@
   swap(a.__isset, b.__isset);
 }
 
-wf_leader::wf_leader(const wf_leader& other62) {
-  epoch = other62.epoch;
-  leader = other62.leader;
-  resigned = other62.resigned;
-  host = other62.host;
-  __isset = other62.__isset;
-}
-wf_leader::wf_leader(wf_leader&& other63) noexcept {
-  epoch = other63.epoch;
-  leader = std::move(other63.leader);
-  resigned = other63.resigned;
-  host = std::move(other63.host);
-  __isset = other63.__isset;
-}
-wf_leader& wf_leader::operator=(const wf_leader& other64) {
-  epoch = other64.epoch;
-  leader = other64.leader;
-  resigned = other64.resigned;
-  host = other64.host;
-  __isset = other64.__isset;
+wf_leader::wf_leader(const wf_leader& other72) {
+  epoch = other72.epoch;
+  leader = other72.leader;
+  resigned = other72.resigned;
+  host = other72.host;
+  __isset = other72.__isset;
+}
+wf_leader::wf_leader(wf_leader&& other73) noexcept {
+  epoch = other73.epoch;
+  leader = std::move(other73.leader);
+  resigned = other73.resigned;
+  host = std::move(other73.host);
+  __isset = other73.__isset;
+}
+wf_leader& wf_leader::operator=(const wf_leader& other74) {
+  epoch = other74.epoch;
+  leader = other74.leader;
+  resigned = other74.resigned;
+  host = other74.host;
+  __isset = other74.__isset;
   return *this;
 }
-wf_leader& wf_leader::operator=(wf_leader&& other65) noexcept {
-  epoch = other65.epoch;
-  leader = std::move(other65.leader);
-  resigned = other65.resigned;
-  host = std::move(other65.host);
-  __isset = other65.__isset;
+wf_leader& wf_leader::operator=(wf_leader&& other75) noexcept {
+  epoch = other75.epoch;
+  leader = std::move(other75.leader);
+  resigned = other75.resigned;
+  host = std::move(other75.host);
+  __isset = other75.__isset;
   return *this;
 }
 void wf_leader::printTo(std::ostream& out) const {
@@ -2102,14 +2319,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->workers.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->workers.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += iprot->readString(this->workers[_i70]);
+              xfer += iprot->readString(this->workers[_i80]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2138,10 +2355,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
-    std::vector<std::string> ::const_iterator _iter71;
-    for (_iter71 = this->workers.begin(); _iter71 != this->workers.end(); ++_iter71)
+    std::vector<std::string> ::const_iterator _iter81;
+    for (_iter81 = this->workers.begin(); _iter81 != this->workers.end(); ++_iter81)
     {
-      xfer += oprot->writeString((*_iter71));
+      xfer += oprot->writeString((*_iter81));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2158,22 +2375,22 @@
   swap(a.__isset, b.__isset);
 }
 
-wf_roster::wf_roster(const wf_roster& other72) {
-  workers = other72.workers;
-  __isset = other72.__isset;
+wf_roster::wf_roster(const wf_roster& other82) {
+  workers = other82.workers;
+  __isset = other82.__isset;
 }
-wf_roster::wf_roster(wf_roster&& other73) noexcept {
-  workers = std::move(other73.workers);
-  __isset = other73.__isset;
+wf_roster::wf_roster(wf_roster&& other83) noexcept {
+  workers = std::move(other83.workers);
+  __isset = other83.__isset;
 }
-wf_roster& wf_roster::operator=(const wf_roster& other74) {
-  workers = other74.workers;
-  __isset = other74.__isset;
+wf_roster& wf_roster::operator=(const wf_roster& other84) {
+  workers = other84.workers;
+  __isset = other84.__isset;
   return *this;
 }
-wf_roster& wf_roster::operator=(wf_roster&& other75) noexcept {
-  workers = std::move(other75.workers);
-  __isset = other75.__isset;
+wf_roster& wf_roster::operator=(wf_roster&& other85) noexcept {
+  workers = std::move(other85.workers);
+  __isset = other85.__isset;
   return *this;
 }
 void wf_roster::printTo(std::ostream& out) const {
@@ -2348,42 +2565,42 @@
   swap(a.__isset, b.__isset);
 }
 
-wf_member::wf_member(const wf_member& other76) {
-  incarnation = other76.incarnation;
-  address = other76.address;
-  port = other76.port;
-  data_centre = other76.data_centre;
-  left = other76.left;
-  processor_share = other76.processor_share;
-  __isset = other76.__isset;
-}
-wf_member::wf_member(wf_member&& other77) noexcept {
-  incarnation = std::move(other77.incarnation);
-  address = std::move(other77.address);
-  port = other77.port;
-  data_centre = std::move(other77.data_centre);
-  left = other77.left;
-  processor_share = other77.processor_share;
-  __isset = other77.__isset;
-}
-wf_member& wf_member::operator=(const wf_member& other78) {
-  incarnation = other78.incarnation;
-  address = other78.address;
-  port = other78.port;
-  data_centre = other78.data_centre;
-  left = other78.left;
-  processor_share = other78.processor_share;
-  __isset = other78.__isset;
+wf_member::wf_member(const wf_member& other86) {
+  incarnation = other86.incarnation;
+  address = other86.address;
+  port = other86.port;
+  data_centre = other86.data_centre;
+  left = other86.left;
+  processor_share = other86.processor_share;
+  __isset = other86.__isset;
+}
+wf_member::wf_member(wf_member&& other87) noexcept {
+  incarnation = std::move(other87.incarnation);
+  address = std::move(other87.address);
+  port = other87.port;
+  data_centre = std::move(other87.data_centre);
+  left = other87.left;
+  processor_share = other87.processor_share;
+  __isset = other87.__isset;
+}
+wf_member& wf_member::operator=(const wf_member& other88) {
+  incarnation = other88.incarnation;
+  address = other88.address;
+  port = other88.port;
+  data_centre = other88.data_centre;
+  left = other88.left;
+  processor_share = other88.processor_share;
+  __isset = other88.__isset;
   return *this;
 }
-wf_member& wf_member::operator=(wf_member&& other79) noexcept {
-  incarnation = std::move(other79.incarnation);
-  address = std::move(other79.address);
-  port = other79.port;
-  data_centre = std::move(other79.data_centre);
-  left = other79.left;
-  processor_share = other79.processor_share;
-  __isset = other79.__isset;
+wf_member& wf_member::operator=(wf_member&& other89) noexcept {
+  incarnation = std::move(other89.incarnation);
+  address = std::move(other89.address);
+  port = other89.port;
+  data_centre = std::move(other89.data_centre);
+  left = other89.left;
+  processor_share = other89.processor_share;
+  __isset = other89.__isset;
   return *this;
 }
 void wf_member::printTo(std::ostream& out) const {
--- a/src/inner/gen/workflow_types.h
+++ b/src/inner/gen/workflow_types.h
@@ -37,6 +37,8 @@
 
 class wf_progress;
 
+class wf_part;
+
 class wf_leader;
 
 class wf_roster;
@@ -611,12 +613,13 @@
 std::ostream& operator<<(std::ostream& out, const wf_task_progress& obj);
 
 typedef struct _wf_step_progress__isset {
-  _wf_step_progress__isset() : occurrence(false), step(false), tasks(false), done(false), open(false) {}
+  _wf_step_progress__isset() : occurrence(false), step(false), tasks(false), done(false), open(false), first(false) {}
   bool occurrence :1;
   bool step :1;
   bool tasks :1;
   bool done :1;
   bool open :1;
+  bool first :1;
 } _wf_step_progress__isset;
 
 class wf_step_progress : public virtual ::apache::thrift::TBase {
@@ -630,7 +633,8 @@
                    : occurrence(0),
                      step(0),
                      tasks(0),
-                     done() {
+                     done(),
+                     first(0) {
   }
 
   virtual ~wf_step_progress() noexcept;
@@ -639,6 +643,7 @@
   int32_t tasks;
   std::string done;
   std::vector<wf_task_progress>  open;
+  int32_t first;
 
   _wf_step_progress__isset __isset;
 
@@ -652,6 +657,8 @@
 
   void __set_open(const std::vector<wf_task_progress> & val);
 
+  void __set_first(const int32_t val);
+
   bool operator == (const wf_step_progress & rhs) const
   {
     if (!(occurrence == rhs.occurrence))
@@ -664,6 +671,10 @@
       return false;
     if (!(open == rhs.open))
       return false;
+    if (__isset.first != rhs.__isset.first)
+      return false;
+    else if (__isset.first && !(first == rhs.first))
+      return false;
     return true;
   }
   bool operator != (const wf_step_progress &rhs) const {
@@ -683,9 +694,12 @@
 std::ostream& operator<<(std::ostream& out, const wf_step_progress& obj);
 
 typedef struct _wf_progress__isset {
-  _wf_progress__isset() : phase(false), steps(false) {}
+  _wf_progress__isset() : phase(false), steps(false), complete_occurrences(false), occurrences(false), in_parts(false) {}
   bool phase :1;
   bool steps :1;
+  bool complete_occurrences :1;
+  bool occurrences :1;
+  bool in_parts :1;
 } _wf_progress__isset;
 
 class wf_progress : public virtual ::apache::thrift::TBase {
@@ -696,12 +710,18 @@
   wf_progress& operator=(const wf_progress&);
   wf_progress& operator=(wf_progress&&) noexcept;
   wf_progress() noexcept
-              : phase(0) {
+              : phase(0),
+                complete_occurrences(),
+                occurrences(0),
+                in_parts(0) {
   }
 
   virtual ~wf_progress() noexcept;
   int8_t phase;
   std::vector<wf_step_progress>  steps;
+  std::string complete_occurrences;
+  int32_t occurrences;
+  bool in_parts;
 
   _wf_progress__isset __isset;
 
@@ -709,6 +729,12 @@
 
   void __set_steps(const std::vector<wf_step_progress> & val);
 
+  void __set_complete_occurrences(const std::string& val);
+
+  void __set_occurrences(const int32_t val);
+
+  void __set_in_parts(const bool val);
+
   bool operator == (const wf_progress & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -717,6 +743,18 @@
       return false;
     else if (__isset.steps && !(steps == rhs.steps))
       return false;
+    if (__isset.complete_occurrences != rhs.__isset.complete_occurrences)
+      return false;
+    else if (__isset.complete_occurrences && !(complete_occurrences == rhs.complete_occurrences))
+      return false;
+    if (__isset.occurrences != rhs.__isset.occurrences)
+      return false;
+    else if (__isset.occurrences && !(occurrences == rhs.occurrences))
+      return false;
+    if (__isset.in_parts != rhs.__isset.in_parts)
+      return false;
+    else if (__isset.in_parts && !(in_parts == rhs.in_parts))
+      return false;
     return true;
   }
   bool operator != (const wf_progress &rhs) const {
@@ -735,6 +773,50 @@
 
 std::ostream& operator<<(std::ostream& out, const wf_progress& obj);
 
+typedef struct _wf_part__isset {
+  _wf_part__isset() : steps(false) {}
+  bool steps :1;
+} _wf_part__isset;
+
+class wf_part : public virtual ::apache::thrift::TBase {
+ public:
+
+  wf_part(const wf_part&);
+  wf_part(wf_part&&) noexcept;
+  wf_part& operator=(const wf_part&);
+  wf_part& operator=(wf_part&&) noexcept;
+  wf_part() noexcept {
+  }
+
+  virtual ~wf_part() noexcept;
+  std::vector<wf_step_progress>  steps;
+
+  _wf_part__isset __isset;
+
+  void __set_steps(const std::vector<wf_step_progress> & val);
+
+  bool operator == (const wf_part & rhs) const
+  {
+    if (!(steps == rhs.steps))
+      return false;
+    return true;
+  }
+  bool operator != (const wf_part &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const wf_part & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(wf_part &a, wf_part &b);
+
+std::ostream& operator<<(std::ostream& out, const wf_part& obj);
+
 typedef struct _wf_leader__isset {
   _wf_leader__isset() : epoch(false), leader(false), resigned(false), host(false) {}
   bool epoch :1;
--- a/src/inner/workflow.thrift
+++ b/src/inner/workflow.thrift
@@ -80,11 +80,23 @@
   3: i32 tasks
   4: binary done
   5: list<wf_task_progress> open
+  // Index of the first task that `tasks` counts and `done` has a bit for.
+  6: optional i32 first
 }
 
+// The phase of a job and the progress of its first part, or of all of it if in_parts is not set.
 struct wf_progress {
   1: i8 phase
   2: optional list<wf_step_progress> steps
+  // One bit for each occurrence; the number of bits is in `occurrences`.
+  3: optional binary complete_occurrences
+  4: optional i32 occurrences
+  5: optional bool in_parts
+}
+
+// The progress of another part of a job, which the key names.
+struct wf_part {
+  1: list<wf_step_progress> steps
 }
 
 struct wf_leader {
--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -3,8 +3,10 @@
 #include "core/errors.h"
 #include "core/longest_duration.h"
 #include "ledger/thrift_bytes.h"
+#include "workflow/task_name.h"
 
 #include <set>
+#include <string_view>
 #include <type_traits>
 #include <utility>
 #include <workflow_types.h>
@@ -20,6 +22,7 @@
 constexpr char accepted_key = 'j';
 constexpr char cancelled_key = 'c';
 constexpr char progress_key = 'p';
+constexpr char part_key = 'q';
 constexpr char leader_key = 'l';
 constexpr char member_key = 'm';
 constexpr char roster_key = 'w';
@@ -200,6 +203,9 @@
     to.step = static_cast<std::int32_t>(step.step);
     to.tasks = static_cast<std::int32_t>(step.done.size());
     to.done = pack_bits(step.done);
+    if (step.first != 0) {
+        to.__set_first(static_cast<std::int32_t>(step.first));
+    }
     for (const auto& [index, task] : step.open) {
         to.open.push_back(to_gen(index, task));
     }
@@ -214,6 +220,7 @@
     }
     step_progress step{.occurrence = count_of(from.occurrence, "occurrence"),
                        .step = count_of(from.step, "step"),
+                       .first = count_of(from.first, "first"),
                        .done = unpack_bits(from.done, tasks)};
     for (const auto& task : from.open) {
         step.open.emplace(count_of(task.index, "index"),
@@ -249,19 +256,52 @@
     return {.key = key_of(cancelled_key, record.key.value()), .value = "x"};
 }
 
+std::vector<gen::wf_step_progress> to_gen(const std::vector<step_progress>& steps) {
+    std::vector<gen::wf_step_progress> to;
+    to.reserve(steps.size());
+    for (const auto& step : steps) {
+        to.push_back(to_gen(step));
+    }
+    return to;
+}
+
+std::vector<step_progress> from_gen(const std::vector<gen::wf_step_progress>& steps) {
+    std::vector<step_progress> from;
+    from.reserve(steps.size());
+    for (const auto& step : steps) {
+        from.push_back(from_gen(step));
+    }
+    return from;
+}
+
 keyed_record encode_one(const job_progress& record) {
     gen::wf_progress to;
     to.phase = static_cast<std::int8_t>(record.phase);
     if (!record.steps.empty()) {
-        std::vector<gen::wf_step_progress> steps;
-        for (const auto& step : record.steps) {
-            steps.push_back(to_gen(step));
-        }
-        to.__set_steps(steps);
+        to.__set_steps(to_gen(record.steps));
+    }
+    if (!record.complete_occurrences.empty()) {
+        to.__set_complete_occurrences(pack_bits(record.complete_occurrences));
+        to.__set_occurrences(static_cast<std::int32_t>(record.complete_occurrences.size()));
+    }
+    if (record.in_parts) {
+        to.__set_in_parts(true);
     }
     return {.key = key_of(progress_key, record.key.value()), .value = ledger::to_bytes(to)};
 }
 
+std::string part_key_of(const job_key& job, const part_id& part) {
+    return key_of(part_key, job.value()) + "." + std::to_string(part.occurrence) + "." +
+           std::to_string(part.number);
+}
+
+keyed_record encode_one(const part_progress& record) {
+    gen::wf_part to;
+    to.steps = to_gen(record.steps);
+    return {.key = part_key_of(record.key, record.part),
+            .value = record.steps.empty() ? std::string{} : ledger::to_bytes(to)};
+}
+
 keyed_record encode_one(const leader_record& record) {
     gen::wf_leader to;
     to.epoch = static_cast<std::int64_t>(record.epoch.value());
@@ -322,9 +362,29 @@
     if (from.phase < 0 || from.phase > static_cast<std::int8_t>(job_phase::cancelled)) {
         throw core::invalid_argument("job phase: unknown value " + std::to_string(from.phase));
     }
-    job_progress record{.key = job_key{name}, .phase = static_cast<job_phase>(from.phase)};
-    for (const auto& step : from.steps) {
-        record.steps.push_back(from_gen(step));
+    const auto occurrences = count_of(from.occurrences, "occurrences");
+    if (occurrences > request_limits::max_occurrences) {
+        throw core::invalid_argument("occurrences: has " + std::to_string(occurrences) + ", the most are " +
+                                     std::to_string(request_limits::max_occurrences));
+    }
+    return job_progress{.key = job_key{name},
+                        .phase = static_cast<job_phase>(from.phase),
+                        .steps = from_gen(from.steps),
+                        .complete_occurrences = unpack_bits(from.complete_occurrences, occurrences),
+                        .in_parts = from.in_parts};
+}
+
+cell_record decode_part(const std::string& name, const std::string& value) {
+    std::string_view job = name;
+    const auto number = take_last_number(job);
+    const auto occurrence = number ? take_last_number(job) : std::nullopt;
+    if (!occurrence) {
+        throw core::invalid_argument("expected a part JOB.OCCURRENCE.NUMBER, got '" + name + "'");
+    }
+    part_progress record{.key = job_key{std::string{job}},
+                         .part = {.occurrence = *occurrence, .number = *number}};
+    if (!value.empty()) {
+        record.steps = from_gen(ledger::from_bytes<gen::wf_part>(value).steps);
     }
     return record;
 }
@@ -362,9 +422,14 @@
 std::vector<cell::keyed_record> encode_record(const workflow::cell_record& record) {
     if (const auto* forgotten = std::get_if<job_forgotten>(&record)) {
         const auto& name = forgotten->key.value();
-        return {{.key = key_of(accepted_key, name), .value = ""},
-                {.key = key_of(cancelled_key, name), .value = ""},
-                {.key = key_of(progress_key, name), .value = ""}};
+        std::vector<cell::keyed_record> items;
+        for (const auto& part : forgotten->parts) {
+            items.push_back({.key = part_key_of(forgotten->key, part), .value = ""});
+        }
+        for (const auto kind : {accepted_key, cancelled_key, progress_key}) {
+            items.push_back({.key = key_of(kind, name), .value = ""});
+        }
+        return items;
     }
     return {std::visit(
         [](const auto& one) -> keyed_record {
@@ -396,6 +461,8 @@
         return job_cancelled{job_key{name}};
     case progress_key:
         return decode_progress(name, bytes.value);
+    case part_key:
+        return decode_part(name, bytes.value);
     case leader_key:
         return decode_leader(bytes.value);
     case member_key:
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -40,7 +40,8 @@
         this->last_offset = std::max(this->last_offset, offset);
         if (const auto* leader = std::get_if<workflow::leader_record>(&record)) {
             this->election.on_record(*leader, now);
-        } else if (std::holds_alternative<workflow::job_progress>(record)) {
+        } else if (std::holds_alternative<workflow::job_progress>(record) ||
+                   std::holds_alternative<workflow::part_progress>(record)) {
             this->election.on_leader_active(now);
         }
         if (const auto* member = std::get_if<workflow::member_record>(&record)) {
@@ -286,26 +287,28 @@
     if (!batch) {
         return;
     }
-    std::vector<workflow::cell_record> records{batch->jobs.begin(), batch->jobs.end()};
-    for (const auto& key : batch->closed) {
-        records.emplace_back(workflow::job_closed{key});
-    }
-    if (records.empty()) {
+    if (batch->records.empty()) {
         this->dispatcher.progress_recorded(*batch);
         return;
     }
     this->election.on_appended(now);
-    this->options.hooks.store_as_leader(batch->epoch, records, [this, batch, now](write_outcome outcome) {
-        this->options.hooks.post([this, batch, outcome, sent_at = now](core::steady_time reported_at) {
-            if (outcome == write_outcome::stored) {
-                this->dispatcher.confirm_leadership(sent_at);
-                this->dispatcher.progress_recorded(*batch);
-            } else if (batch->epoch == this->election.epoch()) {
-                this->election.on_fenced(reported_at);
-                this->apply_leadership(reported_at);
-            }
+    this->options.hooks.store_as_leader(
+        batch->epoch, batch->records, [this, batch, now](write_outcome outcome) {
+            this->options.hooks.post([this, batch, outcome, sent_at = now](core::steady_time reported_at) {
+                if (outcome == write_outcome::stored) {
+                    this->dispatcher.confirm_leadership(sent_at);
+                    this->dispatcher.progress_recorded(*batch);
+                } else if (outcome == write_outcome::rejected) {
+                    telemetry::log_state("the log has rejected progress of jobs",
+                                         {{"records", std::to_string(batch->records.size())}},
+                                         telemetry::log_level::error);
+                    this->dispatcher.progress_rejected(*batch, reported_at);
+                } else if (batch->epoch == this->election.epoch()) {
+                    this->election.on_fenced(reported_at);
+                    this->apply_leadership(reported_at);
+                }
+            });
         });
-    });
 }
 
 void cell_control::forget_expired_jobs(core::steady_time now) {
@@ -315,7 +318,13 @@
     this->last_forget_at = now;
     std::vector<workflow::cell_record> records;
     for (const auto& key : this->book.expired(now, this->options.ended_job_retention)) {
-        records.emplace_back(workflow::job_forgotten{key});
+        workflow::job_forgotten forgotten{.key = key};
+        if (const auto* job = this->book.find(key)) {
+            for (const auto& [part, steps] : job->parts) {
+                forgotten.parts.push_back(part);
+            }
+        }
+        records.emplace_back(std::move(forgotten));
     }
     if (!records.empty()) {
         this->options.hooks.store_as_leader(this->election.epoch(), records, [](write_outcome) {});
--- a/src/workflow/cell_state.cpp
+++ b/src/workflow/cell_state.cpp
@@ -61,7 +61,12 @@
         this->apply_one(job_cancelled{key}, offset, now);
     }
     if (const auto early = this->early_progress.extract(key)) {
-        this->apply_one(early.mapped(), offset, now);
+        if (early.mapped().job) {
+            this->apply_one(*early.mapped().job, offset, now);
+        }
+        for (const auto& [id, part] : early.mapped().parts) {
+            this->apply_one(part, offset, now);
+        }
     }
     return {.what = state_change::kind::accepted, .job = key};
 }
@@ -86,28 +91,59 @@
                                    core::steady_time now) {
     const auto found = this->entries.find(record.key);
     if (found == this->entries.end() && !is_over(record.phase)) {
-        this->early_progress.insert_or_assign(record.key, record);
+        this->early_progress[record.key].job = record;
         return {};
     }
     if (found == this->entries.end()) {
         // The job was closed before this host read its acceptance: its outcome is all that is kept of it.
-        this->entries.emplace(
+        const auto [place, added] = this->entries.emplace(
             record.key, std::make_unique<job_entry>(job_entry{.accepted = {.request = {.key = record.key}},
                                                               .offset = offset,
                                                               .epoch = this->lead.epoch,
                                                               .progress = record,
                                                               .ended_at = now}));
+        if (const auto early = this->early_progress.extract(record.key)) {
+            for (const auto& [id, part] : early.mapped().parts) {
+                place->second->parts[id] = {};
+            }
+        }
         return {.what = state_change::kind::progress, .job = record.key};
     }
     auto& job = *found->second;
     const bool ends = is_over(record.phase) && !is_over(job.phase());
     job.progress = record;
+    if (!record.in_parts) {
+        for (auto& [id, steps] : job.parts) {
+            steps.clear(); // The job has ended, or the record holds the whole progress.
+        }
+    }
     if (ends) {
         job.ended_at = now;
     }
     return {.what = state_change::kind::progress, .job = record.key};
 }
 
+state_change cell_state::apply_one(const part_progress& record, core::log_offset /*offset*/,
+                                   core::steady_time /*now*/) {
+    const auto found = this->entries.find(record.key);
+    if (found == this->entries.end()) {
+        if (const auto early = this->early_progress.find(record.key); early != this->early_progress.end()) {
+            early->second.parts.erase(record.part);
+        }
+        if (!record.steps.empty()) {
+            this->early_progress[record.key].parts.emplace(record.part, record);
+        }
+        return {};
+    }
+    auto& job = *found->second;
+    if (record.steps.empty()) {
+        job.parts.erase(record.part);
+    } else {
+        job.parts.insert_or_assign(record.part, record.steps);
+    }
+    return {.what = state_change::kind::progress, .job = record.key};
+}
+
 state_change cell_state::apply_one(const job_closed& record, core::log_offset /*offset*/,
                                    core::steady_time /*now*/) {
     const auto found = this->entries.find(record.key);
--- a/src/workflow/cell_state.h
+++ b/src/workflow/cell_state.h
@@ -24,6 +24,9 @@
     core::steady_time learned_at; ///< When this host learned of it.
     core::epoch_id epoch;         ///< Epoch in which it was accepted.
     job_progress progress;
+    /// Steps of the parts that have records of their own; empty for a part whose record no longer counts but
+    /// is still in the log.
+    std::map<part_id, std::vector<step_progress>> parts;
     bool cancelled = false;
     core::steady_time ended_at; ///< When this host first saw that it had ended; valid only if it has.
 
@@ -91,6 +94,7 @@
     state_change apply_one(const job_accepted& record, core::log_offset offset, core::steady_time now);
     state_change apply_one(const job_cancelled& record, core::log_offset offset, core::steady_time now);
     state_change apply_one(const job_progress& record, core::log_offset offset, core::steady_time now);
+    state_change apply_one(const part_progress& record, core::log_offset offset, core::steady_time now);
     state_change apply_one(const job_closed& record, core::log_offset offset, core::steady_time now);
     state_change apply_one(const job_forgotten& record, core::log_offset offset, core::steady_time now);
     state_change apply_one(const leader_record& record, core::log_offset offset, core::steady_time now);
@@ -103,7 +107,11 @@
         core::steady_time read_at;
     };
     std::map<job_key, early_cancellation> early_cancellations; ///< Cancellations read before their jobs.
-    std::map<job_key, job_progress> early_progress;            ///< Progress read before its job.
+    struct early_records {
+        std::optional<job_progress> job;
+        std::map<part_id, part_progress> parts;
+    };
+    std::map<job_key, early_records> early_progress; ///< Progress read before its job.
     leader_record lead;
     std::map<core::host_id, member_record> hosts;
     std::set<core::worker_id> roster_workers;
--- a/src/workflow/records.h
+++ b/src/workflow/records.h
@@ -6,6 +6,7 @@
 #include "workflow/job_request.h"
 #include "workflow/queue_policy.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -48,25 +49,53 @@
     friend bool operator==(const task_progress&, const task_progress&) = default;
 };
 
-/// Recorded progress of a step of one occurrence.
+/// Recorded progress of consecutive tasks of a step of one occurrence.
 struct step_progress {
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
-    std::vector<bool> done;                      ///< By task index; empty: no task is done.
+    std::uint32_t first = 0;                     ///< Index of the first task.
+    std::vector<bool> done;                      ///< From the first task on; empty: no task is done.
     std::map<std::uint32_t, task_progress> open; ///< By task index; tasks without progress are omitted.
 
     friend bool operator==(const step_progress&, const step_progress&) = default;
 };
 
-/// Records the complete progress of a job; replaces earlier records of it.
+/// Identifies a part of a job's progress: the tasks of one occurrence that progress_layout puts together.
+struct part_id {
+    std::uint32_t occurrence = 0;
+    std::uint32_t number = 0;
+
+    friend auto operator<=>(const part_id&, const part_id&) = default;
+};
+
+/// Records the phase of a job and the progress of its first part; replaces earlier records of it.
 struct job_progress {
     job_key key;
     job_phase phase = job_phase::queued;
     std::vector<step_progress> steps; ///< Empty once the job has ended.
+    /// By number, the occurrences of which all tasks are done and nothing else is recorded; later ones may be
+    /// missing.
+    std::vector<bool> complete_occurrences;
+    /// Whether other parts have records of their own. If not, this record holds the whole progress of the
+    /// job: it has one part only, or a former version of this program wrote the record.
+    bool in_parts = false;
 
     friend bool operator==(const job_progress&, const job_progress&) = default;
 };
 
+/// Records the progress of a part of a job other than the first one; replaces earlier records of that part.
+///
+/// Each record of a part is valid by itself: a successor takes a part whose last record was not stored to be
+/// as it was before, as it does a whole job. The workers still list the ends that the record would have had,
+/// because they are acknowledged only once all records of a batch are stored.
+struct part_progress {
+    job_key key;
+    part_id part;
+    std::vector<step_progress> steps; ///< Empty: the part is deleted from the log.
+
+    friend bool operator==(const part_progress&, const part_progress&) = default;
+};
+
 /// Records that an ended job has no runs left, or that a new leader found it ended. Only its outcome is kept;
 /// its payload and steps are dropped.
 struct job_closed {
@@ -76,6 +105,7 @@
 /// Records that an ended job is removed after its retention time.
 struct job_forgotten {
     job_key key;
+    std::vector<part_id> parts; ///< Parts that the log still has.
 };
 
 /// Records that a host leads the cell, or resigns.
@@ -104,8 +134,8 @@
 };
 
 /// A record of the cell's log.
-using cell_record = std::variant<job_accepted, job_cancelled, job_progress, job_closed, job_forgotten,
-                                 leader_record, member_record, roster_record>;
+using cell_record = std::variant<job_accepted, job_cancelled, job_progress, part_progress, job_closed,
+                                 job_forgotten, leader_record, member_record, roster_record>;
 
 /// @param phase a phase.
 /// @return its name.
--- a/src/workflow/task_name.cpp
+++ b/src/workflow/task_name.cpp
@@ -2,8 +2,8 @@
 
 #include "core/errors.h"
 
-#include <array>
 #include <charconv>
+#include <system_error>
 
 namespace rattanmount::workflow {
 
@@ -15,27 +15,32 @@
     return this->step.text() + "." + std::to_string(this->index);
 }
 
+std::optional<std::uint32_t> take_last_number(std::string_view& text) {
+    const auto dot = text.rfind('.');
+    if (dot == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = text.substr(dot + 1);
+    const auto* const end = digits.data() + digits.size();
+    std::uint32_t number = 0;
+    const auto parsed = std::from_chars(digits.data(), end, number);
+    if (digits.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    text.remove_suffix(digits.size() + 1);
+    return number;
+}
+
 task_name task_name::parse(const std::string& text) {
-    constexpr std::size_t number_count = 3;
-    std::array<std::uint32_t, number_count> numbers{};
-    auto end = text.size();
-    for (std::size_t i = number_count; i-- > 0;) {
-        const auto dot = end == 0 ? std::string::npos : text.rfind('.', end - 1);
-        if (dot == std::string::npos) {
-            throw core::invalid_argument("expected a task name JOB.OCCURRENCE.STEP.INDEX, got '" + text +
-                                         "'");
-        }
-        const auto* const first = text.data() + dot + 1;
-        const auto* const last = text.data() + end;
-        const auto parsed = std::from_chars(first, last, numbers.at(i));
-        if (first == last || parsed.ec != std::errc{} || parsed.ptr != last) {
-            throw core::invalid_argument("expected a task name JOB.OCCURRENCE.STEP.INDEX, got '" + text +
-                                         "'");
-        }
-        end = dot;
+    std::string_view rest = text;
+    const auto index = take_last_number(rest);
+    const auto step = index ? take_last_number(rest) : std::nullopt;
+    const auto occurrence = step ? take_last_number(rest) : std::nullopt;
+    if (!occurrence) {
+        throw core::invalid_argument("expected a task name JOB.OCCURRENCE.STEP.INDEX, got '" + text + "'");
     }
-    return {.step = {.job = job_key{text.substr(0, end)}, .occurrence = numbers[0], .step = numbers[1]},
-            .index = numbers[2]};
+    return {.step = {.job = job_key{std::string{rest}}, .occurrence = *occurrence, .step = *step},
+            .index = *index};
 }
 
 } // namespace rattanmount::workflow
--- a/src/workflow/task_name.h
+++ b/src/workflow/task_name.h
@@ -5,7 +5,9 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace rattanmount::workflow {
 
@@ -21,6 +23,11 @@
     [[nodiscard]] std::string text() const;
 };
 
+/// Cuts the last number off a name whose parts are separated by dots.
+/// @param text the name; left unchanged if it has no such number.
+/// @return the number, or nothing if the text after the last dot is none.
+[[nodiscard]] std::optional<std::uint32_t> take_last_number(std::string_view& text);
+
 /// Identifies a task of a step.
 struct task_name {
     step_name step;
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -400,15 +400,15 @@
         if (leader != this->leader_number) {
             return; // The log refuses records of an earlier epoch.
         }
-        for (const auto& progress : batch.jobs) {
-            this->state.apply(progress, core::log_offset{++this->offset}, this->time);
-            auto& record = this->job_times[progress.key];
-            if (workflow::is_over(progress.phase) && record.over == core::steady_time{}) {
-                record.over = this->time;
-            }
+        const auto stored =
+            std::min(this->stored_before_change.value_or(batch.records.size()), batch.records.size());
+        for (std::size_t i = 0; i < stored; i++) {
+            this->apply_progress(batch.records[i]);
         }
-        for (const auto& key : batch.closed) {
-            this->state.apply(workflow::job_closed{key}, core::log_offset{++this->offset}, this->time);
+        if (this->stored_before_change) {
+            this->stored_before_change.reset();
+            this->change_leader();
+            return;
         }
         this->current_dispatcher().progress_recorded(batch);
     };
@@ -421,6 +421,18 @@
     });
 }
 
+void simulated_cell::apply_progress(const workflow::cell_record& record) {
+    this->state.apply(record, core::log_offset{++this->offset}, this->time);
+    const auto* progress = std::get_if<workflow::job_progress>(&record);
+    if (progress == nullptr || !workflow::is_over(progress->phase)) {
+        return;
+    }
+    auto& times = this->job_times[progress->key];
+    if (times.over == core::steady_time{}) {
+        times.over = this->time;
+    }
+}
+
 worker_time simulated_cell::clock_of(const sim_worker& worker) const {
     return std::chrono::duration_cast<worker_time>(this->time - worker.started_at);
 }
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -58,6 +59,10 @@
     /// @param list_complete_in how long workers may be missing from the platform's list.
     void change_leader(core::milliseconds list_complete_in = core::milliseconds{0});
 
+    /// Replaces the leader while its next records of progress are being stored.
+    /// @param stored how many of the records the log has stored by then.
+    void change_leader_during_write(std::size_t stored) { this->stored_before_change = stored; }
+
     /// Replaces the leader as change_leader() does, but the former one lives on, cut off from the log: it
     /// still sends orders to the workers that it reaches.
     void cut_off_leader();
@@ -96,6 +101,12 @@
     /// @return descriptions of the violated guarantees.
     [[nodiscard]] const std::vector<std::string>& violations() const { return this->found_violations; }
 
+    /// @param job a job.
+    /// @return the number of parts of its progress that have records of their own in the log.
+    [[nodiscard]] std::size_t recorded_parts_of(const std::string& job) const {
+        return this->state.find(workflow::job_key{job})->parts.size();
+    }
+
     /// @return the number of runs that the workers started.
     [[nodiscard]] std::uint64_t started_runs() const { return this->starts; }
 
@@ -185,6 +196,8 @@
     void check_lease(std::uint32_t index);
     void check_start(std::uint32_t index, const workflow::run_name& run, const workflow::step_request& step);
     const workflow::step_request* step_of(const workflow::task_name& task) const;
+    /// Applies a record of progress that the log has stored.
+    void apply_progress(const workflow::cell_record& record);
     void check_attempt_limit(const workflow::task_name& task);
     void add_violation(const std::string& text);
     template <typename Order, typename Act, typename OnReply>
@@ -205,6 +218,8 @@
     call_line line; ///< Of the current leader.
     std::uint64_t offset = 0;
     bool log_down = false;
+    /// If set, only so many records of the next batch are stored before the leader is replaced.
+    std::optional<std::size_t> stored_before_change;
     std::vector<std::function<void()>> delayed_writes;
     std::map<workflow::job_key, job_record> job_times;
     std::map<workflow::job_key, workflow::job_request> accepted; ///< Jobs as submitted.
--- a/tests/inner/workflow_codec_test.cpp
+++ b/tests/inner/workflow_codec_test.cpp
@@ -71,6 +71,45 @@
     CHECK(std::get<job_progress>(inner::decode_record(inner::encode_record(record).front())) == record);
 }
 
+TEST_CASE("job progress in parts survives encoding and decoding") {
+    job_progress record{.key = job_key{"a"}, .phase = job_phase::running};
+    record.complete_occurrences = std::vector<bool>(request_limits::max_occurrences, true);
+    record.complete_occurrences[7] = false;
+    record.in_parts = true;
+    CHECK(std::get<job_progress>(inner::decode_record(inner::encode_record(record).front())) == record);
+    part_progress part{.key = job_key{"job.with.dots"}, .part = {.occurrence = 12, .number = 3}};
+    step_progress step{.occurrence = 12, .step = 2, .first = 148, .done = std::vector<bool>(11, false)};
+    step.done[3] = true;
+    step.open[150] = {.last_run = 65, .worker = core::worker_id{"w"}};
+    part.steps = {step};
+    CHECK(std::get<part_progress>(inner::decode_record(inner::encode_record(part).front())) == part);
+    part.steps = {};
+    CHECK(inner::encode_record(part).front().value.empty());
+    CHECK(std::get<part_progress>(inner::decode_record(inner::encode_record(part).front())) == part);
+    for (const auto* key : {"q", "qa", "qa.1", "qa.1.", "qa..1", "qa.1.x"}) {
+        CAPTURE(key);
+        CHECK_THROWS_AS(inner::decode_record({.key = key, .value = "x"}), core::invalid_argument);
+    }
+}
+
+// Guards against a rolling restart in which the hosts of the new version lose what the old ones have
+// recorded.
+TEST_CASE("a record of progress of a version without parts holds the whole progress") {
+    inner::gen::wf_step_progress step;
+    step.tasks = 2;
+    step.done = std::string(1, '\x02');
+    inner::gen::wf_progress progress;
+    progress.phase = static_cast<std::int8_t>(job_phase::running);
+    progress.__set_steps({step});
+    const auto record =
+        std::get<job_progress>(inner::decode_record({.key = "pa", .value = ledger::to_bytes(progress)}));
+    CHECK_FALSE(record.in_parts);
+    CHECK(record.steps.front().first == 0);
+    CHECK(record.steps.front().done == std::vector<bool>{false, true});
+    // And a job with one part is recorded as by that version.
+    CHECK(inner::encode_record(record).front().value == ledger::to_bytes(progress));
+}
+
 TEST_CASE("forgetting a job deletes all its keys from the log") {
     const auto items = inner::encode_record(job_forgotten{job_key{"a"}});
     REQUIRE(items.size() == 3);
@@ -118,6 +157,24 @@
     CHECK_THROWS_AS(inner::decode_record(inner::encode_record(job).front()), core::invalid_argument);
 }
 
+TEST_CASE("a record of progress whose number of occurrences is out of range is rejected") {
+    for (const std::int32_t occurrences : {-1, 10001, 2147483647}) {
+        inner::gen::wf_progress progress;
+        progress.__set_occurrences(occurrences);
+        CAPTURE(occurrences);
+        CHECK_THROWS_AS(inner::decode_record({.key = "pa", .value = ledger::to_bytes(progress)}),
+                        core::invalid_argument);
+    }
+}
+
+TEST_CASE("forgetting a job deletes its parts first") {
+    const auto items =
+        inner::encode_record(job_forgotten{job_key{"a"}, {{.occurrence = 0, .number = 1}, {2, 0}}});
+    REQUIRE(items.size() == 5);
+    CHECK(items[0].key == "qa.0.1");
+    CHECK(items[1].key == "qa.2.0");
+}
+
 // Guards against processes that end because the number of tasks in a record of progress is out of range.
 TEST_CASE("a record of progress whose number of tasks is out of range is rejected") {
     for (const std::int32_t tasks : {-1, 2147483647}) {
--- a/tests/workflow/cell_state_test.cpp
+++ b/tests/workflow/cell_state_test.cpp
@@ -21,8 +21,61 @@
     return {.key = job_key{key}, .phase = phase};
 }
 
+/// A part of the progress of a job, with one task that is done.
+part_progress part(const std::string& key, const part_id& id) {
+    return {.key = job_key{key},
+            .part = id,
+            .steps = {{.occurrence = id.occurrence, .step = 0, .first = 0, .done = {true}}}};
+}
+
+constexpr part_id second_part{.occurrence = 0, .number = 1};
+constexpr part_id third_part{.occurrence = 0, .number = 2};
+
 } // namespace
 
+TEST_CASE("parts of the progress of a job are kept until they are deleted") {
+    cell_state state;
+    state.apply(accepted("a"), core::log_offset{1}, start);
+    state.apply(part("a", second_part), core::log_offset{2}, start);
+    state.apply(part("a", third_part), core::log_offset{3}, start);
+    state.apply(job_progress{.key = job_key{"a"}, .phase = job_phase::running, .in_parts = true},
+                core::log_offset{4}, start);
+    const auto& parts = state.find(job_key{"a"})->parts;
+    CHECK(parts.size() == 2);
+    CHECK(parts.at(second_part) == part("a", second_part).steps);
+    state.apply(part_progress{.key = job_key{"a"}, .part = second_part}, core::log_offset{5}, start);
+    CHECK(parts.size() == 1);
+}
+
+TEST_CASE("parts that are read before their job take effect") {
+    cell_state state;
+    state.apply(part("a", second_part), core::log_offset{1}, start);
+    state.apply(part("a", third_part), core::log_offset{2}, start);
+    state.apply(part_progress{.key = job_key{"a"}, .part = third_part}, core::log_offset{3}, start);
+    state.apply(accepted("a"), core::log_offset{4}, start);
+    CHECK(state.find(job_key{"a"})->parts.contains(second_part));
+    CHECK_FALSE(state.find(job_key{"a"})->parts.contains(third_part));
+}
+
+// TWICE: a record of a former version holds the whole progress, so older parts must not override it.
+TEST_CASE("a record that holds the whole progress of a job replaces its parts, which stay known") {
+    cell_state state;
+    state.apply(accepted("a"), core::log_offset{1}, start);
+    state.apply(part("a", second_part), core::log_offset{2}, start);
+    const auto phase = GENERATE(job_phase::running, job_phase::completed);
+    state.apply(progress("a", phase), core::log_offset{3}, start);
+    const auto& parts = state.find(job_key{"a"})->parts;
+    REQUIRE(parts.contains(second_part));
+    CHECK(parts.at(second_part).empty());
+}
+
+TEST_CASE("parts of a job whose acceptance is gone from the log stay known until they are deleted") {
+    cell_state state;
+    state.apply(part("a", second_part), core::log_offset{1}, start);
+    state.apply(progress("a", job_phase::completed), core::log_offset{2}, start);
+    CHECK(state.find(job_key{"a"})->parts.contains(second_part));
+}
+
 TEST_CASE("a repeated acceptance has no effect") {
     cell_state state;
     CHECK(state.apply(accepted("a"), core::log_offset{1}, start).what == state_change::kind::accepted);
