--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -167,6 +167,11 @@
     if (order.wait.count() == 0) {
         this->state.add_round_trip(worker, worker.hold_sent_at, now);
     }
+    this->apply_inventory(worker, order, reply, now);
+}
+
+void lease_manager::apply_inventory(worker_state& worker, const hold_order& order, const hold_reply& reply,
+                                    core::steady_time now) {
     for (const auto& end : reply.ended) {
         if (end.number > worker.last_end_applied) {
             this->apply_end(worker, end, now);
--- a/src/dispatch/lease_manager.h
+++ b/src/dispatch/lease_manager.h
@@ -46,6 +46,9 @@
     [[nodiscard]] core::milliseconds hold_wait(const worker_state& worker, core::steady_time now) const;
     void on_unanswered(worker_state& worker, core::steady_time now);
     void begin_incarnation(worker_state& worker, worker_incarnation_id incarnation, core::steady_time now);
+    /// Applies the runs and ends that an answer lists.
+    void apply_inventory(worker_state& worker, const hold_order& order, const hold_reply& reply,
+                         core::steady_time now);
     void apply_running(worker_state& worker, const reported_run& row, core::steady_time now);
     void remove_missing_runs(worker_state& worker, core::steady_time now);
     /// Applies an end that has not been applied before, or keeps it until its task is known.
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -112,8 +112,8 @@
     std::optional<workflow::progress_layout> layout; ///< Set together with `entry`.
     std::set<workflow::part_id> changed_parts;       ///< Parts with unrecorded progress.
     std::set<workflow::part_id> recorded_parts;      ///< Parts that may have records of their own in the log.
-    bool recorded_in_parts =
-        false; ///< Whether the log holds the progress of later parts in records of their own.
+    /// Whether later parts have records of their own, or the record of the job holds them as well.
+    bool recorded_in_parts = false;
     /// The record of the job that was last made in this epoch.
     std::optional<workflow::job_progress> record;
     /// By number, the occurrences that are complete and no longer in `occurrences`.
