--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -41,11 +41,8 @@
             this->open_job(*entry);
             this->state.jobs.at(key)->inherited = true;
         } else if (!entry->accepted.request.steps.empty() || !entry->parts.empty()) {
-            closed_job closed{.phase = entry->phase()};
-            for (const auto& [part, steps] : entry->parts) {
-                closed.parts.push_back(part);
-            }
-            this->state.closed_jobs.emplace(key, std::move(closed));
+            this->state.closed_jobs.emplace(
+                key, closed_job{.phase = entry->phase(), .parts = entry->recorded_parts()});
         }
     }
     telemetry::log_state("started to lead the cell",
@@ -148,14 +145,14 @@
         return;
     }
     place->second = std::make_unique<live_job>();
-    place->second->entry = &entry;
-    place->second->phase = entry.progress.phase;
-    place->second->layout.emplace(entry.accepted);
-    place->second->recorded_in_parts = entry.progress.in_parts;
-    place->second->folded_occurrences = entry.progress.complete_occurrences;
-    for (const auto& [part, steps] : entry.parts) {
-        place->second->recorded_parts.insert(part);
-    }
+    auto& job = *place->second;
+    job.entry = &entry;
+    job.phase = entry.progress.phase;
+    job.layout.emplace(entry.accepted);
+    const auto parts = entry.recorded_parts();
+    job.recorded_parts = {parts.begin(), parts.end()};
+    job.recorded_in_parts = entry.progress.in_parts;
+    job.folded_occurrences = entry.progress.complete_occurrences;
     this->state.jobs_awaiting_occurrences.insert(key);
 }
 
--- a/src/dispatch/progress_recorder.cpp
+++ b/src/dispatch/progress_recorder.cpp
@@ -112,12 +112,8 @@
             return false;
         }
         for (const auto& [number, occurrence] : job.occurrences) {
-            for (const auto& step : occurrence.steps) {
-                for (const auto& task : step.tasks) {
-                    if (!task.runs.empty()) {
-                        return false;
-                    }
-                }
+            if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(), has_no_runs)) {
+                return false;
             }
         }
         this->state.closed_jobs.emplace(
--- a/src/dispatch/progress_records.cpp
+++ b/src/dispatch/progress_records.cpp
@@ -124,11 +124,13 @@
     if (record.in_parts && !std::exchange(job.recorded_in_parts, true)) {
         changed = open_parts(job); // Until now, the record of the job held all of them.
     }
+    if (!record.in_parts) {
+        changed.clear();
+    }
+    changed.erase(first_part);
     std::vector<workflow::cell_record> records;
     for (const auto& part : changed) {
-        auto steps = part == first_part || !record.in_parts ? std::vector<workflow::step_progress>{}
-                                                            : progress_of(job, part);
-        if (!steps.empty()) {
+        if (auto steps = progress_of(job, part); !steps.empty()) {
             records.emplace_back(
                 workflow::part_progress{.key = job.key(), .part = part, .steps = std::move(steps)});
             job.recorded_parts.insert(part);
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -320,9 +320,7 @@
     for (const auto& key : this->book.expired(now, this->options.ended_job_retention)) {
         workflow::job_forgotten forgotten{.key = key};
         if (const auto* job = this->book.find(key)) {
-            for (const auto& [part, steps] : job->parts) {
-                forgotten.parts.push_back(part);
-            }
+            forgotten.parts = job->recorded_parts();
         }
         records.emplace_back(std::move(forgotten));
     }
--- a/src/runtime/log_writer.cpp
+++ b/src/runtime/log_writer.cpp
@@ -101,7 +101,7 @@
     std::size_t count = 0;
     std::size_t bytes = 0;
     for (const auto& item : items) {
-        bytes += item.bytes() + this->options.log.limits.bytes_per_record;
+        bytes += this->bytes_of({&item, 1});
         if (count > 0 && bytes > this->max_append_bytes()) {
             break;
         }
@@ -150,7 +150,7 @@
 }
 
 write_outcome log_writer::store_or_halve(entries items, const std::stop_token& stop) {
-    const auto outcome = this->append(items, stop);
+    const auto outcome = this->append({items.begin(), items.end()}, stop);
     if (outcome != write_outcome::rejected || items.size() <= 1) {
         return outcome;
     }
@@ -163,8 +163,7 @@
     return second == write_outcome::stored ? first : second;
 }
 
-write_outcome log_writer::append(entries group, const std::stop_token& stop) {
-    const std::vector<cell::keyed_record> items{group.begin(), group.end()};
+write_outcome log_writer::append(const std::vector<cell::keyed_record>& items, const std::stop_token& stop) {
     const auto started_at = std::chrono::steady_clock::now();
     bool may_be_stored = false;
     while (true) {
--- a/src/runtime/log_writer.h
+++ b/src/runtime/log_writer.h
@@ -92,7 +92,7 @@
     /// Stores entries that one append can hold; if the log rejects them, each half by itself.
     write_outcome store_or_halve(entries items, const std::stop_token& stop);
     /// Makes one append, repeated until its outcome is known.
-    write_outcome append(entries items, const std::stop_token& stop);
+    write_outcome append(const std::vector<cell::keyed_record>& items, const std::stop_token& stop);
     void wait_before_retry(const std::stop_token& stop);
 
     log_writer_options options;
--- a/src/workflow/cell_state.cpp
+++ b/src/workflow/cell_state.cpp
@@ -11,6 +11,15 @@
     return this->cancelled ? job_phase::cancelled : this->progress.phase;
 }
 
+std::vector<part_id> job_entry::recorded_parts() const {
+    std::vector<part_id> ids;
+    ids.reserve(this->parts.size());
+    for (const auto& [id, steps] : this->parts) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 state_change cell_state::apply(const cell_record& record, core::log_offset offset, core::steady_time now) {
     return std::visit([&](const auto& one) { return this->apply_one(one, offset, now); }, record);
 }
--- a/src/workflow/cell_state.h
+++ b/src/workflow/cell_state.h
@@ -32,6 +32,9 @@
 
     /// @return its phase; `cancelled` if it was cancelled before it ended.
     [[nodiscard]] job_phase phase() const;
+
+    /// @return the parts that have records of their own in the log, also those that no longer count.
+    [[nodiscard]] std::vector<part_id> recorded_parts() const;
 };
 
 /// Effect of a record on the state of the cell.
