Add the design notes and the interfaces of teams, overload and uneven workers

The parts are built side by side, so their interfaces come first.

The configuration holds teams, an accepted job names its team (an optional field of the record; old records belong to no team). dispatch/team_accounts adds up what run_manager reserves for each team; nothing reads it yet. dispatch/worker_speeds, overload/ and tenancy/key_ring are headers whose functions come with the parts.

Behaviour is unchanged. Tests: a team survives the encoding of its job; the teams of a configuration are decoded.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -12,7 +12,7 @@
 /// (workers that a step is permitted to run on), `run_mover` (moves long-running tasks off draining workers)
 /// and `worker_roster` (workers on which tasks may have been started, recorded for the next leader).
 ///
-/// Depends on: core, workflow, telemetry (for logging).
+/// Depends on: core, overload, tenancy, workflow, telemetry (for logging).
 /// Threads: the control thread only. The current time is passed to each call. Orders are sent through
 /// non-blocking hooks; the replies arrive as calls.
 
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -8,6 +8,8 @@
 #include "dispatch/orders.h"
 #include "dispatch/retry_schedule.h"
 #include "dispatch/shortest_round_trip.h"
+#include "dispatch/team_accounts.h"
+#include "dispatch/worker_speeds.h"
 #include "dispatch/worker_state.h"
 #include "workflow/queue_policy.h"
 
@@ -69,6 +71,8 @@
     order_window orders;           ///< Bounds the starts and stops in flight.
     std::map<core::data_centre_id, shortest_round_trip> round_trips; ///< Of calls to workers.
     retry_schedule retries;        ///< The runs whose last order may have to be sent again.
+    team_accounts teams;           ///< What each team has running, and what it may have.
+    worker_speeds speeds;          ///< How fast each worker is.
     bool worker_list_read = false; ///< Whether the platform's list has been read completely.
     std::map<core::worker_id, worker_state> workers;
     std::unordered_map<workflow::job_key, std::unique_ptr<live_job>> jobs;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -65,6 +65,8 @@
     this->state.round_trips.clear();
     this->state.retries.clear();
     this->state.record_immediately = false;
+    this->state.teams.reset();
+    this->state.speeds.reset();
     this->recorder.reset();
     this->advice.reset();
     this->gangs.reset();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -74,6 +74,10 @@
     /// @param listed all workers in the list.
     void set_worker_list(const std::vector<worker_entry>& listed);
 
+    /// Called when a version of the configuration takes effect, also while this host does not lead.
+    /// @param teams all teams of that version.
+    void set_teams(const std::vector<tenancy::team_policy>& teams) { this->state.teams.set_policies(teams); }
+
     /// Called when a job has been accepted. Does nothing while this host does not lead.
     void add_job(const workflow::job_entry& entry);
 
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -125,6 +125,9 @@
     /// @return the job's policy.
     [[nodiscard]] const workflow::queue_policy& policy() const { return this->entry->accepted.policy; }
 
+    /// @return the team whose job it is; empty if it belongs to none.
+    [[nodiscard]] const core::team_id& team() const { return this->entry->accepted.team; }
+
     /// @return the job's name.
     [[nodiscard]] const workflow::job_key& key() const { return this->entry->accepted.request.key; }
 };
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -163,6 +163,7 @@
 
 void run_manager::reserve(live_step& step, worker_state& worker) {
     worker.reserved += reserved_resources(*step.request);
+    this->state.teams.reserve(step.job->team(), reserved_resources(*step.request));
     if (step.request->long_running) {
         worker.long_running_runs++;
         worker.committed += reserved_resources(*step.request);
@@ -178,6 +179,7 @@
     this->state.freed_workers.insert(worker.entry.worker);
     this->state.placement_needed = true;
     worker.reserved -= reserved_resources(*step.request);
+    this->state.teams.release(step.job->team(), reserved_resources(*step.request));
     if (step.request->long_running) {
         worker.long_running_runs--;
         worker.committed -= reserved_resources(*step.request);
--- a/src/inner/gen/workflow_types.cpp
+++ b/src/inner/gen/workflow_types.cpp
@@ -1092,6 +1092,11 @@
 void wf_accepted::__set_accepted_at(const int64_t val) {
   this->accepted_at = val;
 }
+
+void wf_accepted::__set_team(const std::string& val) {
+  this->team = val;
+__isset.team = true;
+}
 std::ostream& operator<<(std::ostream& out, const wf_accepted& obj)
 {
   obj.printTo(out);
@@ -1180,6 +1185,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1230,6 +1243,11 @@
   xfer += oprot->writeI64(this->accepted_at);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.team) {
+    xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->team);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1243,6 +1261,7 @@
   swap(a.recurs, b.recurs);
   swap(a.policy, b.policy);
   swap(a.accepted_at, b.accepted_at);
+  swap(a.team, b.team);
   swap(a.__isset, b.__isset);
 }
 
@@ -1253,6 +1272,7 @@
   recurs = other28.recurs;
   policy = other28.policy;
   accepted_at = other28.accepted_at;
+  team = other28.team;
   __isset = other28.__isset;
 }
 wf_accepted::wf_accepted(wf_accepted&& other29) noexcept {
@@ -1262,6 +1282,7 @@
   recurs = std::move(other29.recurs);
   policy = std::move(other29.policy);
   accepted_at = other29.accepted_at;
+  team = std::move(other29.team);
   __isset = other29.__isset;
 }
 wf_accepted& wf_accepted::operator=(const wf_accepted& other30) {
@@ -1271,6 +1292,7 @@
   recurs = other30.recurs;
   policy = other30.policy;
   accepted_at = other30.accepted_at;
+  team = other30.team;
   __isset = other30.__isset;
   return *this;
 }
@@ -1281,6 +1303,7 @@
   recurs = std::move(other31.recurs);
   policy = std::move(other31.policy);
   accepted_at = other31.accepted_at;
+  team = std::move(other31.team);
   __isset = other31.__isset;
   return *this;
 }
@@ -1293,6 +1316,7 @@
   out << ", " << "recurs="; (__isset.recurs ? (out << to_string(recurs)) : (out << "<null>"));
   out << ", " << "policy=" << to_string(policy);
   out << ", " << "accepted_at=" << to_string(accepted_at);
+  out << ", " << "team="; (__isset.team ? (out << to_string(team)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/inner/gen/workflow_types.h
+++ b/src/inner/gen/workflow_types.h
@@ -445,13 +445,14 @@
 std::ostream& operator<<(std::ostream& out, const wf_policy& obj);
 
 typedef struct _wf_accepted__isset {
-  _wf_accepted__isset() : key(false), payload(false), steps(false), recurs(false), policy(false), accepted_at(false) {}
+  _wf_accepted__isset() : key(false), payload(false), steps(false), recurs(false), policy(false), accepted_at(false), team(false) {}
   bool key :1;
   bool payload :1;
   bool steps :1;
   bool recurs :1;
   bool policy :1;
   bool accepted_at :1;
+  bool team :1;
 } _wf_accepted__isset;
 
 class wf_accepted : public virtual ::apache::thrift::TBase {
@@ -464,7 +465,8 @@
   wf_accepted() noexcept
               : key(),
                 payload(),
-                accepted_at(0) {
+                accepted_at(0),
+                team() {
   }
 
   virtual ~wf_accepted() noexcept;
@@ -474,6 +476,7 @@
   wf_recurrence recurs;
   wf_policy policy;
   int64_t accepted_at;
+  std::string team;
 
   _wf_accepted__isset __isset;
 
@@ -489,6 +492,8 @@
 
   void __set_accepted_at(const int64_t val);
 
+  void __set_team(const std::string& val);
+
   bool operator == (const wf_accepted & rhs) const
   {
     if (!(key == rhs.key))
@@ -505,6 +510,10 @@
       return false;
     if (!(accepted_at == rhs.accepted_at))
       return false;
+    if (__isset.team != rhs.__isset.team)
+      return false;
+    else if (__isset.team && !(team == rhs.team))
+      return false;
     return true;
   }
   bool operator != (const wf_accepted &rhs) const {
--- a/src/inner/workflow.thrift
+++ b/src/inner/workflow.thrift
@@ -63,6 +63,8 @@
   4: optional wf_recurrence recurs
   5: wf_policy policy
   6: i64 accepted_at
+  // The team whose job it is; not set: it belongs to no team.
+  7: optional string team
 }
 
 struct wf_task_progress {
--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -249,6 +249,9 @@
     }
     to.policy = to_gen(record.policy);
     to.accepted_at = core::since_epoch(record.accepted_at).count();
+    if (!record.team.empty()) {
+        to.__set_team(record.team.value());
+    }
     return {.key = key_of(accepted_key, to.key), .value = ledger::to_bytes(to)};
 }
 
@@ -353,6 +356,7 @@
     }
     record.policy = from_gen(from.policy);
     record.accepted_at = core::from_epoch(milliseconds_of(from.accepted_at, "accepted_at"));
+    record.team = core::team_id{from.team};
     record.request.check();
     return record;
 }
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -136,6 +136,7 @@
     telemetry::log_state("configuration applied", {{"version", std::to_string(version.version)},
                                                    {"routes", std::to_string(version.routes.size())}});
     this->config = std::make_shared<const workflow::configuration>(std::move(version));
+    this->dispatcher.set_teams(this->config->teams);
     this->options.hooks.configuration_changed(this->config);
 }
 
--- /dev/null
+++ b/src/tenancy/tenancy.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// @file
+/// The package `tenancy`: what the configuration grants to the teams that share a cell, and who calls for
+/// which team.
+///
+/// `team_policy` holds a team's keys, its weight, its rate and its cap. `key_ring` finds the team of a key.
+/// The package decides nothing about tasks: `dispatch/team_accounts` applies caps and shares, because only
+/// the leader of the cell knows what runs.
+///
+/// Depends on: core.
+/// Threads: immutable values that any thread may read; see each class. No I/O, no clock.
+
+#include "tenancy/key_ring.h"
+#include "tenancy/team_policy.h"
--- a/src/workflow/queue_policy.h
+++ b/src/workflow/queue_policy.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "tenancy/team_policy.h"
 #include "workflow/job_request.h"
 
 #include <cstddef>
@@ -49,6 +50,9 @@
     std::string host;        ///< Compared case-insensitively.
     std::string path_prefix; ///< The path up to the job's name.
     core::milliseconds timeout{0};
+    /// Callers need no key of a team; their jobs belong to no team. Matters only if the configuration has
+    /// teams.
+    bool is_public = false;
     queue_policy policy;
 };
 
@@ -66,6 +70,8 @@
     std::uint64_t version = 0;
     std::vector<queue_route> routes;
     std::vector<worker_service> services;
+    /// Empty: callers need no keys, and no team has a cap or a share.
+    std::vector<tenancy::team_policy> teams;
     std::size_t max_body_bytes = 262144;
 
     /// @param queue a queue.
--- a/src/workflow/records.h
+++ b/src/workflow/records.h
@@ -30,6 +30,7 @@
     job_request request;
     queue_policy policy; ///< The policy of its queue when the job was accepted.
     core::system_time accepted_at;
+    core::team_id team; ///< The team whose key the caller had; empty: the job belongs to no team.
 };
 
 /// Records that a job is cancelled.
--- a/tests/inner/workflow_codec_test.cpp
+++ b/tests/inner/workflow_codec_test.cpp
@@ -45,6 +45,7 @@
                                              .time_per_worker = std::chrono::microseconds{370},
                                              .ticket_lifetime = core::milliseconds{2500}}};
     record.accepted_at = core::from_epoch(core::milliseconds{1234});
+    record.team = core::team_id{"team"};
     return record;
 }
 
@@ -56,6 +57,7 @@
     CHECK(read.request == record.request);
     CHECK(read.policy == record.policy);
     CHECK(read.accepted_at == record.accepted_at);
+    CHECK(read.team == record.team);
 }
 
 TEST_CASE("job progress survives encoding and decoding") {
--- a/tests/platform/wire_decode_test.cpp
+++ b/tests/platform/wire_decode_test.cpp
@@ -52,6 +52,22 @@
     CHECK_FALSE(platform::decode_configuration({.key = "config", .value = "{"}));
 }
 
+TEST_CASE("the teams of a configuration are decoded with their keys, rates and caps") {
+    const std::string body =
+        R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","service":"s","public":true}],
+            "tenants":[{"name":"t","apiKeys":["k1","k2"],"weight":28,
+                        "cap":{"cpu":1500,"memMb":2048,"gpus":0}}]})";
+    const auto version = platform::decode_configuration({.key = "config", .value = body});
+    REQUIRE(version);
+    CHECK(version->routes.at(0).is_public);
+    const tenancy::team_policy expected{.team = core::team_id{"t"},
+                                        .keys = {tenancy::api_key{"k1"}, tenancy::api_key{"k2"}},
+                                        .weight = 28,
+                                        .jobs_per_second = 28,
+                                        .cap = {.millicores = 1500, .memory_mb = 2048, .accelerators = 0}};
+    CHECK(version->teams == std::vector{expected});
+}
+
 TEST_CASE("the fields of a job's steps are decoded") {
     const auto job = platform::decode_job(
         workflow::job_key{"a"}, workflow::queue_id{"q"},
