Check the keys of teams on the platform's path, and keep the jobs of teams apart

Change: each request on a route that is not public needs the key of a team (401 without one). key_ring finds the team under a seeded hash in constant time; versions of the configuration with the same teams share one ring, and of several versions in one read only the newest is decoded. For a key that a host does not know, runtime/key_check reads the configuration once more (one read at a time for all callers, at a bounded rate, 64 callers waiting at most): 401 only after a read that was sent later than the request arrived, 503 if it fails. The team is part of the job's record, of its cancellation and of the record of its end (optional: without teams, records are the same bytes). A job of another team is answered with 410, a submission under its key with 409. limits.maxBodyBytes of the configuration is applied (413 with the limit).

Tests: key_ring with the published vectors of SipHash-2-4, key_check with a stream in memory, hosts as processes (missing, unknown, revoked key on an open connection, public route, jobs of another team, 200 versions, store down).

--- a/src/front/http_message.h
+++ b/src/front/http_message.h
@@ -29,6 +29,7 @@
     ok = 200,
     accepted = 202,
     bad_request = 400,
+    unauthorized = 401,
     not_found = 404,
     method_not_allowed = 405,
     request_timeout = 408,
--- a/src/inner/gen/workflow_types.cpp
+++ b/src/inner/gen/workflow_types.cpp
@@ -1822,6 +1822,11 @@
   this->in_parts = val;
 __isset.in_parts = true;
 }
+
+void wf_progress::__set_team(const std::string& val) {
+  this->team = val;
+__isset.team = true;
+}
 std::ostream& operator<<(std::ostream& out, const wf_progress& obj)
 {
   obj.printTo(out);
@@ -1902,6 +1907,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1951,6 +1964,11 @@
     xfer += oprot->writeBool(this->in_parts);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.team) {
+    xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->team);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1963,6 +1981,7 @@
   swap(a.complete_occurrences, b.complete_occurrences);
   swap(a.occurrences, b.occurrences);
   swap(a.in_parts, b.in_parts);
+  swap(a.team, b.team);
   swap(a.__isset, b.__isset);
 }
 
@@ -1972,6 +1991,7 @@
   complete_occurrences = other58.complete_occurrences;
   occurrences = other58.occurrences;
   in_parts = other58.in_parts;
+  team = other58.team;
   __isset = other58.__isset;
 }
 wf_progress::wf_progress(wf_progress&& other59) noexcept {
@@ -1980,6 +2000,7 @@
   complete_occurrences = std::move(other59.complete_occurrences);
   occurrences = other59.occurrences;
   in_parts = other59.in_parts;
+  team = std::move(other59.team);
   __isset = other59.__isset;
 }
 wf_progress& wf_progress::operator=(const wf_progress& other60) {
@@ -1988,6 +2009,7 @@
   complete_occurrences = other60.complete_occurrences;
   occurrences = other60.occurrences;
   in_parts = other60.in_parts;
+  team = other60.team;
   __isset = other60.__isset;
   return *this;
 }
@@ -1997,6 +2019,7 @@
   complete_occurrences = std::move(other61.complete_occurrences);
   occurrences = other61.occurrences;
   in_parts = other61.in_parts;
+  team = std::move(other61.team);
   __isset = other61.__isset;
   return *this;
 }
@@ -2008,6 +2031,7 @@
   out << ", " << "complete_occurrences="; (__isset.complete_occurrences ? (out << to_string(complete_occurrences)) : (out << "<null>"));
   out << ", " << "occurrences="; (__isset.occurrences ? (out << to_string(occurrences)) : (out << "<null>"));
   out << ", " << "in_parts="; (__isset.in_parts ? (out << to_string(in_parts)) : (out << "<null>"));
+  out << ", " << "team="; (__isset.team ? (out << to_string(team)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/inner/gen/workflow_types.h
+++ b/src/inner/gen/workflow_types.h
@@ -703,12 +703,13 @@
 std::ostream& operator<<(std::ostream& out, const wf_step_progress& obj);
 
 typedef struct _wf_progress__isset {
-  _wf_progress__isset() : phase(false), steps(false), complete_occurrences(false), occurrences(false), in_parts(false) {}
+  _wf_progress__isset() : phase(false), steps(false), complete_occurrences(false), occurrences(false), in_parts(false), team(false) {}
   bool phase :1;
   bool steps :1;
   bool complete_occurrences :1;
   bool occurrences :1;
   bool in_parts :1;
+  bool team :1;
 } _wf_progress__isset;
 
 class wf_progress : public virtual ::apache::thrift::TBase {
@@ -722,7 +723,8 @@
               : phase(0),
                 complete_occurrences(),
                 occurrences(0),
-                in_parts(0) {
+                in_parts(0),
+                team() {
   }
 
   virtual ~wf_progress() noexcept;
@@ -731,6 +733,7 @@
   std::string complete_occurrences;
   int32_t occurrences;
   bool in_parts;
+  std::string team;
 
   _wf_progress__isset __isset;
 
@@ -744,6 +747,8 @@
 
   void __set_in_parts(const bool val);
 
+  void __set_team(const std::string& val);
+
   bool operator == (const wf_progress & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -764,6 +769,10 @@
       return false;
     else if (__isset.in_parts && !(in_parts == rhs.in_parts))
       return false;
+    if (__isset.team != rhs.__isset.team)
+      return false;
+    else if (__isset.team && !(team == rhs.team))
+      return false;
     return true;
   }
   bool operator != (const wf_progress &rhs) const {
--- a/src/inner/workflow.thrift
+++ b/src/inner/workflow.thrift
@@ -94,6 +94,8 @@
   3: optional binary complete_occurrences
   4: optional i32 occurrences
   5: optional bool in_parts
+  // The team of a job that has ended; not set: it belongs to no team.
+  6: optional string team
 }
 
 // The progress of another part of a job, which the key names.
--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -26,6 +26,8 @@
 constexpr char leader_key = 'l';
 constexpr char member_key = 'm';
 constexpr char roster_key = 'w';
+/// Precedes the team in the value of a cancellation, because an empty value would delete the record.
+constexpr const char* cancelled_mark = "x";
 constexpr std::size_t bits_per_byte = 8;
 
 std::uint32_t count_of(std::int32_t number, const char* field) {
@@ -256,7 +258,7 @@
 }
 
 keyed_record encode_one(const job_cancelled& record) {
-    return {.key = key_of(cancelled_key, record.key.value()), .value = "x"};
+    return {.key = key_of(cancelled_key, record.key.value()), .value = cancelled_mark + record.team.value()};
 }
 
 std::vector<gen::wf_step_progress> to_gen(const std::vector<step_progress>& steps) {
@@ -290,6 +292,9 @@
     if (record.in_parts) {
         to.__set_in_parts(true);
     }
+    if (!record.team.empty()) {
+        to.__set_team(record.team.value());
+    }
     return {.key = key_of(progress_key, record.key.value()), .value = ledger::to_bytes(to)};
 }
 
@@ -361,6 +366,10 @@
     return record;
 }
 
+cell_record decode_cancelled(const std::string& name, const std::string& value) {
+    return job_cancelled{.key = job_key{name}, .team = core::team_id{value.substr(1)}};
+}
+
 cell_record decode_progress(const std::string& name, const std::string& value) {
     const auto from = ledger::from_bytes<gen::wf_progress>(value);
     if (from.phase < 0 || from.phase > static_cast<std::int8_t>(job_phase::cancelled)) {
@@ -375,7 +384,8 @@
                         .phase = static_cast<job_phase>(from.phase),
                         .steps = from_gen(from.steps),
                         .complete_occurrences = unpack_bits(from.complete_occurrences, occurrences),
-                        .in_parts = from.in_parts};
+                        .in_parts = from.in_parts,
+                        .team = core::team_id{from.team}};
 }
 
 cell_record decode_part(const std::string& name, const std::string& value) {
@@ -462,7 +472,7 @@
     case accepted_key:
         return decode_accepted(bytes);
     case cancelled_key:
-        return job_cancelled{job_key{name}};
+        return decode_cancelled(name, bytes.value);
     case progress_key:
         return decode_progress(name, bytes.value);
     case part_key:
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -135,14 +135,20 @@
     }
     telemetry::log_state("configuration applied", {{"version", std::to_string(version.version)},
                                                    {"routes", std::to_string(version.routes.size())}});
+    if (this->config && this->config->teams == version.teams) {
+        version.keys = this->config->keys;
+    } else {
+        version.keys = std::make_shared<const tenancy::key_ring>(version.teams);
+        this->dispatcher.set_teams(version.teams);
+    }
     this->config = std::make_shared<const workflow::configuration>(std::move(version));
-    this->dispatcher.set_teams(this->config->teams);
     this->options.hooks.configuration_changed(this->config);
 }
 
 void cell_control::submit(workflow::job_accepted record, std::function<void(request_outcome)> done) {
-    if (this->book.find(record.request.key) != nullptr) {
-        done(request_outcome::stored);
+    if (const auto* known = this->book.find(record.request.key)) {
+        const auto& owner = known->accepted.team;
+        done(owner.empty() || owner == record.team ? request_outcome::stored : request_outcome::conflict);
         return;
     }
     this->options.hooks.store({std::move(record)}, [this, done = std::move(done)](write_outcome outcome) {
@@ -151,23 +157,30 @@
     });
 }
 
-void cell_control::cancel(const workflow::job_key& key, std::function<void(request_outcome)> done) {
+void cell_control::cancel(const workflow::job_key& key, std::function<void(request_outcome)> done,
+                          const tenancy::caller& caller) {
     // The cancellation of an unknown job is stored too, because another host may just have accepted the job.
     const auto* job = this->book.find(key);
+    if (job != nullptr && !caller.may_access(job->accepted.team)) {
+        done(request_outcome::no_job);
+        return;
+    }
     if (job != nullptr && workflow::is_over(job->phase())) {
         done(request_outcome::stored);
         return;
     }
     this->options.hooks.store(
-        {workflow::job_cancelled{key}},
+        {workflow::job_cancelled{.key = key, .team = job == nullptr ? caller.team : job->accepted.team}},
         [done = std::move(done)](write_outcome outcome) { done(to_request_outcome(outcome)); });
 }
 
-std::optional<workflow::job_phase> cell_control::phase_of(const workflow::job_key& key) const {
-    if (const auto* job = this->book.find(key)) {
-        return job->phase();
+std::optional<workflow::job_phase> cell_control::phase_of(const workflow::job_key& key,
+                                                          const tenancy::caller& caller) const {
+    const auto* job = this->book.find(key);
+    if (job == nullptr || !caller.may_access(job->accepted.team)) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    return job->phase();
 }
 
 std::uint32_t cell_control::pending(const workflow::queue_id& queue) const {
@@ -284,10 +297,11 @@
 }
 
 void cell_control::record_progress(core::steady_time now) {
-    const auto batch = this->dispatcher.take_progress(now);
+    auto batch = this->dispatcher.take_progress(now);
     if (!batch) {
         return;
     }
+    this->add_teams(batch->records);
     if (batch->records.empty()) {
         this->dispatcher.progress_recorded(*batch);
         return;
@@ -312,6 +326,16 @@
         });
 }
 
+void cell_control::add_teams(std::vector<workflow::cell_record>& records) const {
+    for (auto& record : records) {
+        auto* progress = std::get_if<workflow::job_progress>(&record);
+        if (progress != nullptr && workflow::is_over(progress->phase)) {
+            const auto* job = this->book.find(progress->key);
+            progress->team = job == nullptr ? core::team_id{} : job->accepted.team;
+        }
+    }
+}
+
 void cell_control::forget_expired_jobs(core::steady_time now) {
     if (!this->election.leads() || now < this->last_forget_at + forget_scan_interval) {
         return;
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 #include "dispatch/dispatcher.h"
 #include "runtime/log_writer.h"
+#include "tenancy/caller.h"
 #include "workflow/cell_state.h"
 #include "workflow/queue_policy.h"
 
@@ -30,6 +31,8 @@
     refused,  ///< Not stored, and never will be.
     unknown,  ///< May or may not be stored; repeating the request resolves it.
     rejected, ///< Not stored, and a repeat would not be either: the log cannot hold it.
+    conflict, ///< Not stored: another team has a job with this key.
+    no_job,   ///< Not stored: for this caller there is no such job.
 };
 
 /// The side effects of cell_control: what it stores and whom it notifies. Each hook returns at once.
@@ -92,7 +95,7 @@
     /// Puts a version of the configuration into effect; ignores one that is not newer than the current one.
     void on_configuration(workflow::configuration version);
 
-    /// Submits a job. A job that is already known counts as stored.
+    /// Submits a job. A job that is already known counts as stored if it is of the same team or of none.
     /// @param record the acceptance to store.
     /// @param done called at most once with the outcome, on the control thread.
     void submit(workflow::job_accepted record, std::function<void(request_outcome)> done);
@@ -100,10 +103,13 @@
     /// Cancels a job. A job that is already over counts as cancelled.
     /// @param key the job.
     /// @param done called at most once with the outcome, on any thread.
-    void cancel(const workflow::job_key& key, std::function<void(request_outcome)> done);
+    /// @param caller who cancels it.
+    void cancel(const workflow::job_key& key, std::function<void(request_outcome)> done,
+                const tenancy::caller& caller = {});
 
-    /// Returns the phase of a job; empty if the job is not known.
-    [[nodiscard]] std::optional<workflow::job_phase> phase_of(const workflow::job_key& key) const;
+    /// Returns the phase of a job; empty if the job is not known or does not exist for the caller.
+    [[nodiscard]] std::optional<workflow::job_phase> phase_of(const workflow::job_key& key,
+                                                              const tenancy::caller& caller = {}) const;
 
     /// Returns the number of jobs of a queue that wait for their first start.
     [[nodiscard]] std::uint32_t pending(const workflow::queue_id& queue) const;
@@ -151,6 +157,8 @@
     void on_leader_record_written(const workflow::leader_record& record, write_outcome outcome,
                                   core::steady_time sent_at, core::steady_time now);
     void record_progress(core::steady_time now);
+    /// Adds the teams of ended jobs to their records, because the acceptances are deleted.
+    void add_teams(std::vector<workflow::cell_record>& records) const;
     void record_roster(core::steady_time now);
     void forget_expired_jobs(core::steady_time now);
     void announce_membership();
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -26,6 +26,8 @@
 constexpr core::milliseconds batching_delay{3};
 /// Timeout of queries that the control thread answers from memory.
 constexpr core::milliseconds query_timeout{1000};
+/// Timeout of a read of the configuration for a caller that waits for it.
+constexpr core::milliseconds configuration_read_timeout{700};
 /// Pause between two reads of the worker entries. Each worker rewrites its entry every one or two seconds, so
 /// that many workers cause many small entries.
 constexpr core::milliseconds worker_read_interval{100};
@@ -66,6 +68,10 @@
         return request_answer::unavailable;
     case request_outcome::rejected:
         return request_answer::rejected;
+    case request_outcome::conflict:
+        return request_answer::conflict;
+    case request_outcome::no_job:
+        return request_answer::no_job;
     case request_outcome::unknown:
         break;
     }
@@ -86,7 +92,8 @@
       cell_log(this->make_relay_options(cell_stream, this->options.streams.cell)),
       configuration_log(this->make_relay_options(configuration_stream, this->options.streams.configuration)),
       worker_log(this->make_relay_options(worker_stream, this->options.streams.workers)),
-      advice(this->make_advice_options()), records(this->make_store_options()) {}
+      advice(this->make_advice_options()), records(this->make_store_options()),
+      keys(this->make_key_check_options()) {}
 
 host_process::~host_process() {
     this->stop();
@@ -127,9 +134,11 @@
 }
 
 request_answer host_process::submit(workflow::job_request request, const workflow::queue_policy& policy,
-                                    core::milliseconds limit) {
-    workflow::job_accepted record{
-        .request = std::move(request), .policy = policy, .accepted_at = this->options.clock.system()};
+                                    const tenancy::caller& caller, core::milliseconds limit) {
+    workflow::job_accepted record{.request = std::move(request),
+                                  .policy = policy,
+                                  .accepted_at = this->options.clock.system(),
+                                  .team = caller.team};
     this->require_recordable(record);
     return this->await_request(
         [record = std::move(record)](cell_control& control,
@@ -149,19 +158,21 @@
     }
 }
 
-request_answer host_process::cancel(const workflow::job_key& key, core::milliseconds limit) {
+request_answer host_process::cancel(const workflow::job_key& key, const tenancy::caller& caller,
+                                    core::milliseconds limit) {
     return this->await_request(
-        [key](cell_control& control, std::function<void(request_outcome)> done) {
-            control.cancel(key, std::move(done));
+        [key, caller](cell_control& control, std::function<void(request_outcome)> done) {
+            control.cancel(key, std::move(done), caller);
         },
         limit);
 }
 
-std::optional<workflow::job_phase> host_process::phase_of(const workflow::job_key& key) {
+std::optional<workflow::job_phase> host_process::phase_of(const workflow::job_key& key,
+                                                          const tenancy::caller& caller) {
     using phase = std::optional<workflow::job_phase>;
     const auto answer = this->query_control<std::optional<phase>>(
-        [key](const cell_control& control, core::steady_time now) -> std::optional<phase> {
-            const auto known = control.phase_of(key);
+        [key, caller](const cell_control& control, core::steady_time now) -> std::optional<phase> {
+            const auto known = control.phase_of(key, caller);
             return known || control.is_up_to_date(now) ? std::optional<phase>{known} : std::nullopt;
         });
     if (!answer || !*answer) {
@@ -426,16 +437,48 @@
     });
 }
 
-void host_process::on_configuration_batch(const log_batch& batch) {
-    for (const auto& item : batch.items) {
-        if (auto version = this->options.streams.decode_configuration(item.record)) {
-            this->post([version = std::move(*version)](cell_control& control, core::steady_time) {
-                control.on_configuration(version);
+void host_process::on_configuration_items(const std::vector<cell::log_item>& items) {
+    // Each version is complete, so only the newest one needs to be decoded.
+    for (auto item = items.rbegin(); item != items.rend(); ++item) {
+        if (auto version = this->options.streams.decode_configuration(item->record)) {
+            this->post([version = std::move(*version)](cell_control& control, core::steady_time) mutable {
+                control.on_configuration(std::move(version));
             });
+            return;
         }
     }
 }
 
+key_check_options host_process::make_key_check_options() {
+    return {.find_team = [this](const tenancy::api_key& key) -> std::optional<core::team_id> {
+                const auto version = this->configuration();
+                return version != nullptr ? version->keys->team_of(key) : std::nullopt;
+            },
+            .read_configuration = [this] { return this->read_configuration(); },
+            .now = this->options.clock.steady};
+}
+
+bool host_process::read_configuration() {
+    auto position = this->configuration_follower->position();
+    if (!position) {
+        return false;
+    }
+    const auto log = this->configuration_log.as_log();
+    bool at_end = false;
+    while (!at_end) {
+        const auto answer = log.read(*position, core::milliseconds{0}, configuration_read_timeout);
+        if (answer.status != cell::log_status::done) {
+            return false;
+        }
+        this->on_configuration_items(answer.items);
+        position = answer.next;
+        at_end = answer.at_end;
+    }
+    // The control thread handles events in order, so it has applied what was posted before.
+    return this->query_control<bool>([](const cell_control&, core::steady_time) { return true; })
+        .value_or(false);
+}
+
 void host_process::on_worker_batch(const log_batch& batch) {
     std::vector<dispatch::worker_entry> listed;
     std::vector<core::worker_id> removed;
@@ -476,7 +519,7 @@
 log_follower_options host_process::configuration_follower_options() {
     return {.name = "configuration",
             .log = this->configuration_log.as_log(),
-            .sink = [this](const log_batch& batch) { this->on_configuration_batch(batch); }};
+            .sink = [this](const log_batch& batch) { this->on_configuration_items(batch.items); }};
 }
 
 log_follower_options host_process::worker_follower_options() {
--- a/src/runtime/host_process.h
+++ b/src/runtime/host_process.h
@@ -6,11 +6,13 @@
 #include "runtime/advice_balancer.h"
 #include "runtime/cell_control.h"
 #include "runtime/elastic_pool.h"
+#include "runtime/key_check.h"
 #include "runtime/log_follower.h"
 #include "runtime/log_writer.h"
 #include "runtime/peer_directory.h"
 #include "runtime/record_store.h"
 #include "runtime/relayed_log.h"
+#include "tenancy/caller.h"
 #include "workflow/queue_policy.h"
 
 #include <atomic>
@@ -66,6 +68,8 @@
     unknown,     ///< May or may not be stored; repeating the request resolves it.
     not_ready,   ///< Not stored, because this host has not read the log to its end recently.
     rejected,    ///< Not stored, and a repeat would not be either: the log cannot hold it.
+    conflict,    ///< Not stored, because another team has a job with this key.
+    no_job,      ///< Not stored, because for this caller there is no such job.
 };
 
 /// One host of the cell: the control thread, the threads that read and write the log, and the threads that
@@ -91,20 +95,24 @@
     /// Submits a job.
     /// @param request the job.
     /// @param policy the policy of its queue.
+    /// @param caller who submits it; the job belongs to the caller's team.
     /// @param limit how long to wait for it to be stored.
     /// @throws core::too_large if the log cannot hold the job.
     [[nodiscard]] request_answer submit(workflow::job_request request, const workflow::queue_policy& policy,
-                                        core::milliseconds limit);
+                                        const tenancy::caller& caller, core::milliseconds limit);
 
     /// Cancels a job.
     /// @param key the job.
+    /// @param caller who cancels it.
     /// @param limit how long to wait for the cancellation to be stored.
-    [[nodiscard]] request_answer cancel(const workflow::job_key& key, core::milliseconds limit);
+    [[nodiscard]] request_answer cancel(const workflow::job_key& key, const tenancy::caller& caller,
+                                        core::milliseconds limit);
 
-    /// Returns the phase of a job; empty if there is no such job.
+    /// Returns the phase of a job; empty if there is no such job, or none for the caller.
     /// @throws core::unavailable if the job is not known and this host has not read the log to its end
     /// recently.
-    [[nodiscard]] std::optional<workflow::job_phase> phase_of(const workflow::job_key& key);
+    [[nodiscard]] std::optional<workflow::job_phase> phase_of(const workflow::job_key& key,
+                                                              const tenancy::caller& caller);
 
     /// Returns the number of jobs of a queue that wait for their first start.
     /// @throws core::unavailable if this host has not read the log to its end recently.
@@ -113,6 +121,10 @@
     /// Returns the current configuration, or null if none has been read yet.
     [[nodiscard]] std::shared_ptr<const workflow::configuration> configuration();
 
+    /// Finds the team of a caller's key; see key_check.
+    /// @param key the key; empty if the caller sent none.
+    [[nodiscard]] key_answer check_key(const tenancy::api_key& key) { return this->keys.check(key); }
+
     /// Returns true if this host can serve callers.
     [[nodiscard]] bool is_ready();
 
@@ -128,6 +140,10 @@
 
     [[nodiscard]] relayed_log_options make_relay_options(const char* stream, const cell::keyed_log& direct);
     [[nodiscard]] relayed_log& find_log(const std::string& stream);
+    [[nodiscard]] key_check_options make_key_check_options();
+    /// Reads the configuration to the end of its stream and waits until the control thread has applied it.
+    /// @return whether both succeeded.
+    [[nodiscard]] bool read_configuration();
     [[nodiscard]] advice_balancer_options make_advice_options();
     [[nodiscard]] record_store_options make_store_options();
     [[nodiscard]] cell_control_options make_control_options();
@@ -144,7 +160,7 @@
                   core::milliseconds limit);
     void on_records_stored(const std::vector<cell::keyed_record>& items);
     void on_cell_batch(const log_batch& batch);
-    void on_configuration_batch(const log_batch& batch);
+    void on_configuration_items(const std::vector<cell::log_item>& items);
     void on_worker_batch(const log_batch& batch);
     [[nodiscard]] log_follower_options cell_follower_options();
     [[nodiscard]] log_follower_options configuration_follower_options();
@@ -168,6 +184,7 @@
     std::unique_ptr<log_follower> worker_follower;
     std::mutex config_mutex;
     std::shared_ptr<const workflow::configuration> config; ///< The current one; guarded by config_mutex.
+    key_check keys;
     std::atomic<bool> stopping = false;
     std::thread control_thread;
 };
--- a/src/runtime/log_follower.cpp
+++ b/src/runtime/log_follower.cpp
@@ -58,14 +58,14 @@
 bool log_follower::wait_until_enabled(const std::stop_token& stop) {
     std::unique_lock lock{this->mutex};
     if (!this->enabled) {
-        this->loaded = false;
+        this->next.reset();
     }
     return this->changed.wait(lock, stop, [this] { return this->enabled; });
 }
 
 bool log_follower::try_read() {
     try {
-        return this->loaded ? this->read_next() : this->load_newest();
+        return this->next ? this->read_next() : this->load_newest();
     } catch (const std::exception& error) {
         telemetry::log_state("read of a log stream failed",
                              {{"stream", this->options.name}, {"reason", error.what()}},
@@ -84,35 +84,49 @@
     }
 }
 
+std::optional<core::log_offset> log_follower::position() {
+    const std::lock_guard guard{this->mutex};
+    return this->next;
+}
+
+void log_follower::move_to(core::log_offset offset) {
+    const std::lock_guard guard{this->mutex};
+    this->next = offset;
+}
+
+void log_follower::start_over() {
+    const std::lock_guard guard{this->mutex};
+    this->next.reset();
+}
+
 bool log_follower::load_newest() {
     auto answer = this->options.log.newest(load_timeout);
     if (answer.status != cell::log_status::done) {
         return false;
     }
-    this->next = answer.next;
-    this->loaded = true;
     this->caught_up = false;
     this->deliver({.items = std::move(answer.items), .reset = true, .caught_up = false});
+    this->move_to(answer.next);
     return true;
 }
 
 bool log_follower::read_next() {
     const auto wait = this->caught_up ? this->options.wait : core::milliseconds{0};
     const auto asked_at = this->options.now();
-    auto answer = this->options.log.read(this->next, wait, wait + this->options.read_timeout_margin);
+    auto answer = this->options.log.read(*this->next, wait, wait + this->options.read_timeout_margin);
     if (answer.status == cell::log_status::expired) {
         telemetry::log_state("log entries expired before they were read; reading the newest entries again",
                              {{"stream", this->options.name}});
-        this->loaded = false;
+        this->start_over();
         return true;
     }
     if (answer.status != cell::log_status::done) {
         return false;
     }
-    this->next = answer.next;
     this->caught_up = answer.at_end;
     this->deliver(
         {.items = std::move(answer.items), .reset = false, .caught_up = answer.at_end, .asked_at = asked_at});
+    this->move_to(answer.next);
     return true;
 }
 
--- a/src/runtime/log_follower.h
+++ b/src/runtime/log_follower.h
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -38,7 +39,7 @@
 ///
 /// Starts over with the newest entries if the entries at its position have expired. Has one thread, which
 /// blocks in reads. Owned by host_process; construct and destroy it on one thread. Any thread may call
-/// set_enabled() and set_read_interval().
+/// set_enabled(), set_read_interval() and position().
 class log_follower {
 public:
     explicit log_follower(log_follower_options options);
@@ -52,12 +53,18 @@
     /// Enables or disables following; starts over with the newest entries when it is enabled again.
     void set_enabled(bool value);
 
+    /// @return the offset up to which the entries have been delivered; empty before the newest entries have
+    /// been read.
+    [[nodiscard]] std::optional<core::log_offset> position();
+
 private:
     void run(const std::stop_token& stop);
     bool try_read();
     bool load_newest();
     bool read_next();
     void deliver(const log_batch& batch) const;
+    void move_to(core::log_offset offset);
+    void start_over();
     void set_reachable(bool reachable);
     core::milliseconds delay_after_read(bool answered);
     bool wait_until_enabled(const std::stop_token& stop);
@@ -66,10 +73,11 @@
     std::mutex mutex;
     std::condition_variable_any changed;
     bool enabled;
-    bool loaded = false;
     bool reachable = true;
     bool caught_up = false; ///< The last read reached the end of the stream.
-    core::log_offset next;
+    /// The offset to continue reading from; empty until the newest entries have been read. Written by the
+    /// follower's thread only; guarded by the mutex for other threads.
+    std::optional<core::log_offset> next;
     std::jthread thread;
 };
 
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -9,7 +9,8 @@
 /// `relayed_log` reaches the log through a peer when the log does not answer this host. `record_store` sends
 /// the records of callers' requests to the leader, which appends them together with those of other hosts.
 /// `peer_directory` holds the other hosts and the calls that reach them, `advice_balancer` distributes calls
-/// of the advisory service over the hosts, and `elastic_pool` is a thread pool for blocking calls.
+/// of the advisory service over the hosts, `key_check` decides about keys of callers that this host does not
+/// know, and `elastic_pool` is a thread pool for blocking calls.
 ///
 /// A traffic thread is any thread that may block in a call, such as those of host_process's `elastic_pool`;
 /// never the control thread.
--- a/src/tenancy/key_ring.h
+++ b/src/tenancy/key_ring.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "tenancy/keyed_hash.h"
 #include "tenancy/team_policy.h"
 
 #include <cstdint>
@@ -25,25 +26,25 @@
     /// @return its team, or nothing if no team has the key.
     [[nodiscard]] std::optional<core::team_id> team_of(const api_key& key) const;
 
-    /// @return the number of keys.
+    /// @return the number of different keys.
     [[nodiscard]] std::size_t size() const { return this->owners.size(); }
 
 private:
     struct owner {
         api_key key;
         core::team_id team;
+        bool ambiguous = false; ///< More than one team has the key.
     };
 
-    /// @return a hash of a key under the seed of this process, so that callers cannot choose keys that
-    /// collide.
-    [[nodiscard]] std::uint64_t hash_of(const api_key& key) const;
+    void add(const api_key& key, const core::team_id& team);
 
-    std::uint64_t seed;
+    keyed_hash hash;
     std::unordered_multimap<std::uint64_t, owner> owners; ///< By hash.
 };
 
 /// @param key a key.
-/// @return a short text that distinguishes keys in log lines and does not allow to guess them.
+/// @return a short text that distinguishes keys in the log lines of one process and does not allow to guess
+/// them.
 [[nodiscard]] std::string fingerprint_of(const api_key& key);
 
 } // namespace rattanmount::tenancy
--- a/src/workflow/cell_state.cpp
+++ b/src/workflow/cell_state.cpp
@@ -66,8 +66,10 @@
                                                           .learned_at = now,
                                                           .epoch = this->lead.epoch,
                                                           .progress = {.key = key}});
-    if (this->early_cancellations.erase(key) > 0) {
-        this->apply_one(job_cancelled{key}, offset, now);
+    if (const auto early = this->early_cancellations.extract(key)) {
+        for (const auto& team : early.mapped().teams) {
+            this->apply_one(job_cancelled{.key = key, .team = team}, offset, now);
+        }
     }
     if (const auto early = this->early_progress.extract(key)) {
         if (early.mapped().job) {
@@ -84,11 +86,14 @@
                                    core::steady_time now) {
     const auto found = this->entries.find(record.key);
     if (found == this->entries.end()) {
-        this->early_cancellations.try_emplace(record.key, early_cancellation{now});
+        const auto [early, added] =
+            this->early_cancellations.try_emplace(record.key, early_cancellation{.read_at = now});
+        early->second.teams.insert(record.team);
         return {};
     }
     auto& job = *found->second;
-    if (job.cancelled || is_over(job.progress.phase)) {
+    const bool may_cancel = job.accepted.team.empty() || job.accepted.team == record.team;
+    if (!may_cancel || job.cancelled || is_over(job.progress.phase)) {
         return {};
     }
     job.cancelled = true;
@@ -106,11 +111,12 @@
     if (found == this->entries.end()) {
         // The job was closed before this host read its acceptance: its outcome is all that is kept of it.
         const auto [place, added] = this->entries.emplace(
-            record.key, std::make_unique<job_entry>(job_entry{.accepted = {.request = {.key = record.key}},
-                                                              .offset = offset,
-                                                              .epoch = this->lead.epoch,
-                                                              .progress = record,
-                                                              .ended_at = now}));
+            record.key, std::make_unique<job_entry>(
+                            job_entry{.accepted = {.request = {.key = record.key}, .team = record.team},
+                                      .offset = offset,
+                                      .epoch = this->lead.epoch,
+                                      .progress = record,
+                                      .ended_at = now}));
         if (const auto early = this->early_progress.extract(record.key)) {
             for (const auto& [id, part] : early.mapped().parts) {
                 place->second->parts[id] = {};
--- a/src/workflow/cell_state.h
+++ b/src/workflow/cell_state.h
@@ -108,6 +108,7 @@
     std::uint64_t arrivals = 0;
     struct early_cancellation {
         core::steady_time read_at;
+        std::set<core::team_id> teams; ///< The teams that have cancelled.
     };
     std::map<job_key, early_cancellation> early_cancellations; ///< Cancellations read before their jobs.
     struct early_records {
--- a/src/workflow/queue_policy.h
+++ b/src/workflow/queue_policy.h
@@ -2,12 +2,14 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "tenancy/key_ring.h"
 #include "tenancy/team_policy.h"
 #include "workflow/job_request.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -72,6 +74,8 @@
     std::vector<worker_service> services;
     /// Empty: callers need no keys, and no team has a cap or a share.
     std::vector<tenancy::team_policy> teams;
+    /// The keys of the teams; null until a host applies this version. Versions with the same teams share it.
+    std::shared_ptr<const tenancy::key_ring> keys;
     std::size_t max_body_bytes = 262144;
 
     /// @param queue a queue.
--- a/src/workflow/records.h
+++ b/src/workflow/records.h
@@ -36,6 +36,7 @@
 /// Records that a job is cancelled.
 struct job_cancelled {
     job_key key;
+    core::team_id team; ///< The team that cancels; a job that belongs to another team is not cancelled.
 };
 
 /// Recorded progress of a task that is not done.
@@ -80,6 +81,8 @@
     /// Whether other parts have records of their own. If not, this record holds the whole progress of the
     /// job: it has one part only, or a former version of this program wrote the record.
     bool in_parts = false;
+    /// The team of a job that has ended, because the log no longer has the record of its acceptance.
+    core::team_id team;
 
     friend bool operator==(const job_progress&, const job_progress&) = default;
 };
--- a/tests/inner/workflow_codec_test.cpp
+++ b/tests/inner/workflow_codec_test.cpp
@@ -96,6 +96,16 @@
 
 // Guards against a rolling restart in which the hosts of the new version lose what the old ones have
 // recorded.
+TEST_CASE("the team of a cancellation and of an ended job survives encoding, and may be missing") {
+    const auto team = GENERATE(as<std::string>{}, "", "team");
+    const job_cancelled cancelled{.key = job_key{"a"}, .team = core::team_id{team}};
+    const auto items = inner::encode_record(cancelled);
+    CHECK((items.front().value == "x") == team.empty());
+    CHECK(std::get<job_cancelled>(inner::decode_record(items.front())).team == cancelled.team);
+    const job_progress ended{.key = job_key{"a"}, .phase = job_phase::completed, .team = core::team_id{team}};
+    CHECK(std::get<job_progress>(inner::decode_record(inner::encode_record(ended).front())) == ended);
+}
+
 TEST_CASE("a record of progress of a version without parts holds the whole progress") {
     inner::gen::wf_step_progress step;
     step.tasks = 2;
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -16,6 +16,7 @@
     log_writer::write_callback last_callback;
     core::steady_time now{1h};
     std::uint64_t offset = 0;
+    std::shared_ptr<const workflow::configuration> configuration;
     std::unique_ptr<cell_control> control;
 
     explicit host_fixture(double processor_share = 0) {
@@ -38,7 +39,7 @@
         options.hooks.post = [this](const std::function<void(core::steady_time)>& later) {
             later(this->now);
         };
-        options.hooks.configuration_changed = [](const auto&) {};
+        options.hooks.configuration_changed = [this](const auto& version) { this->configuration = version; };
         options.hooks.members_changed = [](const auto&) {};
         this->control = std::make_unique<cell_control>(std::move(options));
     }
@@ -121,6 +122,35 @@
     CHECK(host.stored.size() == before);
 }
 
+TEST_CASE("versions of the configuration with the same teams share their keys") {
+    host_fixture host;
+    workflow::configuration version{.version = 1, .teams = {{.keys = {tenancy::api_key{"a"}}}}};
+    host.control->on_configuration(version);
+    const auto keys = host.configuration->keys;
+    version.version = 2;
+    host.control->on_configuration(version);
+    CHECK(host.configuration->version == 2);
+    CHECK(host.configuration->keys == keys);
+    version.version = 3;
+    version.teams.front().keys = {tenancy::api_key{"b"}};
+    host.control->on_configuration(version);
+    CHECK(host.configuration->keys->team_of(tenancy::api_key{"b"}));
+    CHECK_FALSE(host.configuration->keys->team_of(tenancy::api_key{"a"}));
+}
+
+TEST_CASE("a job that has ended still belongs to its team on a host that reads only the newest records") {
+    host_fixture host;
+    host.read({workflow::job_progress{.key = workflow::job_key{"a"},
+                                      .phase = workflow::job_phase::completed,
+                                      .team = core::team_id{"owner"}}});
+    const auto phase_for = [&](const std::string& team) {
+        return host.control->phase_of(workflow::job_key{"a"}, {.team = core::team_id{team}});
+    };
+    CHECK(phase_for("owner") == workflow::job_phase::completed);
+    CHECK_FALSE(phase_for("other"));
+    CHECK_FALSE(phase_for(""));
+}
+
 TEST_CASE("leadership is claimed if the leader sends no heartbeats, and not while it does") {
     host_fixture host;
     host.read({leader_record(3, "other")});
--- a/tests/workflow/cell_state_test.cpp
+++ b/tests/workflow/cell_state_test.cpp
@@ -167,4 +167,22 @@
     CHECK(state.find(job_key{"a"})->accepted.request.steps.size() == 1);
 }
 
+TEST_CASE("only the team of a job cancels it, also if the cancellations are read first") {
+    cell_state state;
+    auto record = accepted("a");
+    record.team = core::team_id{"owner"};
+    const bool cancellation_first = GENERATE(false, true);
+    const job_cancelled foreign{.key = job_key{"a"}, .team = core::team_id{"other"}};
+    if (cancellation_first) {
+        state.apply(foreign, core::log_offset{1}, start);
+        state.apply(record, core::log_offset{2}, start);
+    } else {
+        state.apply(record, core::log_offset{1}, start);
+        state.apply(foreign, core::log_offset{2}, start);
+    }
+    CHECK(state.find(job_key{"a"})->phase() == job_phase::queued);
+    state.apply(job_cancelled{.key = job_key{"a"}, .team = record.team}, core::log_offset{3}, start);
+    CHECK(state.find(job_key{"a"})->phase() == job_phase::cancelled);
+}
+
 } // namespace rattanmount::tests
