Start nothing on a restarted worker before the list describes its incarnation

Cause: the answer to a hold made the new incarnation of a worker the known one, while labels, capacity, rack and service were still those of the former one until the platform's list showed the restart. Tasks were started by facts that no longer held (ROUTE), and beyond a smaller capacity (LIMIT). A start without an answer was also repeated to the new incarnation.

Change: worker_state knows which incarnation its entry describes, and accepts starts only if that one has answered. A run knows the incarnation that it was started for; its start is not repeated to another one. Kept places of gangs are checked for service and label.

The simulated worker now refuses a start that is meant for another incarnation, as the platform's workers do.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -72,7 +72,8 @@
     this->gangs.reset();
     this->mover.reset();
     for (auto& [id, worker] : this->state.workers) {
-        worker = worker_state{.entry = worker.entry, .listed = worker.listed};
+        worker = worker_state{
+            .entry = worker.entry, .listed = worker.listed, .listed_incarnation = worker.listed_incarnation};
     }
 }
 
@@ -82,6 +83,7 @@
     worker.listed = true;
     if (added) {
         worker.entry = entry;
+        worker.listed_incarnation = entry.incarnation;
         this->used_workers.add(worker);
         return;
     }
@@ -96,6 +98,7 @@
     }
     const auto known_incarnation = worker.entry.incarnation;
     worker.entry = entry;
+    worker.listed_incarnation = entry.incarnation;
     worker.drained_runs_recorded = worker.drained_runs_recorded && entry.draining && same_incarnation;
     if (!same_incarnation) {
         if (worker.has_reported_incarnation) {
--- a/src/dispatch/gang_placer.cpp
+++ b/src/dispatch/gang_placer.cpp
@@ -138,7 +138,8 @@
     return !step.kept_workers.empty() &&
            std::all_of(step.kept_workers.begin(), step.kept_workers.end(), [&](const core::worker_id& id) {
                const auto worker = this->state.workers.find(id);
-               return worker != this->state.workers.end() && worker->second.accepts_starts(now) &&
+               return worker != this->state.workers.end() &&
+                      task_placer::is_eligible(step, worker->second, now) &&
                       worker->second.has_room_for_kept_places() &&
                       this->selector.permitted(step, worker->second, now);
            });
@@ -151,7 +152,7 @@
     }
     return std::all_of(step.kept_workers.begin(), step.kept_workers.end(), [&](const core::worker_id& id) {
         const auto worker = this->state.workers.find(id);
-        return worker != this->state.workers.end() && worker->second.accepts_starts(now);
+        return worker != this->state.workers.end() && task_placer::is_eligible(step, worker->second, now);
     });
 }
 
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -29,6 +29,7 @@
 struct live_run {
     std::uint32_t run = 0;
     core::worker_id worker;
+    worker_incarnation_id incarnation; ///< Of the worker, when the run was started or adopted.
     run_phase phase = run_phase::starting;
     std::optional<core::steady_time> answered_at; ///< When its last order was answered.
     core::steady_time retry_at;                   ///< When an unanswered order is sent again.
--- a/src/dispatch/order_retrier.cpp
+++ b/src/dispatch/order_retrier.cpp
@@ -29,7 +29,10 @@
         this->state.retries.add(run.retry_at, {.task = {.step = step.name, .index = index}, .run = run.run});
         return;
     }
-    if (stops || run.start_tries >= this->state.options.max_start_tries ||
+    // The worker was chosen by what its former incarnation was.
+    const bool restarted =
+        worker != this->state.workers.end() && worker->second.entry.incarnation != run.incarnation;
+    if (stops || restarted || run.start_tries >= this->state.options.max_start_tries ||
         !this->state.can_send_orders(now)) {
         this->runs.stop(step, index, run, now);
         return;
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -157,7 +157,7 @@
     const workflow::task_name task{.step = step.name, .index = index};
     worker.runs.insert({.task = task, .run = run});
     auto& runs = step.tasks[index].runs;
-    runs.push_back({.run = run, .worker = worker.entry.worker});
+    runs.push_back({.run = run, .worker = worker.entry.worker, .incarnation = worker.entry.incarnation});
     return runs.back();
 }
 
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -101,6 +101,14 @@
     /// @return whether advice has ever permitted the step there; the ticket may have expired.
     [[nodiscard]] static bool known_allowed(const live_step& step, const worker_state& worker);
 
+    /// @param step a step.
+    /// @param worker a worker.
+    /// @param now the current time.
+    /// @return whether the worker accepts starts, and is of the service and has the label that the step
+    /// needs.
+    [[nodiscard]] static bool is_eligible(const live_step& step, const worker_state& worker,
+                                          core::steady_time now);
+
     /// @param step a step.
     /// @param worker a worker.
     /// @param now the current time.
@@ -141,8 +149,6 @@
         double cost = std::numeric_limits<double>::max();
     };
 
-    [[nodiscard]] static bool is_eligible(const live_step& step, const worker_state& worker,
-                                          core::steady_time now);
     [[nodiscard]] static std::uint32_t tasks_within(const live_step& step, const worker_state& worker,
                                                     const core::resources& available);
     /// @param fitting returns how many tasks of the gang a worker could take.
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -76,6 +76,8 @@
 struct worker_state {
     worker_entry entry;
     bool listed = true; ///< Whether it is in the platform's list.
+    /// The incarnation that `entry` describes; `entry.incarnation` is the one that answered last, if any has.
+    worker_incarnation_id listed_incarnation;
     /// Whether the log has it among the workers on which tasks may have been started.
     bool in_roster = false;
     /// Whether it drains and the log has all runs that were started on it, so that it can leave the roster.
@@ -124,9 +126,13 @@
     decaying_counter successes;    ///< Recent successes of runs on it.
     bool suspected_faulty = false; ///< Gets no new starts until its failures have decayed.
 
+    /// A restarted worker may differ from its former incarnation in all that its entry states.
+    /// @return whether the entry (labels, capacity, rack, service) is one of the present incarnation.
+    [[nodiscard]] bool is_described() const { return this->listed_incarnation == this->entry.incarnation; }
+
     /// @return whether tasks may be started on it, regardless of capacity, labels and advice.
     [[nodiscard]] bool accepts_starts(core::steady_time now) const {
-        return this->listed && this->in_roster && this->proven.inventory_complete &&
+        return this->listed && this->in_roster && this->proven.inventory_complete && this->is_described() &&
                !this->has_unknown_runs && !this->entry.draining && !this->suspected_faulty &&
                this->unanswered_holds == 0 && now >= this->avoid_until;
     }
--- a/tests/dispatch/random_faults_test.cpp
+++ b/tests/dispatch/random_faults_test.cpp
@@ -79,6 +79,49 @@
     cell.drain_worker(worker);
 }
 
+/// Restarts a worker with a random label and capacity, which the platform's list shows with a delay.
+void restart_as_another_kind(simulated_cell& cell, std::uint32_t workers) {
+    const auto draw = [&](int most) { return std::uniform_int_distribution<int>{0, most}(cell.random()); };
+    cell.restart_worker_as(static_cast<std::uint32_t>(draw(static_cast<int>(workers) - 1)),
+                           {.labels = {workflow::worker_label{draw(1) == 0 ? "a" : "b"}},
+                            .capacity = {.millicores = 8000 + 1000 * draw(8), .memory_mb = 64000}},
+                           core::milliseconds{draw(2000)});
+}
+
+/// As run_schedule(), with workers that restart as another kind and steps that need a kind.
+void run_schedule_of_kinds(std::uint64_t seed) {
+    CAPTURE(seed);
+    constexpr std::uint32_t workers = 6;
+    constexpr std::uint32_t jobs = 25;
+    simulated_cell cell{{.seed = seed, .workers = workers, .lost_share = 0.01, .late_share = 0.02}};
+    const workflow::queue_policy policy{
+        .queue = workflow::queue_id{"queue"}, .service = core::service_id{"service"}, .max_attempts = 4};
+    for (std::uint32_t i = 0; i < jobs; i++) {
+        auto request = random_job(cell.random(), i);
+        request.steps.front().required_label = workflow::worker_label{i % 2 == 0 ? "a" : "b"};
+        cell.submit(request, policy);
+        cell.run_for(core::milliseconds{std::uniform_int_distribution<int>{0, 800}(cell.random())});
+        restart_as_another_kind(cell, workers);
+        if (i % 4 == 0) {
+            inject_random_fault(cell, workers);
+        }
+    }
+    for (std::uint32_t i = 0; i < workers; i++) {
+        cell.set_disconnected(i, false);
+        cell.set_listed(i, true);
+        cell.restart_worker_as(i,
+                               {.labels = {workflow::worker_label{i % 2 == 0 ? "a" : "b"}},
+                                .capacity = {.millicores = 16000, .memory_mb = 64000}},
+                               0ms);
+    }
+    cell.set_log_down(false);
+    cell.run_for(90s);
+    CHECK(cell.over_jobs() == jobs);
+    for (const auto& violation : cell.violations()) {
+        FAIL_CHECK(violation);
+    }
+}
+
 /// Runs one random schedule of jobs and faults, then a period without new faults in which every job must end.
 /// @param seed of the schedule.
 /// @param calls_per_second that a leader's host can make; 0: any number.
@@ -218,6 +261,11 @@
     }
 }
 
+// ROUTE, LIMIT: what the platform's list stated of a former incarnation counted for the one that answers.
+TEST_CASE("the guarantees of the dispatcher hold under random faults while workers change their kind") {
+    run_seeds(run_schedule_of_kinds, 40);
+}
+
 // TWICE: runs are stopped and started elsewhere while their workers drain, restart and are cut off.
 TEST_CASE("the guarantees of the dispatcher hold under random faults while workers drain") {
     run_seeds(run_draining_schedule, 40);
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -30,6 +30,7 @@
                         .service = core::service_id{"service"},
                         .rack = core::rack_id{"r" + std::to_string(i / 8)},
                         .capacity = options.capacity};
+        worker.listed_entry = worker.entry;
         this->indexes.emplace(worker.entry.worker, i);
         this->workers.push_back(std::move(worker));
     }
@@ -117,7 +118,7 @@
     std::vector<worker_entry> listed;
     for (const auto& worker : this->workers) {
         if (worker.listed) {
-            listed.push_back(worker.entry);
+            listed.push_back(worker.listed_entry);
         }
     }
     this->current_dispatcher().set_worker_list(listed);
@@ -130,12 +131,33 @@
 void simulated_cell::set_listed(std::uint32_t index, bool listed) {
     this->workers[index].listed = listed;
     if (listed) {
-        this->current_dispatcher().set_worker(this->workers[index].entry);
+        this->current_dispatcher().set_worker(this->workers[index].listed_entry);
     }
 }
 
 void simulated_cell::restart_worker(std::uint32_t index) {
     auto& worker = this->workers[index];
+    this->begin_incarnation(worker);
+    worker.listed_entry = worker.entry;
+    this->current_dispatcher().set_worker(worker.entry);
+}
+
+void simulated_cell::restart_worker_as(std::uint32_t index, const worker_entry& entry,
+                                       core::milliseconds listed_after) {
+    auto& worker = this->workers[index];
+    this->begin_incarnation(worker);
+    worker.entry.labels = entry.labels;
+    worker.entry.capacity = entry.capacity;
+    this->schedule(this->time + listed_after, [this, index, listed = worker.entry] {
+        auto& there = this->workers[index];
+        if (there.entry.incarnation == listed.incarnation) {
+            there.listed_entry = there.entry;
+            this->current_dispatcher().set_worker(there.entry);
+        }
+    });
+}
+
+void simulated_cell::begin_incarnation(sim_worker& worker) {
     worker.entry.incarnation = worker_incarnation_id{worker.entry.incarnation.value() + 1};
     worker.started_at = this->time;
     worker.token = 0;
@@ -155,7 +177,6 @@
     }
     worker.lease_end = {};
     worker.entry.draining = false;
-    this->current_dispatcher().set_worker(worker.entry);
 }
 
 void simulated_cell::set_disconnected(std::uint32_t index, bool disconnected) {
@@ -173,6 +194,7 @@
     }
     worker.entry.draining = true;
     worker.entry.drain_remaining = remaining;
+    worker.listed_entry = worker.entry;
     this->current_dispatcher().set_worker(worker.entry);
 }
 
@@ -443,6 +465,9 @@
 
 order_reply simulated_cell::do_start(std::uint32_t index, const start_order& order) {
     auto& worker = this->workers[index];
+    if (order.target.incarnation != worker.entry.incarnation) {
+        return {.outcome = order_outcome::other_incarnation};
+    }
     if (order.target.fencing_token.value() < worker.token) {
         return {.outcome = order_outcome::fenced};
     }
@@ -648,6 +673,12 @@
     if (!reserved_resources(step).fits_in(worker.entry.capacity - worker.taken)) {
         this->add_violation("capacity of " + worker.entry.worker.value() + " exceeded by " + run.text());
     }
+    const auto& labels = worker.entry.labels;
+    if (!step.required_label.empty() &&
+        std::find(labels.begin(), labels.end(), step.required_label) == labels.end()) {
+        this->add_violation("task " + run.text() + " starts without its label on " +
+                            worker.entry.worker.value());
+    }
     for (const auto& other : this->workers) {
         for (const auto& [name, running] : other.runs) {
             if (name.task == run.task && !step.allows_copies) {
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -76,6 +76,13 @@
     /// Restarts a worker under the same name; its state is lost.
     void restart_worker(std::uint32_t index);
 
+    /// As restart_worker(), with other labels or another capacity, which the platform's list shows later.
+    /// @param index the worker.
+    /// @param entry its labels and capacity from now on.
+    /// @param listed_after how long the list still has the former incarnation.
+    void restart_worker_as(std::uint32_t index, const dispatch::worker_entry& entry,
+                           core::milliseconds listed_after);
+
     /// Cuts the connection between a worker and the hosts, or restores it. The worker keeps running.
     void set_disconnected(std::uint32_t index, bool disconnected);
 
@@ -147,6 +154,7 @@
     };
     struct sim_worker {
         dispatch::worker_entry entry;
+        dispatch::worker_entry listed_entry; ///< What the platform's list has of it.
         std::uint64_t token = 0;
         core::steady_time started_at;
         core::steady_time lease_end;
@@ -176,6 +184,7 @@
         core::steady_time over;
     };
 
+    void begin_incarnation(sim_worker& worker);
     void schedule(core::steady_time when, std::function<void()> action);
     void make_dispatcher();
     void start_leader(core::milliseconds list_complete_in);
