--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -30,7 +30,8 @@
     this->stop_leading();
     this->state.leading = true;
     this->state.epoch = epoch;
-    this->state.authority.begin(cell.roster(), now);
+    const core::epoch_id former{epoch.value() - 1};
+    this->state.authority.begin(cell.roster(), now, cell.unreached_in(former));
     this->state.list_complete_at = list_complete_at;
     this->was_fenced = false;
     this->predecessor_settled = false;
@@ -72,7 +73,8 @@
     this->gangs.reset();
     this->mover.reset();
     for (auto& [id, worker] : this->state.workers) {
-        worker = worker_state{.entry = worker.entry, .listed = worker.listed};
+        worker = worker_state{
+            .entry = worker.entry, .listed = worker.listed, .listed_incarnation = worker.listed_incarnation};
     }
 }
 
@@ -82,6 +84,7 @@
     worker.listed = true;
     if (added) {
         worker.entry = entry;
+        worker.listed_incarnation = entry.incarnation;
         this->used_workers.add(worker);
         return;
     }
@@ -96,6 +99,7 @@
     }
     const auto known_incarnation = worker.entry.incarnation;
     worker.entry = entry;
+    worker.listed_incarnation = entry.incarnation;
     worker.drained_runs_recorded = worker.drained_runs_recorded && entry.draining && same_incarnation;
     if (!same_incarnation) {
         if (worker.has_reported_incarnation) {
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -76,8 +76,13 @@
 struct worker_state {
     worker_entry entry;
     bool listed = true; ///< Whether it is in the platform's list.
+    /// The incarnation that `entry` describes; `entry.incarnation` is the one that answered last, if any has.
+    worker_incarnation_id listed_incarnation;
     /// Whether the log has it among the workers on which tasks may have been started.
     bool in_roster = false;
+    /// Whether the log may have it among the workers that this leader has not reached, so that it gets no
+    /// lease.
+    bool recorded_unreached = false;
     /// Whether it drains and the log has all runs that were started on it, so that it can leave the roster.
     bool drained_runs_recorded = false;
     std::uint32_t drains = 0;  ///< How often it has begun to drain.
@@ -124,11 +129,16 @@
     decaying_counter successes;    ///< Recent successes of runs on it.
     bool suspected_faulty = false; ///< Gets no new starts until its failures have decayed.
 
+    /// A restarted worker may differ from its former incarnation in all that its entry states.
+    /// @return whether the entry (labels, capacity, rack, service) is one of the present incarnation.
+    [[nodiscard]] bool is_described() const { return this->listed_incarnation == this->entry.incarnation; }
+
     /// @return whether tasks may be started on it, regardless of capacity, labels and advice.
     [[nodiscard]] bool accepts_starts(core::steady_time now) const {
-        return this->listed && this->in_roster && this->proven.inventory_complete &&
-               !this->has_unknown_runs && !this->entry.draining && !this->suspected_faulty &&
-               this->unanswered_holds == 0 && now >= this->avoid_until;
+        return this->listed && this->in_roster && !this->recorded_unreached &&
+               this->proven.inventory_complete && this->is_described() && !this->has_unknown_runs &&
+               !this->entry.draining && !this->suspected_faulty && this->unanswered_holds == 0 &&
+               now >= this->avoid_until;
     }
 
     /// @return whether it may keep runs or ends of a former leader that it has not listed, under a lease that
