Apply the caps, rates and shares of teams to starts

A configuration can grant teams a cap, a weight and a rate, but no start was checked against them.

dispatcher::may_start() now asks whether the team has room under its cap, for a gang as a whole. A step without room is left out of the placement, so that it leads neither to requests for advice nor to kept places. Until the workers of the roster are settled, the tasks that a former leader may have started count as well (inherited_runs). Places count apart from runs, so that a move is not counted twice, and are released also if their worker is gone.

Steps of one priority come in the order of their teams' standing: weighted dominant share against the mean (team_shares), and a token bucket for the rate of the jobs (team_rates). Each standing gets a turn after a bounded number of starts.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -15,6 +15,17 @@
 /// Most runs of one task that a leader may start per epoch without recording them.
 constexpr std::uint32_t runs_per_epoch = 64;
 
+std::vector<const workflow::job_entry*> in_order_of_arrival(const workflow::cell_state& cell) {
+    std::vector<const workflow::job_entry*> entries;
+    entries.reserve(cell.jobs().size());
+    for (const auto& [key, entry] : cell.jobs()) {
+        entries.push_back(entry.get());
+    }
+    std::sort(entries.begin(), entries.end(),
+              [](const auto* a, const auto* b) { return a->arrival < b->arrival; });
+    return entries;
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatch_options options)
@@ -23,7 +34,8 @@
       recorder(this->state), used_workers(this->state), selector(this->state),
       advice(this->state, this->selector),
       gangs(this->state, this->runs, this->lifecycle, this->selector, this->make_start_check()),
-      mover(this->state, this->runs, this->selector, this->advice, this->make_start_check()) {}
+      mover(this->state, this->runs, this->selector, this->advice, this->make_move_check()),
+      former_runs(this->state) {}
 
 void dispatcher::start_leading(core::epoch_id epoch, const workflow::cell_state& cell, core::steady_time now,
                                core::steady_time list_complete_at) {
@@ -36,11 +48,16 @@
     this->predecessor_settled = false;
     this->inherited_leases_expired = false;
     this->used_workers.begin(cell.roster());
-    for (const auto& [key, entry] : cell.jobs()) {
+    this->former_runs.begin(cell);
+    for (const auto* entry : in_order_of_arrival(cell)) {
+        const auto& key = entry->accepted.request.key;
         if (!workflow::is_over(entry->phase())) {
             this->open_job(*entry);
             this->state.jobs.at(key)->inherited = true;
-        } else if (!entry->accepted.request.steps.empty() || !entry->parts.empty()) {
+            continue;
+        }
+        static_cast<void>(this->is_within_rate(*entry)); // It counts towards the rate of its team.
+        if (!entry->accepted.request.steps.empty() || !entry->parts.empty()) {
             this->state.closed_jobs.emplace(
                 key, closed_job{.phase = entry->phase(), .parts = entry->recorded_parts()});
         }
@@ -66,6 +83,9 @@
     this->state.retries.clear();
     this->state.record_immediately = false;
     this->state.teams.reset();
+    this->former_runs.reset();
+    this->rates.reset();
+    this->reports.reset();
     this->state.speeds.reset();
     this->recorder.reset();
     this->advice.reset();
@@ -134,6 +154,11 @@
     this->state.worker_list_read = true;
 }
 
+void dispatcher::set_teams(const std::vector<tenancy::team_policy>& teams) {
+    const bool changed = this->state.teams.set_policies(teams);
+    this->state.placement_needed = this->state.placement_needed || changed;
+}
+
 void dispatcher::add_job(const workflow::job_entry& entry) {
     if (this->state.leading && !workflow::is_over(entry.phase())) {
         this->open_job(entry);
@@ -155,9 +180,17 @@
     job.recorded_parts = {parts.begin(), parts.end()};
     job.recorded_in_parts = entry.progress.in_parts;
     job.folded_occurrences = entry.progress.complete_occurrences;
+    job.beyond_rate = !this->is_within_rate(entry);
     this->state.jobs_awaiting_occurrences.insert(key);
 }
 
+bool dispatcher::is_within_rate(const workflow::job_entry& entry) {
+    const auto& job = entry.accepted;
+    const auto* policy = this->state.teams.policy_of(job.team);
+    return policy == nullptr || policy->jobs_per_second <= 0 ||
+           this->rates.admit(job.team, policy->jobs_per_second, job.accepted_at);
+}
+
 void dispatcher::cancel_job(const workflow::job_key& key, core::steady_time now) {
     const auto found = this->state.jobs.find(key);
     if (found != this->state.jobs.end() && !workflow::is_over(found->second->phase)) {
@@ -340,30 +373,53 @@
     this->inherited_leases_expired = this->inherited_leases_expired || leases_expired;
     this->predecessor_settled = this->predecessor_settled || workers_settled;
     const bool settles = leases_expired || workers_settled;
-    for (auto* step : this->order.arrange(this->state.ready_steps, now)) {
+    this->former_runs.update(this->predecessor_settled, now);
+    const team_shares shares{this->state};
+    const auto standing = [&](live_step& step) { return this->standing_of(step, shares); };
+    for (auto* step : this->order.arrange(this->state.ready_steps, standing, now)) {
         if (!this->state.orders.has_room()) {
             this->starts_wait_for_room = true;
             step->needs_placement = step->needs_placement || settles || !freed.empty();
-            this->advice.ask(*step, step->waiting.size(), now);
+            this->advice.ask(*step, this->tasks_within_cap(*step), now);
             continue;
         }
-        const bool due = step->request->gang && now >= step->place_again_at;
-        if (step->needs_placement || settles || !freed.empty() || due) {
-            if (step->request->gang) {
-                this->gangs.place(*step, now);
-            } else {
-                this->place_step(*step, settles ? std::set<core::worker_id>{} : freed, now);
-            }
+        const auto waiting = step->waiting.size();
+        this->place_if_due(*step, freed, settles, now);
+        if (step->waiting.size() < waiting) {
+            this->order.on_started(shares.standing_of(*step));
         }
         if (step->waiting.empty()) {
             this->state.ready_steps.erase(sort_key_of(*step));
-        } else {
-            this->advice.ask(*step, step->waiting.size(), now);
+        } else if (const auto places = this->tasks_within_cap(*step); places > 0) {
+            this->advice.ask(*step, places, now);
             if (!step->advice.request_in_flight) {
                 this->gangs.yield_to(*step, now); // No worker has room for it.
             }
         }
     }
+    this->reports.log_changes(this->state, now);
+}
+
+std::optional<team_standing> dispatcher::standing_of(live_step& step, const team_shares& shares) {
+    if (this->team_has_room(step)) {
+        return shares.standing_of(step);
+    }
+    step.needs_placement = true; // Once there is room, all workers have to be looked at.
+    this->reports.on_held(step.job->team());
+    return std::nullopt;
+}
+
+void dispatcher::place_if_due(live_step& step, const std::set<core::worker_id>& freed, bool settles,
+                              core::steady_time now) {
+    const bool due = step.request->gang && now >= step.place_again_at;
+    if (!step.needs_placement && !settles && freed.empty() && !due) {
+        return;
+    }
+    if (step.request->gang) {
+        this->gangs.place(step, now);
+    } else {
+        this->place_step(step, settles ? std::set<core::worker_id>{} : freed, now);
+    }
 }
 
 void dispatcher::place_step(live_step& step, const std::set<core::worker_id>& freed, core::steady_time now) {
@@ -376,6 +432,8 @@
         if (!this->state.orders.has_room()) {
             this->starts_wait_for_room = true;
             step.needs_placement = true;
+        } else if (!this->team_has_room(step)) {
+            step.needs_placement = true;
         } else if (may_find_worker && this->may_start(step, task, now)) {
             worker = look_everywhere ? this->selector.choose(step, index, now)
                                      : this->selector.choose_among(step, index, freed, now);
@@ -400,7 +458,25 @@
     };
 }
 
+start_check dispatcher::make_move_check() const {
+    return [this](const live_step& step, const live_task& task, core::steady_time now) {
+        return this->may_move(step, task, now);
+    };
+}
+
 bool dispatcher::may_start(const live_step& step, const live_task& task, core::steady_time now) const {
+    return this->team_has_room(step) && this->former_runs_ended(step, task, now);
+}
+
+bool dispatcher::may_move(const live_step& step, const live_task& task, core::steady_time now) const {
+    // While the task runs, it already counts.
+    const auto added = task.runs.empty() ? reserved_resources(*step.request) : core::resources{};
+    return this->state.teams.has_room_beside_runs(step.job->team(), added) &&
+           this->former_runs_ended(step, task, now);
+}
+
+bool dispatcher::former_runs_ended(const live_step& step, const live_task& task,
+                                   core::steady_time now) const {
     if (!step.job->inherited) {
         return true;
     }
@@ -409,4 +485,18 @@
     return this->predecessor_settled && !may_run;
 }
 
+bool dispatcher::team_has_room(const live_step& step) const {
+    const auto tasks = step.request->gang ? step.tasks.size() - step.kept_workers.size() : 1;
+    return this->state.teams.has_room(step.job->team(),
+                                      reserved_resources(*step.request) * static_cast<std::int64_t>(tasks));
+}
+
+std::size_t dispatcher::tasks_within_cap(const live_step& step) const {
+    if (step.request->gang) {
+        return this->team_has_room(step) ? step.waiting.size() : 0;
+    }
+    return std::min(step.waiting.size(),
+                    this->state.teams.tasks_within_cap(step.job->team(), reserved_resources(*step.request)));
+}
+
 } // namespace rattanmount::dispatch
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "dispatch/advice_manager.h"
 #include "dispatch/dispatch_state.h"
 #include "dispatch/gang_placer.h"
+#include "dispatch/inherited_runs.h"
 #include "dispatch/lease_manager.h"
 #include "dispatch/order_retrier.h"
 #include "dispatch/progress_recorder.h"
@@ -12,6 +13,9 @@
 #include "dispatch/step_order.h"
 #include "dispatch/task_lifecycle.h"
 #include "dispatch/task_placer.h"
+#include "dispatch/team_rates.h"
+#include "dispatch/team_reports.h"
+#include "dispatch/team_shares.h"
 #include "dispatch/worker_roster.h"
 #include "workflow/cell_state.h"
 
@@ -76,7 +80,7 @@
 
     /// Called when a version of the configuration takes effect, also while this host does not lead.
     /// @param teams all teams of that version.
-    void set_teams(const std::vector<tenancy::team_policy>& teams) { this->state.teams.set_policies(teams); }
+    void set_teams(const std::vector<tenancy::team_policy>& teams);
 
     /// Called when a job has been accepted. Does nothing while this host does not lead.
     void add_job(const workflow::job_entry& entry);
@@ -133,12 +137,31 @@
 
 private:
     void open_job(const workflow::job_entry& entry);
+    /// Counts a job towards the rate of its team.
+    /// @return whether it is within that rate.
+    bool is_within_rate(const workflow::job_entry& entry);
     void open_due_occurrences(live_job& job, core::steady_time now, core::system_time system);
     void index_recorded_tasks(const live_occurrence& occurrence);
     void place_all(core::steady_time now);
+    /// Starts tasks of a step, or its gang, if something has changed that may allow it.
+    /// @param freed the workers that have gained room; empty: all are looked at.
+    void place_if_due(live_step& step, const std::set<core::worker_id>& freed, bool settles,
+                      core::steady_time now);
     void place_step(live_step& step, const std::set<core::worker_id>& freed, core::steady_time now);
+    /// @return the standing of a waiting step; nothing if its team's cap leaves no room for it.
+    [[nodiscard]] std::optional<team_standing> standing_of(live_step& step, const team_shares& shares);
     [[nodiscard]] start_check make_start_check() const;
+    [[nodiscard]] start_check make_move_check() const;
+    /// @return whether a task may be started. For a gang, whether its team has room for all of its tasks.
     [[nodiscard]] bool may_start(const live_step& step, const live_task& task, core::steady_time now) const;
+    /// @return whether a task may be moved, or started in the place to which it is moved.
+    [[nodiscard]] bool may_move(const live_step& step, const live_task& task, core::steady_time now) const;
+    /// @return whether no run of the task can be left that a former leader started.
+    [[nodiscard]] bool former_runs_ended(const live_step& step, const live_task& task,
+                                         core::steady_time now) const;
+    [[nodiscard]] bool team_has_room(const live_step& step) const;
+    /// @return how many of the waiting tasks of a step its team has room for.
+    [[nodiscard]] std::size_t tasks_within_cap(const live_step& step) const;
     /// Counts a reply among the orders in flight.
     /// @return whether it belongs to an order of this epoch.
     bool count_reply(const order_target& target, const order_reply& reply, core::steady_time sent_at,
@@ -156,6 +179,9 @@
     gang_placer gangs;
     run_mover mover;
     step_order order;
+    inherited_runs former_runs;
+    team_rates rates;
+    team_reports reports;
     bool was_fenced = false;
     /// Whether tasks wait because too many orders are in flight.
     bool starts_wait_for_room = false;
--- a/src/dispatch/gang_placer.cpp
+++ b/src/dispatch/gang_placer.cpp
@@ -146,7 +146,7 @@
 
 bool gang_placer::are_useful(const live_step& step, core::steady_time kept_at, core::steady_time now) const {
     if (step.job->cancelled || workflow::is_over(step.job->phase) || step.waiting.empty() ||
-        now >= kept_at + longest_keep) {
+        now >= kept_at + longest_keep || !this->may_start(step, step.tasks.front(), now)) {
         return false;
     }
     return std::all_of(step.kept_workers.begin(), step.kept_workers.end(), [&](const core::worker_id& id) {
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -118,7 +118,8 @@
     std::optional<workflow::job_progress> record;
     /// By number, the occurrences that are complete and no longer in `occurrences`.
     std::vector<bool> folded_occurrences;
-    bool inherited = false; ///< Accepted before this host led: a former leader may have started its tasks.
+    bool beyond_rate = false; ///< It came beyond the rate at which its team may send jobs.
+    bool inherited = false;   ///< Accepted before this host led: a former leader may have started its tasks.
     /// No task is started any more and the runs are being stopped; also set if the job completed or failed.
     bool cancelled = false;
 
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -121,12 +121,15 @@
         place->second.runs.erase({.task = {.step = step.name, .index = index}, .run = run});
         this->release(step, place->second);
     }
+    this->state.teams.release(step.job->team(), reserved_resources(*step.request));
+    this->state.placement_needed = true; // Its team may have room now, even if the worker is gone.
     count_one_less(step, found->worker);
     runs.erase(found);
 }
 
 void run_manager::reserve_place(live_step& step, std::uint32_t index, worker_state& worker) {
     reserve(step, worker);
+    this->state.teams.reserve_place(step.job->team(), reserved_resources(*step.request));
     worker.kept_places.insert({.step = step.name, .index = index});
     if (!step.request->long_running) {
         worker.committed += reserved_resources(*step.request);
@@ -143,6 +146,8 @@
             place->second.committed -= reserved_resources(*step.request);
         }
     }
+    this->state.teams.release_place(step.job->team(), reserved_resources(*step.request));
+    this->state.placement_needed = true;
     count_one_less(step, worker);
 }
 
@@ -154,6 +159,7 @@
 
 live_run& run_manager::add(live_step& step, std::uint32_t index, worker_state& worker, std::uint32_t run) {
     reserve(step, worker);
+    this->state.teams.reserve(step.job->team(), reserved_resources(*step.request));
     const workflow::task_name task{.step = step.name, .index = index};
     worker.runs.insert({.task = task, .run = run});
     auto& runs = step.tasks[index].runs;
@@ -163,7 +169,6 @@
 
 void run_manager::reserve(live_step& step, worker_state& worker) {
     worker.reserved += reserved_resources(*step.request);
-    this->state.teams.reserve(step.job->team(), reserved_resources(*step.request));
     if (step.request->long_running) {
         worker.long_running_runs++;
         worker.committed += reserved_resources(*step.request);
@@ -179,7 +184,6 @@
     this->state.freed_workers.insert(worker.entry.worker);
     this->state.placement_needed = true;
     worker.reserved -= reserved_resources(*step.request);
-    this->state.teams.release(step.job->team(), reserved_resources(*step.request));
     if (step.request->long_running) {
         worker.long_running_runs--;
         worker.committed -= reserved_resources(*step.request);
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -64,7 +64,7 @@
 
 private:
     live_run& add(live_step& step, std::uint32_t index, worker_state& worker, std::uint32_t run);
-    void reserve(live_step& step, worker_state& worker);
+    static void reserve(live_step& step, worker_state& worker);
     void release(const live_step& step, worker_state& worker);
     static void count_one_less(live_step& step, const core::worker_id& worker);
 
--- a/src/dispatch/step_order.h
+++ b/src/dispatch/step_order.h
@@ -2,10 +2,13 @@
 
 #include "core/time.h"
 #include "dispatch/live_job.h"
+#include "dispatch/team_accounts.h"
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace rattanmount::dispatch {
@@ -25,19 +28,29 @@
 /// @return what it can still achieve if it starts now and takes as long as its job estimates.
 [[nodiscard]] step_prospect prospect_of(const live_step& step, core::steady_time now);
 
+/// Returns the standing of a waiting step among those of other teams, or nothing if its team has no room for
+/// it.
+using standing_hook = std::function<std::optional<team_standing>(live_step&)>;
+
 /// Determines the order in which waiting steps are started.
 ///
-/// Steps of a higher priority come first. Among those of one priority, steps of jobs that can still end on
-/// time come before late ones, and overdue ones come last, so that a backlog does not make every later job
-/// late as well. The oldest late step and the oldest overdue step of each priority regularly get a turn
-/// before the others, so that late jobs do not all become overdue and no job is starved. Otherwise the order
-/// is that of arrival. Owned by the dispatcher; used by the control thread only.
+/// Steps of a higher priority come first. Among those of one priority, steps of teams that use no more than
+/// their share come before those of others, and jobs beyond the rate of their team come last. The oldest step
+/// of each standing regularly gets a turn before the others, so that no team is starved.
+///
+/// Among steps of one standing, those of jobs that can still end on time come before late ones, and overdue
+/// ones come last, so that a backlog does not make every later job late as well. The oldest late step and the
+/// oldest overdue step of each priority regularly get a turn before the others, so that late jobs do not all
+/// become overdue and no job is starved. Otherwise the order is that of arrival. Owned by the dispatcher;
+/// used by the control thread only.
 class step_order {
 public:
     /// @param ready the steps that may start, by priority and arrival.
+    /// @param standing_of returns the standing of each.
     /// @param now the current time.
-    /// @return the same steps in the order in which to start them.
+    /// @return the steps that have a standing, in the order in which to start them.
     [[nodiscard]] std::vector<live_step*> arrange(const std::map<step_sort_key, live_step*>& ready,
+                                                  const standing_hook& standing_of,
                                                   core::steady_time now) const;
 
     /// Called when tasks of a step are started.
@@ -45,9 +58,16 @@
     /// @param now the current time.
     void on_started(const live_step& step, core::steady_time now);
 
+    /// Called when tasks of a step or a gang are started.
+    /// @param standing its standing.
+    void on_started(team_standing standing);
+
 private:
     [[nodiscard]] bool has_turn(step_prospect prospect) const;
+    [[nodiscard]] bool has_turn(team_standing standing) const;
 
+    /// By standing: starts of other steps since the last one of a step with this standing.
+    std::array<std::uint32_t, 3> starts_of_other_teams{};
     /// By prospect: starts of other steps since the last one of a step with this prospect.
     std::array<std::uint32_t, 3> other_starts{};
 };
--- a/src/dispatch/team_accounts.h
+++ b/src/dispatch/team_accounts.h
@@ -2,9 +2,9 @@
 
 #include "core/ids.h"
 #include "core/resources.h"
-#include "core/time.h"
 #include "tenancy/team_policy.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -26,35 +26,72 @@
 /// dispatch_state; used by the control thread only.
 class team_accounts {
 public:
+    using amounts = std::map<core::team_id, core::resources>;
+
     /// Puts the policies of a version of the configuration into effect.
     /// @param teams all teams; one that is missing has no cap and no share.
-    void set_policies(const std::vector<tenancy::team_policy>& teams);
+    /// @return whether what a team may have running, or its share, has changed.
+    bool set_policies(const std::vector<tenancy::team_policy>& teams);
 
     /// Forgets all amounts, but not the policies. Called when this host stops leading.
     void reset();
 
-    /// Adds an amount that has been reserved for a run or a kept place of a team.
+    /// Adds an amount that has been reserved for a run of a team.
     void reserve(const core::team_id& team, const core::resources& amount);
 
-    /// Subtracts an amount that is no longer reserved.
+    /// Subtracts an amount that is no longer reserved for a run.
     void release(const core::team_id& team, const core::resources& amount);
 
+    /// Adds an amount that is reserved for a task which does not run there yet.
+    void reserve_place(const core::team_id& team, const core::resources& amount);
+
+    /// Subtracts what reserve_place() has added.
+    void release_place(const core::team_id& team, const core::resources& amount);
+
+    /// Replaces the amounts that runs of which this leader has not heard may use.
+    /// @return whether they have changed.
+    bool set_unknown(amounts unknown);
+
     /// @param team a team, or an empty name.
     /// @param amount what is to be started.
-    /// @return whether the team's reservations stay within its cap.
+    /// @return whether the team's runs and reserved places stay within its cap.
     [[nodiscard]] bool has_room(const core::team_id& team, const core::resources& amount) const;
 
+    /// As has_room() for a task that has a place reserved, or is about to get one in exchange for its run:
+    /// places do not count.
+    [[nodiscard]] bool has_room_beside_runs(const core::team_id& team, const core::resources& amount) const;
+
+    /// @param team a team, or an empty name.
+    /// @param each what one task needs.
+    /// @return for how many such tasks it has room under its cap; the largest number if there is no limit.
+    [[nodiscard]] std::size_t tasks_within_cap(const core::team_id& team, const core::resources& each) const;
+
     /// @param team a team.
-    /// @return what is reserved for it.
+    /// @return what is reserved for its runs and places.
     [[nodiscard]] core::resources reserved(const core::team_id& team) const;
 
+    /// @return the teams that have anything reserved for runs, with the amounts.
+    [[nodiscard]] const amounts& reserved_for_runs() const { return this->runs; }
+
     /// @param team a team.
-    /// @return its policy, or null if it has none.
+    /// @return its policy without the keys, or null if it has none.
     [[nodiscard]] const tenancy::team_policy* policy_of(const core::team_id& team) const;
 
+    /// @return whether the configuration has teams.
+    [[nodiscard]] bool has_policies() const { return !this->policies.empty(); }
+
 private:
-    std::map<core::team_id, tenancy::team_policy> policies;
-    std::map<core::team_id, core::resources> reservations; ///< Only amounts other than zero.
+    [[nodiscard]] bool fits(const core::team_id& team, const core::resources& amount) const;
+
+    std::map<core::team_id, tenancy::team_policy> policies; ///< Without keys.
+    amounts runs;                                           ///< Only amounts other than zero, as in `places`.
+    amounts places;                                         ///< Reserved for tasks that do not run there yet.
+    amounts unknown_runs; ///< What runs of which this leader has not heard may use.
 };
 
+/// @param cap a team's cap.
+/// @param amount an amount.
+/// @return the cap, with the amount in place of each limit that is 0, so that it fits there.
+[[nodiscard]] core::resources limits_of(const core::resources& cap, const core::resources& amount);
+
 } // namespace rattanmount::dispatch
