Start first what loses callers most for each core-second, and stop runs for urgent steps

Cause: among steps that could still be on time the order was that of arrival, so in a burst a few wide jobs made many narrow ones late; and a step of the highest priority waited until runs of lower ones ended.

Change: overload/delay_cost states what a caller loses by a delay; dispatch/step_order uses it in place of its own classes and sorts, inside priority and prospect, by the loss for each core-second that the job still needs, which also finishes what has begun. dispatch/preemption stops runs of lower priorities for a step of priority 0 that can still be on time and finds no room, where the configuration has teams.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -23,7 +23,8 @@
       recorder(this->state), used_workers(this->state), selector(this->state),
       advice(this->state, this->selector),
       gangs(this->state, this->runs, this->lifecycle, this->selector, this->make_start_check()),
-      mover(this->state, this->runs, this->selector, this->advice, this->make_start_check()) {}
+      mover(this->state, this->runs, this->selector, this->advice, this->make_start_check()),
+      preemptor(this->state, this->runs, this->selector, this->make_start_check()) {}
 
 void dispatcher::start_leading(core::epoch_id epoch, const workflow::cell_state& cell, core::steady_time now,
                                core::steady_time list_complete_at) {
@@ -71,6 +72,7 @@
     this->advice.reset();
     this->gangs.reset();
     this->mover.reset();
+    this->preemptor.reset();
     for (auto& [id, worker] : this->state.workers) {
         worker = worker_state{.entry = worker.entry, .listed = worker.listed};
     }
@@ -270,6 +272,7 @@
     this->retrier.run(now);
     this->gangs.tick(now);
     this->mover.tick(now);
+    this->preemptor.tick(now);
     if (this->state.can_send_orders(now) && this->state.worker_list_read &&
         now >= this->placed_at + place_interval) {
         this->placed_at = now;
@@ -361,6 +364,7 @@
             this->advice.ask(*step, step->waiting.size(), now);
             if (!step->advice.request_in_flight) {
                 this->gangs.yield_to(*step, now); // No worker has room for it.
+                this->preemptor.make_room(*step, now);
             }
         }
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatch/gang_placer.h"
 #include "dispatch/lease_manager.h"
 #include "dispatch/order_retrier.h"
+#include "dispatch/preemption.h"
 #include "dispatch/progress_recorder.h"
 #include "dispatch/run_manager.h"
 #include "dispatch/run_mover.h"
@@ -76,7 +77,10 @@
 
     /// Called when a version of the configuration takes effect, also while this host does not lead.
     /// @param teams all teams of that version.
-    void set_teams(const std::vector<tenancy::team_policy>& teams) { this->state.teams.set_policies(teams); }
+    void set_teams(const std::vector<tenancy::team_policy>& teams) {
+        this->state.teams.set_policies(teams);
+        this->preemptor.set_enabled(!teams.empty());
+    }
 
     /// Called when a job has been accepted. Does nothing while this host does not lead.
     void add_job(const workflow::job_entry& entry);
@@ -155,6 +159,7 @@
     advice_manager advice;
     gang_placer gangs;
     run_mover mover;
+    preemption preemptor;
     step_order order;
     bool was_fenced = false;
     /// Whether tasks wait because too many orders are in flight.
--- a/src/dispatch/step_order.cpp
+++ b/src/dispatch/step_order.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <limits>
 #include <optional>
 #include <tuple>
 
@@ -13,30 +14,51 @@
 /// After so many starts of other steps, the oldest late or overdue step of each priority comes first.
 constexpr std::uint32_t starts_per_late_one = 2;
 constexpr std::uint32_t starts_per_overdue_one = 8;
+constexpr double most_urgent = std::numeric_limits<double>::max();
 
-std::size_t index_of(step_prospect prospect) {
+std::size_t index_of(overload::prospect prospect) {
     return static_cast<std::size_t>(prospect);
 }
 
-} // namespace
+/// What decides the order among steps of one priority.
+struct outlook {
+    /// What the step can still achieve if it starts now and takes as long as its job estimates.
+    overload::prospect prospect = overload::prospect::on_time;
+    /// What its caller loses for each core-second if it waits until it cannot be of use any more.
+    double urgency = most_urgent;
+};
 
-step_prospect prospect_of(const live_step& step, core::steady_time now) {
+outlook outlook_of(const live_step& step, core::steady_time now) {
     if (step.request->long_running) {
-        return step_prospect::on_time;
+        return {}; // It has no end that could be late.
     }
-    const auto ends_after = now - step.due_at + step.remaining_work;
-    if (ends_after <= step.job->latency_objective) {
-        return step_prospect::on_time;
+    const auto work = waiting_work_of(step, now);
+    return {.prospect = overload::prospect_after(work, core::milliseconds{0}),
+            .urgency = overload::urgency_of(work, work.latency_objective * overload::late_factor)};
+}
+
+} // namespace
+
+overload::waiting_work waiting_work_of(const live_step& step, core::steady_time now) {
+    using seconds = std::chrono::duration<double>;
+    constexpr double millicores_per_core = 1000;
+    double core_seconds = 0;
+    for (const auto& one : step.job->occurrences.at(step.name.occurrence).steps) {
+        const auto left = static_cast<double>(one.tasks.size() - one.done_tasks);
+        const auto cores = static_cast<double>(one.request->each.millicores) / millicores_per_core;
+        core_seconds += left * cores * seconds{one.request->estimate}.count();
     }
-    return ends_after <= step.job->latency_objective * late_factor ? step_prospect::late
-                                                                   : step_prospect::overdue;
+    return {.waited = std::chrono::duration_cast<core::milliseconds>(now - step.due_at),
+            .remaining = step.remaining_work,
+            .latency_objective = step.job->latency_objective,
+            .core_seconds = core_seconds};
 }
 
 std::vector<live_step*> step_order::arrange(const std::map<step_sort_key, live_step*>& ready,
                                             core::steady_time now) const {
     struct entry {
         std::uint32_t priority;
-        step_prospect prospect;
+        outlook ahead;
         live_step* step;
     };
     std::vector<entry> entries;
@@ -45,16 +67,17 @@
     std::array<std::optional<std::uint32_t>, 3> served_priority;
     for (const auto& [key, step] : ready) {
         const auto priority = std::get<0>(key);
-        auto prospect = prospect_of(*step, now);
-        auto& served = served_priority.at(index_of(prospect));
-        if (this->has_turn(prospect) && served != priority) {
+        auto ahead = outlook_of(*step, now);
+        auto& served = served_priority.at(index_of(ahead.prospect));
+        if (this->has_turn(ahead.prospect) && served != priority) {
             served = priority;
-            prospect = step_prospect::on_time;
+            ahead = {};
         }
-        entries.push_back({.priority = priority, .prospect = prospect, .step = step});
+        entries.push_back({.priority = priority, .ahead = ahead, .step = step});
     }
     std::stable_sort(entries.begin(), entries.end(), [](const entry& a, const entry& b) {
-        return std::tie(a.priority, a.prospect) < std::tie(b.priority, b.prospect);
+        return std::tie(a.priority, a.ahead.prospect, b.ahead.urgency) <
+               std::tie(b.priority, b.ahead.prospect, a.ahead.urgency);
     });
     std::vector<live_step*> order;
     order.reserve(entries.size());
@@ -68,13 +91,13 @@
     for (auto& count : this->other_starts) {
         count++;
     }
-    this->other_starts.at(index_of(prospect_of(step, now))) = 0;
+    this->other_starts.at(index_of(outlook_of(step, now).prospect)) = 0;
 }
 
-bool step_order::has_turn(step_prospect prospect) const {
+bool step_order::has_turn(overload::prospect prospect) const {
     const auto others = this->other_starts.at(index_of(prospect));
-    return (prospect == step_prospect::late && others >= starts_per_late_one) ||
-           (prospect == step_prospect::overdue && others >= starts_per_overdue_one);
+    return (prospect == overload::prospect::late && others >= starts_per_late_one) ||
+           (prospect == overload::prospect::overdue && others >= starts_per_overdue_one);
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/step_order.h
+++ b/src/dispatch/step_order.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "dispatch/live_job.h"
+#include "overload/delay_cost.h"
 
 #include <array>
 #include <cstdint>
@@ -10,28 +11,20 @@
 
 namespace rattanmount::dispatch {
 
-/// What a waiting step can still achieve for the caller of its job.
-enum class step_prospect : std::uint8_t {
-    on_time, ///< The job can still end within its latency objective.
-    late,    ///< It can still end within `late_factor` times the objective.
-    overdue, ///< It cannot.
-};
-
-/// A job that ends after its latency objective, but within so many times the objective, is still of use.
-constexpr int late_factor = 3;
-
 /// @param step a step.
 /// @param now the current time.
-/// @return what it can still achieve if it starts now and takes as long as its job estimates.
-[[nodiscard]] step_prospect prospect_of(const live_step& step, core::steady_time now);
+/// @return what is known about the work that its job still needs from this step on.
+[[nodiscard]] overload::waiting_work waiting_work_of(const live_step& step, core::steady_time now);
 
 /// Determines the order in which waiting steps are started.
 ///
 /// Steps of a higher priority come first. Among those of one priority, steps of jobs that can still end on
 /// time come before late ones, and overdue ones come last, so that a backlog does not make every later job
-/// late as well. The oldest late step and the oldest overdue step of each priority regularly get a turn
-/// before the others, so that late jobs do not all become overdue and no job is starved. Otherwise the order
-/// is that of arrival. Owned by the dispatcher; used by the control thread only.
+/// late as well. Then those come first whose callers lose most for each core-second by waiting: jobs that
+/// need little more, so that what has begun is finished and as many callers as possible are served. The
+/// oldest late step and the oldest overdue step of each priority regularly get a turn before the others, so
+/// that late jobs do not all become overdue and no job is starved. Otherwise the order is that of arrival.
+/// Owned by the dispatcher; used by the control thread only.
 class step_order {
 public:
     /// @param ready the steps that may start, by priority and arrival.
@@ -46,7 +39,7 @@
     void on_started(const live_step& step, core::steady_time now);
 
 private:
-    [[nodiscard]] bool has_turn(step_prospect prospect) const;
+    [[nodiscard]] bool has_turn(overload::prospect prospect) const;
 
     /// By prospect: starts of other steps since the last one of a step with this prospect.
     std::array<std::uint32_t, 3> other_starts{};
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -54,6 +54,11 @@
     return is_eligible(step, worker, now) && this->tasks_that_fit(step, worker) > 0;
 }
 
+bool task_placer::would_suit(const live_step& step, const worker_state& worker, const core::resources& freed,
+                             core::steady_time now) {
+    return is_eligible(step, worker, now) && tasks_within(step, worker, worker.free_capacity() + freed) > 0;
+}
+
 bool task_placer::permitted(const live_step& step, const worker_state& worker, core::steady_time now) const {
     if (!step.job->policy().advice) {
         return true;
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -107,6 +107,14 @@
     /// @return whether a task of the step could start there now, regardless of advice.
     [[nodiscard]] bool suits(const live_step& step, const worker_state& worker, core::steady_time now) const;
 
+    /// @param step a step.
+    /// @param worker a worker.
+    /// @param freed what would become free there.
+    /// @param now the current time.
+    /// @return whether a task of the step could start there then, regardless of advice.
+    [[nodiscard]] static bool would_suit(const live_step& step, const worker_state& worker,
+                                         const core::resources& freed, core::steady_time now);
+
     /// @param step a step.
     /// @param worker a worker.
     /// @param now the current time.
--- a/src/overload/delay_cost.h
+++ b/src/overload/delay_cost.h
@@ -22,11 +22,10 @@
     core::milliseconds remaining{0};         ///< Estimate of the longest chain of work that is left.
     core::milliseconds latency_objective{0}; ///< Within this time after it was due its job should end.
     double core_seconds = 0;                 ///< Work that its job still needs; 0: not known.
-    double done_core_seconds = 0;            ///< Work that its job has had, which is lost if it never ends.
 };
 
-/// What the caller of a job loses, in core-seconds of work of use: all that the job was to bring counts as
-/// its size, a late end as a part of it.
+/// What the caller of a job loses, as a share of what the job was to bring it: 0 if the job ends on time, 1
+/// if it never ends. A job counts as much as another one of its priority, however large it is.
 struct caller_loss {
     double if_started_now = 0;
     double if_started_later = 0; ///< After the delay that was asked about.
@@ -45,8 +44,8 @@
 
 /// @param work a piece of work.
 /// @param delay how long it would wait if it does not start now.
-/// @return what its caller loses by the delay, for each core-second that the work takes: the higher it is,
-/// the earlier the work should start.
+/// @return what its caller loses by the delay, for each core-second that its job still needs: the higher it
+/// is, the earlier the work should start. Work of a job that is nearly done is urgent.
 [[nodiscard]] double urgency_of(const waiting_work& work, core::milliseconds delay);
 
 } // namespace rattanmount::overload
