--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,7 +35,8 @@
       advice(this->state, this->selector),
       gangs(this->state, this->runs, this->lifecycle, this->selector, this->make_start_check()),
       mover(this->state, this->runs, this->selector, this->advice, this->make_move_check()),
-      former_runs(this->state) {}
+      preemptor(this->state, this->runs, this->selector, this->make_start_check()), former_runs(this->state) {
+}
 
 void dispatcher::start_leading(core::epoch_id epoch, const workflow::cell_state& cell, core::steady_time now,
                                core::steady_time list_complete_at) {
@@ -92,6 +93,7 @@
     this->advice.reset();
     this->gangs.reset();
     this->mover.reset();
+    this->preemptor.reset();
     for (auto& [id, worker] : this->state.workers) {
         worker = worker_state{
             .entry = worker.entry, .listed = worker.listed, .listed_incarnation = worker.listed_incarnation};
@@ -161,6 +163,7 @@
 void dispatcher::set_teams(const std::vector<tenancy::team_policy>& teams) {
     const bool changed = this->state.teams.set_policies(teams);
     this->state.placement_needed = this->state.placement_needed || changed;
+    this->preemptor.set_enabled(!teams.empty());
 }
 
 void dispatcher::add_job(const workflow::job_entry& entry) {
@@ -307,6 +310,7 @@
     this->retrier.run(now);
     this->gangs.tick(now);
     this->mover.tick(now);
+    this->preemptor.tick(now);
     if (this->state.can_send_orders(now) && this->state.worker_list_read &&
         now >= this->placed_at + place_interval) {
         this->placed_at = now;
@@ -398,6 +402,7 @@
             this->advice.ask(*step, places, now);
             if (!step->advice.request_in_flight) {
                 this->gangs.yield_to(*step, now); // No worker has room for it.
+                this->preemptor.make_room(*step, now);
             }
         }
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "dispatch/inherited_runs.h"
 #include "dispatch/lease_manager.h"
 #include "dispatch/order_retrier.h"
+#include "dispatch/preemption.h"
 #include "dispatch/progress_recorder.h"
 #include "dispatch/run_manager.h"
 #include "dispatch/run_mover.h"
@@ -178,6 +179,7 @@
     advice_manager advice;
     gang_placer gangs;
     run_mover mover;
+    preemption preemptor;
     step_order order;
     inherited_runs former_runs;
     team_rates rates;
--- a/src/dispatch/step_order.h
+++ b/src/dispatch/step_order.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "dispatch/live_job.h"
 #include "dispatch/team_accounts.h"
+#include "overload/delay_cost.h"
 
 #include <array>
 #include <cstdint>
@@ -13,20 +14,10 @@
 
 namespace rattanmount::dispatch {
 
-/// What a waiting step can still achieve for the caller of its job.
-enum class step_prospect : std::uint8_t {
-    on_time, ///< The job can still end within its latency objective.
-    late,    ///< It can still end within `late_factor` times the objective.
-    overdue, ///< It cannot.
-};
-
-/// A job that ends after its latency objective, but within so many times the objective, is still of use.
-constexpr int late_factor = 3;
-
 /// @param step a step.
 /// @param now the current time.
-/// @return what it can still achieve if it starts now and takes as long as its job estimates.
-[[nodiscard]] step_prospect prospect_of(const live_step& step, core::steady_time now);
+/// @return what is known about the work that its job still needs from this step on.
+[[nodiscard]] overload::waiting_work waiting_work_of(const live_step& step, core::steady_time now);
 
 /// Returns the standing of a waiting step among those of other teams, or nothing if its team has no room for
 /// it.
@@ -39,10 +30,12 @@
 /// of each standing regularly gets a turn before the others, so that no team is starved.
 ///
 /// Among steps of one standing, those of jobs that can still end on time come before late ones, and overdue
-/// ones come last, so that a backlog does not make every later job late as well. The oldest late step and the
-/// oldest overdue step of each priority regularly get a turn before the others, so that late jobs do not all
-/// become overdue and no job is starved. Otherwise the order is that of arrival. Owned by the dispatcher;
-/// used by the control thread only.
+/// ones come last, so that a backlog does not make every later job late as well. Then those come first whose
+/// callers lose most for each core-second by waiting: jobs that need little more, so that what has begun is
+/// finished and as many callers as possible are served. The oldest late step and the oldest overdue step of
+/// each priority regularly get a turn before the others, so that late jobs do not all become overdue and no
+/// job is starved. Otherwise the order is that of arrival. Owned by the dispatcher; used by the control
+/// thread only.
 class step_order {
 public:
     /// @param ready the steps that may start, by priority and arrival.
@@ -63,7 +56,7 @@
     void on_started(team_standing standing);
 
 private:
-    [[nodiscard]] bool has_turn(step_prospect prospect) const;
+    [[nodiscard]] bool has_turn(overload::prospect prospect) const;
     [[nodiscard]] bool has_turn(team_standing standing) const;
 
     /// By standing: starts of other steps since the last one of a step with this standing.
