Place tasks by the speeds of workers, learned from the tasks of their steps

Cause: tasks were placed without regard to how long they take on a worker, so a step ended with its slowest worker. Change: worker_speeds holds a moving median per worker, kind and queue, taught by the runs of a step, compared with each other; task_placer::cost grows with the share of the time that the job can afford, and leaves fast workers to urgent work.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -95,6 +95,9 @@
                                                     {"runs", std::to_string(worker.runs.size())}});
     }
     const auto known_incarnation = worker.entry.incarnation;
+    if (entry.labels != worker.entry.labels) {
+        this->state.speeds.forget(entry.worker);
+    }
     worker.entry = entry;
     worker.drained_runs_recorded = worker.drained_runs_recorded && entry.draining && same_incarnation;
     if (!same_incarnation) {
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -43,6 +43,7 @@
             this->give_up_runs(worker, now);
         }
         if (!worker.listed && worker.runs.empty() && !worker.hold_in_flight && !worker.may_hide_runs()) {
+            this->state.speeds.forget(place->first);
             place = this->state.workers.erase(place);
             continue;
         }
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "dispatch/orders.h"
+#include "dispatch/step_run_times.h"
 #include "workflow/cell_state.h"
 #include "workflow/progress_layout.h"
 
@@ -37,6 +38,8 @@
     workflow::checkpoint_id checkpoint; ///< The newest one that the worker reported.
     /// Value of `worker_state::answered_holds` when an answer last listed it.
     std::uint64_t last_listing = 0;
+    /// Whether all its work was done since `answered_at`: it was started here, and not from a checkpoint.
+    bool is_timed = false;
 };
 
 /// State of a task of a live job.
@@ -79,6 +82,7 @@
     step_advice advice;
     core::steady_time due_at; ///< When its occurrence was due: the latency objective counts from then.
     core::milliseconds remaining_work{0}; ///< Estimate of the longest chain of work from its start on.
+    step_run_times run_times;             ///< How long its tasks have taken.
     /// Workers on which places are kept for the tasks of a waiting gang, by index; empty if there are none.
     std::vector<core::worker_id> kept_workers;
     core::steady_time place_again_at; ///< When a waiting gang is placed again although nothing has changed.
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -21,6 +21,7 @@
     task.last_run = std::max(task.last_run, run);
     task.recorded_worker = {};
     added.checkpoint = task.checkpoint;
+    added.is_timed = task.checkpoint.empty();
     const auto advised = step.advice.allowed.find(worker.entry.worker);
     if (advised != step.advice.allowed.end()) {
         added.ticket = advised->second.id;
--- a/src/dispatch/task_lifecycle.cpp
+++ b/src/dispatch/task_lifecycle.cpp
@@ -35,7 +35,8 @@
         return;
     }
     auto& task = step->tasks[name.index];
-    const bool tracked = run_manager::find_run(task, end.run.run) != nullptr;
+    const auto* run = run_manager::find_run(task, end.run.run);
+    const bool tracked = run != nullptr;
     const bool finishes = end.outcome == run_outcome::done && !task.done && !step->request->long_running;
     const bool counts = end.outcome == run_outcome::failed && !task.done && !step->request->long_running &&
                         !task.failed_runs.contains(end.run.run);
@@ -46,6 +47,9 @@
                                        {"run", std::to_string(end.run.run)},
                                        {"how", std::string{to_string(end.outcome)}},
                                        {"worker", worker.entry.worker.value()}});
+    if (tracked && finishes) {
+        this->learn_run_time(*step, worker, *run, now);
+    }
     this->runs.remove(*step, name.index, end.run.run);
     task.ended_run = std::max(task.ended_run, end.run.run);
     task.last_run = std::max(task.last_run, end.run.run);
@@ -72,6 +76,35 @@
     }
 }
 
+void task_lifecycle::learn_run_time(live_step& step, const worker_state& worker, const live_run& run,
+                                    core::steady_time now) {
+    if (!run.is_timed || !run.answered_at || run.phase != run_phase::running || step.request->gang) {
+        return;
+    }
+    const auto taken = std::chrono::duration_cast<core::milliseconds>(now - *run.answered_at);
+    const auto factor = this->state.speeds.factor_of(worker.entry);
+    step.run_times.add({.worker = worker.entry.worker, .taken = taken, .factor = factor});
+    this->state.speeds.add_estimate(step.job->policy().queue,
+                                    {.taken = taken, .expected = step.request->estimate}, factor);
+    if (step.run_times.has_batch()) {
+        this->learn_speeds(step);
+    }
+}
+
+void task_lifecycle::learn_speeds(live_step& step) {
+    auto expected = step.run_times.usual_time();
+    if (expected.count() == 0) {
+        const auto ratio = this->state.speeds.estimate_ratio(step.job->policy().queue);
+        expected = std::chrono::duration_cast<core::milliseconds>(step.request->estimate * ratio);
+    }
+    for (const auto& run : step.run_times.take_batch()) {
+        const auto worker = this->state.workers.find(run.worker);
+        if (worker != this->state.workers.end()) {
+            this->state.speeds.add(worker->second.entry, {.taken = run.taken, .expected = expected});
+        }
+    }
+}
+
 void task_lifecycle::run_lost(live_step& step, std::uint32_t index, std::uint32_t run,
                               core::steady_time now) {
     auto& task = step.tasks[index];
@@ -215,6 +248,7 @@
 }
 
 void task_lifecycle::step_done(live_step& step, core::steady_time now) {
+    this->learn_speeds(step);
     auto& job = *step.job;
     auto& occurrence = job.occurrences.at(step.name.occurrence);
     this->state.ready_steps.erase(sort_key_of(step));
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/task_placer.h"
 
 #include "dispatch/run_manager.h"
+#include "dispatch/step_order.h"
 
 #include <algorithm>
 #include <limits>
@@ -16,6 +17,8 @@
 constexpr double failure_cost = 2;
 constexpr double interference_cost = 1.5;
 constexpr double failed_here_cost = 8;
+constexpr double fast_worker_cost = 0.5; ///< Of using a worker of usual speed; less for slower ones.
+constexpr double lateness_cost = 5;      ///< Per time that the job can still afford.
 constexpr double missing_cost = 10; ///< Per missing_share().
 
 bool has_label(const worker_entry& worker, const workflow::worker_label& label) {
@@ -43,6 +46,25 @@
                        : std::max<std::int64_t>(available, 0) / amount;
 }
 
+/// Tasks that need at most this share of the time that their job can afford do not need a fast worker.
+constexpr double urgent_share = 0.5;
+
+/// @return the time that a task of the step may take if its job is to end within its latency objective, or
+/// else while it is still of use; empty if it may take any time.
+std::optional<core::milliseconds> affordable_time(const live_step& step, core::steady_time now) {
+    if (step.request->long_running || step.request->uses_leftover || step.request->estimate.count() == 0) {
+        return std::nullopt;
+    }
+    const auto elapsed = std::chrono::duration_cast<core::milliseconds>(now - step.due_at);
+    const auto later_steps = step.remaining_work - step.request->estimate;
+    const auto affordable = step.job->latency_objective - elapsed - later_steps;
+    if (affordable >= step.request->estimate) {
+        return affordable;
+    }
+    const auto of_use = affordable + step.job->latency_objective * (late_factor - 1);
+    return of_use >= step.request->estimate ? std::optional{of_use} : std::nullopt;
+}
+
 } // namespace
 
 bool task_placer::is_eligible(const live_step& step, const worker_state& worker, core::steady_time now) {
@@ -117,7 +139,19 @@
         cost += wrong_rack_cost;
     }
     cost += failure_cost * worker.failures.value_at(now);
-    return cost;
+    return cost + this->speed_cost(step, worker, now);
+}
+
+double task_placer::speed_cost(const live_step& step, const worker_state& worker, core::steady_time now) const {
+    const auto factor = this->state.speeds.factor_of(worker.entry);
+    const auto affordable = affordable_time(step, now);
+    if (!affordable) {
+        return fast_worker_cost / factor;
+    }
+    const auto ratio = this->state.speeds.estimate_ratio(step.job->policy().queue);
+    const auto share = step.request->estimate * ratio * factor / *affordable;
+    return share <= urgent_share ? fast_worker_cost / factor
+                                 : fast_worker_cost / factor + lateness_cost * (share - urgent_share);
 }
 
 double task_placer::gang_cost(const live_step& step, const worker_state& worker,
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -152,6 +152,11 @@
     choose_for_gang(const live_step& step, core::steady_time now,
                     const std::function<std::uint32_t(const worker_state&)>& fitting) const;
 
+    /// @return the part of cost() that stands for the speed of the worker: for urgent work, the share of the
+    /// time that the job can still afford, beyond a half; for other work, less on slow workers.
+    [[nodiscard]] double speed_cost(const live_step& step, const worker_state& worker,
+                                    core::steady_time now) const;
+
     void consider(const live_step& step, std::uint32_t index, const worker_state& worker,
                   core::steady_time now, best_choice& best) const;
 
