Start a second run of stragglers where a step allows copies

Cause: one task in thirty takes many times as long as the rest, and its step waits for it. Change: straggler_copies starts a second run elsewhere once the first has taken twice as long as the step's other tasks would take there, with room to spare and within a budget. A new leader adopts both runs.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -23,7 +23,8 @@
       recorder(this->state), used_workers(this->state), selector(this->state),
       advice(this->state, this->selector),
       gangs(this->state, this->runs, this->lifecycle, this->selector, this->make_start_check()),
-      mover(this->state, this->runs, this->selector, this->advice, this->make_start_check()) {}
+      mover(this->state, this->runs, this->selector, this->advice, this->make_start_check()),
+      copies(this->state, this->runs, this->selector, this->advice, this->make_start_check()) {}
 
 void dispatcher::start_leading(core::epoch_id epoch, const workflow::cell_state& cell, core::steady_time now,
                                core::steady_time list_complete_at) {
@@ -71,6 +72,7 @@
     this->advice.reset();
     this->gangs.reset();
     this->mover.reset();
+    this->copies.reset();
     for (auto& [id, worker] : this->state.workers) {
         worker = worker_state{.entry = worker.entry, .listed = worker.listed};
     }
@@ -277,6 +279,7 @@
         now >= this->placed_at + place_interval) {
         this->placed_at = now;
         this->place_all(now);
+        this->copies.tick(now);
     }
     this->recorder.close_ended_jobs();
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "dispatch/run_manager.h"
 #include "dispatch/run_mover.h"
 #include "dispatch/step_order.h"
+#include "dispatch/straggler_copies.h"
 #include "dispatch/task_lifecycle.h"
 #include "dispatch/task_placer.h"
 #include "dispatch/worker_roster.h"
@@ -155,6 +156,7 @@
     advice_manager advice;
     gang_placer gangs;
     run_mover mover;
+    straggler_copies copies;
     step_order order;
     bool was_fenced = false;
     /// Whether tasks wait because too many orders are in flight.
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -272,8 +272,10 @@
     }
     // The run is adopted even if earlier steps appear not to be done: a former leader may have seen their
     // ends without recording them.
-    const bool open =
-        !task.done && !step->job->cancelled && task.runs.empty() && row.run.run > task.ended_run;
+    const bool copy_allowed = step->request->allows_copies && !step->request->gang &&
+                              !step->request->long_running && task.runs.size() < max_runs_per_task;
+    const bool open = !task.done && !step->job->cancelled && (task.runs.empty() || copy_allowed) &&
+                      row.run.run > task.ended_run;
     if (!open) {
         worker.has_unknown_runs = true;
         this->runs.stop_unknown(worker, row.run, now);
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -6,6 +6,7 @@
 #include "workflow/cell_state.h"
 #include "workflow/progress_layout.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -42,6 +43,9 @@
     bool is_timed = false;
 };
 
+/// Most runs that a task has at a time, where copies are allowed.
+constexpr std::size_t max_runs_per_task = 2;
+
 /// State of a task of a live job.
 struct live_task {
     bool done = false;
--- a/src/dispatch/task_lifecycle.h
+++ b/src/dispatch/task_lifecycle.h
@@ -40,7 +40,8 @@
 
 private:
     /// Adds a run that is about to be removed to what is known of run times, if it has ended well.
-    void learn_run_time(live_step& step, const worker_state& worker, const live_run& run, core::steady_time now);
+    void learn_run_time(live_step& step, const worker_state& worker, const live_run& run,
+                        core::steady_time now);
     /// Teaches the speeds of workers by the collected runs of a step.
     void learn_speeds(live_step& step);
     void task_done(live_step& step, std::uint32_t index, core::steady_time now);
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -19,7 +19,7 @@
 constexpr double failed_here_cost = 8;
 constexpr double fast_worker_cost = 0.5; ///< Of using a worker of usual speed; less for slower ones.
 constexpr double lateness_cost = 5;      ///< Per time that the job can still afford.
-constexpr double missing_cost = 10; ///< Per missing_share().
+constexpr double missing_cost = 10;      ///< Per missing_share().
 
 bool has_label(const worker_entry& worker, const workflow::worker_label& label) {
     return label.empty() ||
@@ -142,7 +142,8 @@
     return cost + this->speed_cost(step, worker, now);
 }
 
-double task_placer::speed_cost(const live_step& step, const worker_state& worker, core::steady_time now) const {
+double task_placer::speed_cost(const live_step& step, const worker_state& worker,
+                               core::steady_time now) const {
     const auto factor = this->state.speeds.factor_of(worker.entry);
     const auto affordable = affordable_time(step, now);
     if (!affordable) {
--- a/src/workflow/job_request.h
+++ b/src/workflow/job_request.h
@@ -32,8 +32,7 @@
     bool checkpoints = false;         ///< Tasks save checkpoints and can be resumed from them.
     bool gang = false;                ///< Tasks make progress only while all of them run.
     bool one_rack = false;            ///< Tasks of the gang are slower if they span several racks.
-    /// A task may have several runs at a time; the first to succeed counts. Recorded; not used by the
-    /// dispatcher.
+    /// A task may have several runs at a time; the first to succeed counts.
     bool allows_copies = false;
     bool long_running = false; ///< Tasks run until the job is cancelled; if they end, they are restarted.
     /// Best effort: its processors are not reserved; it uses what other tasks leave.
--- a/tests/dispatch/uneven_workers_test.cpp
+++ b/tests/dispatch/uneven_workers_test.cpp
@@ -69,7 +69,8 @@
 }
 
 TEST_CASE("slow workers are used when the fast ones are full") {
-    simulated_cell cell{{.workers = 6, .capacity = {.millicores = 8000, .memory_mb = 64000, .accelerators = 0}}};
+    simulated_cell cell{
+        {.workers = 6, .capacity = {.millicores = 8000, .memory_mb = 64000, .accelerators = 0}}};
     cell.work_time = uneven_time;
     jobs_in_time(cell, short_step());
     for (int i = 0; i < 3; i++) {
@@ -94,6 +95,40 @@
     CHECK(on_slow == 6);
 }
 
+TEST_CASE("a task that takes seven times as long gets a second run where its step allows copies") {
+    const int jobs = 100;
+    const auto longest_time = [jobs](bool allows_copies, bool change_leader) {
+        simulated_cell cell{{.workers = 24}};
+        std::set<workflow::task_name> begun;
+        cell.work_time = [&begun](const workflow::task_name& task, const workflow::step_request& step,
+                                  std::uint32_t /*worker*/) {
+            const bool is_first_run = begun.insert(task).second;
+            return is_first_run && begun.size() % 120 == 0 ? step.estimate * 7 : step.estimate;
+        };
+        auto step = short_step();
+        step.allows_copies = allows_copies;
+        for (int i = 0; i < jobs; i++) {
+            cell.submit(job_of("j" + std::to_string(i), step), urgent_queue());
+            cell.run_for(1s);
+            if (change_leader && i % 20 == 0) {
+                cell.change_leader();
+            }
+        }
+        cell.run_for(20s);
+        CHECK(cell.violations().empty());
+        CHECK(cell.over_jobs() == jobs);
+        CHECK(cell.started_runs() <= jobs * step.tasks * 2);
+        core::milliseconds longest{0};
+        for (int i = jobs / 3; i < jobs; i++) {
+            longest = std::max(longest, cell.time_taken("j" + std::to_string(i)));
+        }
+        return longest;
+    };
+    CHECK(longest_time(false, false) > estimate * 6);
+    CHECK(longest_time(true, false) < estimate * 5);
+    CHECK(longest_time(true, true) < estimate * 8); // A new leader starts no third run.
+}
+
 TEST_CASE("a worker's factor is not changed by single tasks that take many times as long") {
     dispatch::worker_speeds speeds;
     const dispatch::worker_entry worker{.worker = core::worker_id{"w"}};
