--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,8 +35,9 @@
       advice(this->state, this->selector),
       gangs(this->state, this->runs, this->lifecycle, this->selector, this->make_start_check()),
       mover(this->state, this->runs, this->selector, this->advice, this->make_move_check()),
-      preemptor(this->state, this->runs, this->selector, this->make_start_check()), former_runs(this->state) {
-}
+      preemptor(this->state, this->runs, this->selector, this->make_start_check()),
+      copies(this->state, this->runs, this->selector, this->advice, this->make_start_check()),
+      former_runs(this->state) {}
 
 void dispatcher::start_leading(core::epoch_id epoch, const workflow::cell_state& cell, core::steady_time now,
                                core::steady_time list_complete_at) {
@@ -94,6 +95,7 @@
     this->gangs.reset();
     this->mover.reset();
     this->preemptor.reset();
+    this->copies.reset();
     for (auto& [id, worker] : this->state.workers) {
         worker = worker_state{
             .entry = worker.entry, .listed = worker.listed, .listed_incarnation = worker.listed_incarnation};
@@ -120,6 +122,9 @@
                                                     {"runs", std::to_string(worker.runs.size())}});
     }
     const auto known_incarnation = worker.entry.incarnation;
+    if (entry.labels != worker.entry.labels) {
+        this->state.speeds.forget(entry.worker);
+    }
     worker.entry = entry;
     worker.listed_incarnation = entry.incarnation;
     worker.drained_runs_recorded = worker.drained_runs_recorded && entry.draining && same_incarnation;
@@ -315,6 +320,7 @@
         now >= this->placed_at + place_interval) {
         this->placed_at = now;
         this->place_all(now);
+        this->copies.tick(now);
     }
     this->recorder.close_ended_jobs();
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 #include "dispatch/run_manager.h"
 #include "dispatch/run_mover.h"
 #include "dispatch/step_order.h"
+#include "dispatch/straggler_copies.h"
 #include "dispatch/task_lifecycle.h"
 #include "dispatch/task_placer.h"
 #include "dispatch/team_rates.h"
@@ -180,6 +181,7 @@
     gang_placer gangs;
     run_mover mover;
     preemption preemptor;
+    straggler_copies copies;
     step_order order;
     inherited_runs former_runs;
     team_rates rates;
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -2,9 +2,11 @@
 
 #include "core/time.h"
 #include "dispatch/orders.h"
+#include "dispatch/step_run_times.h"
 #include "workflow/cell_state.h"
 #include "workflow/progress_layout.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -38,8 +40,13 @@
     workflow::checkpoint_id checkpoint; ///< The newest one that the worker reported.
     /// Value of `worker_state::answered_holds` when an answer last listed it.
     std::uint64_t last_listing = 0;
+    /// Whether all its work was done since `answered_at`: it was started here, and not from a checkpoint.
+    bool is_timed = false;
 };
 
+/// Most runs that a task has at a time, where copies are allowed.
+constexpr std::size_t max_runs_per_task = 2;
+
 /// State of a task of a live job.
 struct live_task {
     bool done = false;
@@ -80,6 +87,7 @@
     step_advice advice;
     core::steady_time due_at; ///< When its occurrence was due: the latency objective counts from then.
     core::milliseconds remaining_work{0}; ///< Estimate of the longest chain of work from its start on.
+    step_run_times run_times;             ///< How long its tasks have taken.
     /// Workers on which places are kept for the tasks of a waiting gang, by index; empty if there are none.
     std::vector<core::worker_id> kept_workers;
     core::steady_time place_again_at; ///< When a waiting gang is placed again although nothing has changed.
