--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -61,7 +61,7 @@
     if (affordable >= step.request->estimate) {
         return affordable;
     }
-    const auto of_use = affordable + step.job->latency_objective * (late_factor - 1);
+    const auto of_use = affordable + step.job->latency_objective * (overload::late_factor - 1);
     return of_use >= step.request->estimate ? std::optional{of_use} : std::nullopt;
 }
 
