Name the two steps of waiting for a read of the configuration apart

Cause: await_read() was the name of two functions of key_check; the linter asked for a reserve() in its test.

Change: the inner one is wait_for_read(). Behaviour is unchanged.

--- a/src/runtime/key_check.cpp
+++ b/src/runtime/key_check.cpp
@@ -56,12 +56,12 @@
         return false;
     }
     this->waiting++;
-    const bool done = this->await_read(lock, arrived);
+    const bool done = this->wait_for_read(lock, arrived);
     this->waiting--;
     return done;
 }
 
-bool key_check::await_read(std::unique_lock<std::mutex>& lock, core::steady_time arrived) {
+bool key_check::wait_for_read(std::unique_lock<std::mutex>& lock, core::steady_time arrived) {
     const auto deadline = arrived + this->options.max_wait;
     while (true) {
         if (this->last_success >= arrived) {
--- a/src/runtime/key_check.h
+++ b/src/runtime/key_check.h
@@ -54,9 +54,11 @@
 private:
     [[nodiscard]] std::optional<key_answer> find(const tenancy::api_key& key) const;
     [[nodiscard]] key_answer reject(const tenancy::api_key& key);
+    /// Waits for a read unless too many callers wait already.
     /// @return whether a read that was sent after a time has succeeded.
     [[nodiscard]] bool await_read(core::steady_time arrived);
-    [[nodiscard]] bool await_read(std::unique_lock<std::mutex>& lock, core::steady_time arrived);
+    [[nodiscard]] bool wait_for_read(std::unique_lock<std::mutex>& lock, core::steady_time arrived);
+    /// Makes a read on this thread, with the lock released.
     void read(std::unique_lock<std::mutex>& lock);
 
     key_check_options options;
--- a/tests/runtime/key_check_test.cpp
+++ b/tests/runtime/key_check_test.cpp
@@ -141,9 +141,11 @@
     std::atomic<bool> stop = false;
     std::atomic<int> rejected = 0;
     std::atomic<int> undecided = 0;
+    constexpr std::size_t caller_count = 16;
     std::vector<std::jthread> callers;
+    callers.reserve(caller_count);
     const auto start = std::chrono::steady_clock::now();
-    for (int i = 0; i < 16; i++) {
+    for (std::size_t i = 0; i < caller_count; i++) {
         callers.emplace_back([&] {
             while (!stop) {
                 (verdict(check, "unknown") == key_verdict::rejected ? rejected : undecided)++;
