--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -1,5 +1,6 @@
 #include "tests/dispatch/simulated_cell.h"
 
+#include "dispatch/team_accounts.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -48,17 +49,26 @@
     return core::worker_id{"w" + std::to_string(100 + index)};
 }
 
-void simulated_cell::submit(workflow::job_request request, workflow::queue_policy policy) {
+void simulated_cell::submit(workflow::job_request request, workflow::queue_policy policy,
+                            const core::team_id& team) {
     const auto key = request.key;
     this->job_times[key].submitted = this->time;
     this->accepted.emplace(key, request);
-    const auto change =
-        this->state.apply(workflow::job_accepted{.request = std::move(request), .policy = std::move(policy)},
-                          core::log_offset{++this->offset}, this->time);
+    const auto change = this->state.apply(
+        workflow::job_accepted{.request = std::move(request),
+                               .policy = std::move(policy),
+                               .accepted_at = core::system_time{this->time.time_since_epoch()},
+                               .team = team},
+        core::log_offset{++this->offset}, this->time);
     this->current_dispatcher().add_job(*this->state.find(change.job));
     this->run_dispatcher();
 }
 
+void simulated_cell::set_teams(const std::vector<tenancy::team_policy>& teams) {
+    this->teams.insert_or_assign(this->time, teams);
+    this->current_dispatcher().set_teams(teams);
+}
+
 void simulated_cell::cancel(const workflow::job_key& key) {
     this->state.apply(workflow::job_cancelled{key}, core::log_offset{++this->offset}, this->time);
     this->current_dispatcher().cancel_job(key, this->time);
@@ -120,6 +130,9 @@
             listed.push_back(worker.entry);
         }
     }
+    if (!this->teams.empty()) {
+        this->current_dispatcher().set_teams(this->teams.rbegin()->second);
+    }
     this->current_dispatcher().set_worker_list(listed);
     this->current_dispatcher().set_max_advice_requests(8);
     this->current_dispatcher().start_leading(lead.epoch, this->state, this->time,
@@ -645,6 +658,7 @@
 void simulated_cell::check_start(std::uint32_t index, const workflow::run_name& run,
                                  const workflow::step_request& step) {
     const auto& worker = this->workers[index];
+    this->check_cap(run);
     if (!reserved_resources(step).fits_in(worker.entry.capacity - worker.taken)) {
         this->add_violation("capacity of " + worker.entry.worker.value() + " exceeded by " + run.text());
     }
@@ -678,6 +692,43 @@
     }
 }
 
+void simulated_cell::check_cap(const workflow::run_name& run) {
+    const auto& team = this->state.find(run.task.step.job)->accepted.team;
+    const auto with_run = this->running_of(team) + reserved_resources(*this->step_of(run.task));
+    if (!this->teams.empty() && !with_run.fits_in(limits_of(this->highest_cap(team), with_run))) {
+        this->add_violation("team " + team.value() + " has " + with_run.text() + " with " + run.text());
+    }
+}
+
+core::resources simulated_cell::highest_cap(const core::team_id& team) const {
+    const auto since = this->time - this->options.late_time - order_limit;
+    core::resources highest;
+    for (auto version = this->teams.rbegin(); version != this->teams.rend(); ++version) {
+        for (const auto& policy : version->second) {
+            if (policy.team == team) {
+                highest = {.millicores = std::max(highest.millicores, policy.cap.millicores),
+                           .memory_mb = std::max(highest.memory_mb, policy.cap.memory_mb),
+                           .accelerators = std::max(highest.accelerators, policy.cap.accelerators)};
+            }
+        }
+        if (version->first < since) {
+            break; // The version that was in force then; earlier ones no longer count.
+        }
+    }
+    return highest;
+}
+
+core::resources simulated_cell::running_of(const core::team_id& team) const {
+    core::resources sum;
+    for (const auto& worker : this->workers) {
+        for (const auto& [name, run] : worker.runs) {
+            const auto* job = this->state.find(name.task.step.job);
+            sum += job->accepted.team == team ? reserved_resources(run.step) : core::resources{};
+        }
+    }
+    return sum;
+}
+
 const workflow::step_request* simulated_cell::step_of(const workflow::task_name& task) const {
     return &this->accepted.at(task.step.job).steps.at(task.step.step);
 }
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -47,7 +47,12 @@
     simulated_cell& operator=(const simulated_cell&) = delete;
 
     /// Submits a job; its acceptance is in the log immediately.
-    void submit(workflow::job_request request, workflow::queue_policy policy);
+    /// @param team the team whose job it is; empty: none.
+    void submit(workflow::job_request request, workflow::queue_policy policy, const core::team_id& team = {});
+
+    /// Puts a version of the configuration's teams into effect. Runs that a team's start brings above its cap
+    /// are violations; of the caps of the last seconds, the highest counts.
+    void set_teams(const std::vector<tenancy::team_policy>& teams);
 
     /// Records a cancellation.
     void cancel(const workflow::job_key& key);
@@ -194,6 +199,9 @@
     void extend_lease(sim_worker& worker, dispatch::worker_time until);
     void end_run(std::uint32_t index, const workflow::run_name& run, dispatch::run_outcome how);
     void check_lease(std::uint32_t index);
+    void check_cap(const workflow::run_name& run);
+    [[nodiscard]] core::resources highest_cap(const core::team_id& team) const;
+    [[nodiscard]] core::resources running_of(const core::team_id& team) const;
     void check_start(std::uint32_t index, const workflow::run_name& run, const workflow::step_request& step);
     const workflow::step_request* step_of(const workflow::task_name& task) const;
     /// Applies a record of progress that the log has stored.
@@ -221,6 +229,8 @@
     /// If set, only so many records of the next batch are stored before the leader is replaced.
     std::optional<std::size_t> stored_before_change;
     std::vector<std::function<void()>> delayed_writes;
+    /// The versions of the teams, by the times at which they took effect.
+    std::map<core::steady_time, std::vector<tenancy::team_policy>> teams;
     std::map<workflow::job_key, job_record> job_times;
     std::map<workflow::job_key, workflow::job_request> accepted; ///< Jobs as submitted.
     std::set<workflow::task_name> done_tasks;                    ///< Tasks with a successful run.
