--- a/tests/dispatch/team_caps_test.cpp
+++ b/tests/dispatch/team_caps_test.cpp
@@ -1,3 +1,5 @@
+#include "core/errors.h"
+#include "dispatch/cap_check.h"
 #include "tests/dispatch/simulated_cell.h"
 
 #include <catch2/catch.hpp>
@@ -102,6 +104,21 @@
     }
 }
 
+TEST_CASE("a task or gang larger than its team's cap is refused with the resource, a wide step is not") {
+    auto request = job_of("job", 8, 1s);
+    CHECK_NOTHROW(dispatch::check_fits_cap(request, team_with("a", 1)));
+    CHECK_NOTHROW(dispatch::check_fits_cap(request, team_with("a", 0)));
+    request.steps.front().gang = true;
+    CHECK_NOTHROW(dispatch::check_fits_cap(request, team_with("a", 8)));
+    CHECK_THROWS_WITH(dispatch::check_fits_cap(request, team_with("a", 7)),
+                      Catch::Contains("needs more processors"));
+    request.steps.front().gang = false;
+    request.steps.front().each.accelerators = 2;
+    auto team = team_with("a", 7);
+    team.cap.accelerators = 1;
+    CHECK_THROWS_AS(dispatch::check_fits_cap(request, team), core::invalid_argument);
+}
+
 TEST_CASE("a step that is wider than its team's cap runs in waves, also across a takeover") {
     simulated_cell cell{{.workers = 4}};
     cell.set_teams({team_with("a", 5)});
