--- a/src/dispatch/inherited_runs.cpp
+++ b/src/dispatch/inherited_runs.cpp
@@ -24,6 +24,12 @@
             .accelerators = std::max(a.accelerators, b.accelerators)};
 }
 
+/// @return whether runs of the step may be left once it is done: other members of a gang, and copies, are
+/// stopped when the first of them succeeds.
+bool may_outlast(const workflow::step_request& step) {
+    return step.gang || step.allows_copies;
+}
+
 /// @return the most that the steps use together: each is put in a chain of steps that run one after another,
 /// and the largest of each chain counts.
 core::resources most_at_once(const std::vector<workflow::step_request>& steps, const step_amount& amount_of) {
@@ -31,8 +37,8 @@
     for (std::uint32_t i = 0; i < steps.size(); i++) {
         auto amount = amount_of(i);
         for (const auto earlier : steps[i].after) {
-            if (const auto chain = chains.extract(earlier)) {
-                amount = larger_of(amount, chain.mapped());
+            if (!may_outlast(steps[earlier]) && chains.contains(earlier)) {
+                amount = larger_of(amount, chains.extract(earlier).mapped());
                 break;
             }
         }
@@ -52,16 +58,18 @@
     return once * request.occurrences();
 }
 
-/// @return the most that the tasks which are not done and have no tracked run use together.
+/// @return the most that the tasks without a tracked run use together, but those that are certainly over.
 core::resources untracked(const live_job& job) {
     const auto& steps = job.entry->accepted.request.steps;
     core::resources sum;
     for (const auto& [number, occurrence] : job.occurrences) {
         sum += most_at_once(steps, [&occurrence = occurrence](std::uint32_t i) {
             const auto& step = occurrence.steps[i];
-            const auto count = std::count_if(step.tasks.begin(), step.tasks.end(), [](const live_task& task) {
-                return !task.done && task.runs.empty();
-            });
+            const bool outlasts = may_outlast(*step.request);
+            const auto count =
+                std::count_if(step.tasks.begin(), step.tasks.end(), [&](const live_task& task) {
+                    return (outlasts || !task.done) && task.runs.empty();
+                });
             return reserved_resources(*step.request) * count;
         });
     }
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -1,6 +1,7 @@
 #include "runtime/host_process.h"
 
 #include "core/errors.h"
+#include "dispatch/cap_check.h"
 #include "inner/workflow_codec.h"
 #include "telemetry/logging.h"
 
@@ -140,6 +141,11 @@
                                   .accepted_at = this->options.clock.system(),
                                   .team = caller.team};
     this->require_recordable(record);
+    if (const auto config = this->configuration()) {
+        if (const auto* team = config->team_of(caller.team)) {
+            dispatch::check_fits_cap(record.request, *team);
+        }
+    }
     return this->await_request(
         [record = std::move(record)](cell_control& control,
                                      std::function<void(request_outcome)> done) mutable {
--- a/src/runtime/host_process.h
+++ b/src/runtime/host_process.h
@@ -98,6 +98,7 @@
     /// @param caller who submits it; the job belongs to the caller's team.
     /// @param limit how long to wait for it to be stored.
     /// @throws core::too_large if the log cannot hold the job.
+    /// @throws core::invalid_argument if the job can never run under its team's cap.
     [[nodiscard]] request_answer submit(workflow::job_request request, const workflow::queue_policy& policy,
                                         const tenancy::caller& caller, core::milliseconds limit);
 
--- a/src/workflow/queue_policy.cpp
+++ b/src/workflow/queue_policy.cpp
@@ -20,6 +20,12 @@
     return found == this->routes.end() ? nullptr : &found->policy;
 }
 
+const tenancy::team_policy* configuration::team_of(const core::team_id& team) const {
+    const auto found = std::find_if(this->teams.begin(), this->teams.end(),
+                                    [&](const tenancy::team_policy& policy) { return policy.team == team; });
+    return found == this->teams.end() ? nullptr : &*found;
+}
+
 const queue_route* configuration::route_of(const std::string& host, const std::string& path) const {
     const queue_route* best = nullptr;
     for (const auto& route : this->routes) {
--- a/src/workflow/queue_policy.h
+++ b/src/workflow/queue_policy.h
@@ -82,6 +82,10 @@
     /// @return its policy, or null if no route leads to it.
     [[nodiscard]] const queue_policy* policy_of(const queue_id& queue) const;
 
+    /// @param team a team.
+    /// @return its policy, or null if the configuration does not have it.
+    [[nodiscard]] const tenancy::team_policy* team_of(const core::team_id& team) const;
+
     /// Finds the route of a request; the longest matching path prefix wins.
     /// @param host the host name in the request, without a port.
     /// @param path the path of the request.
--- a/tests/dispatch/team_caps_test.cpp
+++ b/tests/dispatch/team_caps_test.cpp
@@ -158,6 +158,7 @@
     constexpr int all_teams = 20;
     simulated_cell cell{{.workers = 18}};
     std::vector<tenancy::team_policy> teams;
+    teams.reserve(all_teams);
     for (int i = 0; i < all_teams; i++) {
         teams.push_back(team_with("t" + std::to_string(i), 0, 5));
     }
@@ -182,6 +183,7 @@
     cell.run_for(60s);
     CHECK(cell.over_jobs() == keys.size() + static_cast<std::size_t>(ticks / ticks_per_other_job));
     std::vector<core::milliseconds> times;
+    times.reserve(keys.size());
     for (const auto& key : keys) {
         times.push_back(cell.time_taken(key));
     }
