--- a/tests/dispatch/uneven_workers_test.cpp
+++ b/tests/dispatch/uneven_workers_test.cpp
@@ -96,7 +96,7 @@
 }
 
 TEST_CASE("a task that takes seven times as long gets a second run where its step allows copies") {
-    const int jobs = 100;
+    const std::uint32_t jobs = 100;
     const auto longest_time = [jobs](bool allows_copies, bool change_leader) {
         simulated_cell cell{{.workers = 24}};
         std::set<workflow::task_name> begun;
@@ -107,7 +107,7 @@
         };
         auto step = short_step();
         step.allows_copies = allows_copies;
-        for (int i = 0; i < jobs; i++) {
+        for (std::uint32_t i = 0; i < jobs; i++) {
             cell.submit(job_of("j" + std::to_string(i), step), urgent_queue());
             cell.run_for(1s);
             if (change_leader && i % 20 == 0) {
@@ -117,9 +117,9 @@
         cell.run_for(20s);
         CHECK(cell.violations().empty());
         CHECK(cell.over_jobs() == jobs);
-        CHECK(cell.started_runs() <= jobs * step.tasks * 2);
+        CHECK(cell.started_runs() <= std::uint64_t{jobs} * step.tasks * 2);
         core::milliseconds longest{0};
-        for (int i = jobs / 3; i < jobs; i++) {
+        for (std::uint32_t i = jobs / 3; i < jobs; i++) {
             longest = std::max(longest, cell.time_taken("j" + std::to_string(i)));
         }
         return longest;
