--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -8,7 +8,8 @@
 /// that they reserve), `task_lifecycle` (state transitions when a run ends), `lease_manager` (leases and the
 /// runs that workers report), `leader_authority` (until when this host may act as the leader, and when the
 /// leases of a former leader have expired), `step_order` (which waiting step is started first), `task_placer`
-/// (choice of a worker), `gang_placer` (start of gangs, and places that are kept for them), `advice_manager`
+/// (choice of a worker), `gang_placer` (start of gangs, and places that are kept for them), `preemption` (stops
+/// runs of lower priorities for steps of the highest one that find no room), `advice_manager`
 /// (workers that a step is permitted to run on), `run_mover` (moves long-running tasks off draining workers)
 /// and `worker_roster` (workers on which tasks may have been started, recorded for the next leader).
 ///
