Report a retried call as unknown if its second try is refused

Cause: call_runner sends an idempotent call a second time when a reused connection breaks. If the peer answered the second try that it was not carried out, that answer was passed on as the outcome of the call, although the first try may have been carried out.

Change: after a first try that was sent, a refusal of the second as unavailable is an unknown outcome.

Test: "a retried call whose second try is refused has an unknown outcome" failed before (core::unavailable) and passes; all of test_inner pass.

--- a/src/inner/call_runner.cpp
+++ b/src/inner/call_runner.cpp
@@ -46,7 +46,7 @@
     if (reused && lost_connection) {
         sent_before = result.outcome == attempt_outcome::broken;
         this->pool.close_idle();
-        result = this->attempt(call, deadline, reused);
+        result = this->attempt_again(call, deadline, sent_before);
     }
     if (result.outcome == attempt_outcome::answered) {
         return;
@@ -55,6 +55,19 @@
     throw_failure(result, sent_before, this->peer);
 }
 
+attempt_result call_runner::attempt_again(const rpc_call& call, core::steady_time deadline,
+                                          bool sent_before) {
+    bool reused = false;
+    try {
+        return this->attempt(call, deadline, reused);
+    } catch (const core::unavailable& error) {
+        if (sent_before) {
+            throw core::outcome_unknown(error.what());
+        }
+        throw;
+    }
+}
+
 attempt_result call_runner::attempt(const rpc_call& call, core::steady_time deadline, bool& reused) {
     std::unique_ptr<peer_connection> connection;
     try {
--- a/src/inner/call_runner.h
+++ b/src/inner/call_runner.h
@@ -36,6 +36,11 @@
     /// @param reused set to whether the connection had carried a call before.
     attempt_result attempt(const rpc_call& call, core::steady_time deadline, bool& reused);
 
+    /// Makes the second attempt of a call.
+    /// @param sent_before whether the first one may have been executed: if the peer refuses the second, that
+    /// does not mean that the call was not executed.
+    attempt_result attempt_again(const rpc_call& call, core::steady_time deadline, bool sent_before);
+
     connection_pool pool;
     core::endpoint peer;
     std::shared_ptr<traffic_counters> counters;
--- a/tests/inner/failures_test.cpp
+++ b/tests/inner/failures_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <tuple>
 
 using namespace rattanmount;
 using namespace rattanmount::inner;
@@ -31,8 +32,8 @@
 }
 
 /// @return the answer of a real server to a request frame.
-std::string recorded_answer(const std::string& request_frame) {
-    inner_server server{{.listen = any_port, .calls = echo_calls()}};
+std::string recorded_answer(const std::string& request_frame, const cell::peer_calls& calls = echo_calls()) {
+    inner_server server{{.listen = any_port, .calls = calls}};
     server.start();
     TSocket connection{"127.0.0.1", server.endpoint().port};
     connection.open();
@@ -121,6 +122,28 @@
     }
 }
 
+// UNASKED: the first try may have been carried out, whatever the peer says of the second.
+TEST_CASE("a retried call whose second try is refused has an unknown outcome") {
+    auto refusing_calls = echo_calls();
+    refusing_calls.status = [](auto&&...) -> decltype(sample_answer()) {
+        throw core::unavailable("not now");
+    };
+    scripted_peer peer_process{[&](TSocket& connection, int number) {
+        if (number > 0) {
+            const auto request = scripted_peer::read_frame(connection);
+            scripted_peer::write(connection, recorded_answer(request, refusing_calls));
+            scripted_peer::wait_for_end(connection);
+            return;
+        }
+        scripted_peer::write(connection, recorded_answer(scripted_peer::read_frame(connection)));
+        std::ignore = scripted_peer::read_frame(connection); // Closes the connection without an answer.
+    }};
+    const auto peer = make_peer_connector({})(peer_process.endpoint());
+    CHECK(peer.status(shard, sample_id(), call_limit).is_owner);
+    CHECK_THROWS_AS(peer.status(shard, sample_id(), call_limit), core::outcome_unknown);
+    CHECK(peer_process.accepted == 2);
+}
+
 TEST_CASE(
     "a connection that the peer closed while it was idle is replaced, also for calls that are not retried") {
     auto calls = echo_calls();
