Keep the occurrences that a former leader with a later clock has opened

Cause: a leader opens an occurrence of a recurring job when it is due by its own wall clock. A successor with an earlier clock did not open it, took its recorded parts for those of a folded occurrence and deleted them, and started its tasks again once it was due (TWICE).

Change: an occurrence is open if the log has progress of it or of a later one, whatever the clock says.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -15,6 +15,18 @@
 /// Most runs of one task that a leader may start per epoch without recording them.
 constexpr std::uint32_t runs_per_epoch = 64;
 
+/// @return the number of the first occurrence such that the log has no progress of it or of a later one.
+std::uint32_t first_unrecorded_occurrence(const workflow::job_entry& entry) {
+    auto first = static_cast<std::uint32_t>(entry.progress.complete_occurrences.size());
+    for (const auto& step : entry.progress.steps) {
+        first = std::max(first, step.occurrence + 1);
+    }
+    for (const auto& [part, steps] : entry.parts) {
+        first = std::max(first, steps.empty() ? 0 : part.occurrence + 1);
+    }
+    return first;
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatch_options options)
@@ -159,6 +171,7 @@
     job.recorded_parts = {parts.begin(), parts.end()};
     job.recorded_in_parts = entry.progress.in_parts;
     job.folded_occurrences = entry.progress.complete_occurrences;
+    job.first_unrecorded_occurrence = first_unrecorded_occurrence(entry);
     this->state.jobs_awaiting_occurrences.insert(key);
 }
 
@@ -300,7 +313,7 @@
 void dispatcher::open_due_occurrences(live_job& job, core::steady_time now, core::system_time system) {
     const auto& request = job.entry->accepted.request;
     while (!job.cancelled && job.next_occurrence < request.occurrences()) {
-        const bool due = !request.recurs ||
+        const bool due = !request.recurs || job.next_occurrence < job.first_unrecorded_occurrence ||
                          request.recurs->first + request.recurs->interval * job.next_occurrence <= system;
         if (!due) {
             return;
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -106,6 +106,8 @@
     /// Occurrences that are due, by number, without those that are folded.
     std::map<std::uint32_t, live_occurrence> occurrences;
     std::uint32_t next_occurrence = 0; ///< The first that is not due yet.
+    /// Occurrences before this one were opened by a former leader, whose clock may have been ahead.
+    std::uint32_t first_unrecorded_occurrence = 0;
     std::uint32_t complete_occurrences = 0;
     workflow::job_phase phase = workflow::job_phase::queued;
     core::milliseconds latency_objective{0};         ///< Within this time, an occurrence of it should end.
--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -346,7 +346,7 @@
             }
             index++;
         }
-        to.__set_unreached(std::move(unreached));
+        to.__set_unreached(unreached);
     }
     return {.key = key_of(roster_key, ""), .value = ledger::to_bytes(to)};
 }
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -392,7 +392,7 @@
         this->current_dispatcher().on_log_read(this->time);
     }
     for (const auto& [leader, leading] : this->dispatchers) {
-        leading->run(this->time, core::system_time{this->time.time_since_epoch()});
+        leading->run(this->time, core::system_time{this->time.time_since_epoch() + this->clock_offset});
         if (leader != this->leader_number && leading->fenced()) {
             leading->stop_leading();
         }
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -93,6 +93,9 @@
     /// Marks a worker as draining. Runs that start there after `remaining` are violations.
     void drain_worker(std::uint32_t index, core::milliseconds remaining = core::milliseconds{2000});
 
+    /// @param offset by how much the wall clocks of the hosts are ahead of the virtual time from now on.
+    void set_clock_offset(core::milliseconds offset) { this->clock_offset = offset; }
+
     /// Makes the log unavailable, or available again. Records are stored once it is available.
     void set_log_down(bool down);
 
@@ -227,6 +230,7 @@
     call_line line; ///< Of the current leader.
     std::uint64_t offset = 0;
     bool log_down = false;
+    core::milliseconds clock_offset{0};
     /// If set, only so many records of the next batch are stored before the leader is replaced.
     std::optional<std::size_t> stored_before_change;
     std::vector<std::function<void()>> delayed_writes;
