--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -70,7 +70,9 @@
 }
 
 void simulated_cell::cancel(const workflow::job_key& key) {
-    this->state.apply(workflow::job_cancelled{key}, core::log_offset{++this->offset}, this->time);
+    const auto& team = this->state.find(key)->accepted.team;
+    this->state.apply(workflow::job_cancelled{.key = key, .team = team}, core::log_offset{++this->offset},
+                      this->time);
     this->current_dispatcher().cancel_job(key, this->time);
     this->run_dispatcher();
 }
