--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -13,8 +13,8 @@
 /// and `worker_roster` (workers on which tasks may have been started, recorded for the next leader).
 ///
 /// If the configuration has teams: `team_accounts` (what each has running, against its cap), `inherited_runs`
-/// (what a former leader may have started for it), `team_shares` and `team_rates` (the standing of its steps),
-/// `team_reports` (log lines) and `cap_check` (jobs that can never run).
+/// (what a former leader may have started for it), `team_shares` and `team_rates` (the standing of its
+/// steps), `team_reports` (log lines) and `cap_check` (jobs that can never run).
 ///
 /// Depends on: core, overload, tenancy, workflow, telemetry (for logging).
 /// Threads: the control thread only. The current time is passed to each call. Orders are sent through
