--- a/tests/overload/order_experiment_test.cpp
+++ b/tests/overload/order_experiment_test.cpp
@@ -147,6 +147,7 @@
     }
     std::sort(waiting.begin(), waiting.end());
     std::vector<std::size_t> found;
+    found.reserve(waiting.size());
     for (const auto& [key, i] : waiting) {
         found.push_back(i);
     }
