Prefer hosts with a better link as leader where their processors are alike

Cause: a host outranked another only with twice the processor share; 0.5 against 0.3 counted as equal, whatever the links. Change: a member's record and the settings state the link (`link_mbps`, optional); a host also outranks one whose link is half as fast and whose share is no larger. Test: a host with a narrow link delays its claim; one with the larger share does not give way to a better link.

--- a/src/inner/gen/workflow_types.cpp
+++ b/src/inner/gen/workflow_types.cpp
@@ -2546,6 +2546,11 @@
   this->processor_share = val;
 __isset.processor_share = true;
 }
+
+void wf_member::__set_link_mbps(const double val) {
+  this->link_mbps = val;
+__isset.link_mbps = true;
+}
 std::ostream& operator<<(std::ostream& out, const wf_member& obj)
 {
   obj.printTo(out);
@@ -2622,6 +2627,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->link_mbps);
+          this->__isset.link_mbps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2665,6 +2678,11 @@
     xfer += oprot->writeDouble(this->processor_share);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.link_mbps) {
+    xfer += oprot->writeFieldBegin("link_mbps", ::apache::thrift::protocol::T_DOUBLE, 7);
+    xfer += oprot->writeDouble(this->link_mbps);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2678,6 +2696,7 @@
   swap(a.data_centre, b.data_centre);
   swap(a.left, b.left);
   swap(a.processor_share, b.processor_share);
+  swap(a.link_mbps, b.link_mbps);
   swap(a.__isset, b.__isset);
 }
 
@@ -2688,6 +2707,7 @@
   data_centre = other92.data_centre;
   left = other92.left;
   processor_share = other92.processor_share;
+  link_mbps = other92.link_mbps;
   __isset = other92.__isset;
 }
 wf_member::wf_member(wf_member&& other93) noexcept {
@@ -2697,6 +2717,7 @@
   data_centre = std::move(other93.data_centre);
   left = other93.left;
   processor_share = other93.processor_share;
+  link_mbps = other93.link_mbps;
   __isset = other93.__isset;
 }
 wf_member& wf_member::operator=(const wf_member& other94) {
@@ -2706,6 +2727,7 @@
   data_centre = other94.data_centre;
   left = other94.left;
   processor_share = other94.processor_share;
+  link_mbps = other94.link_mbps;
   __isset = other94.__isset;
   return *this;
 }
@@ -2716,6 +2738,7 @@
   data_centre = std::move(other95.data_centre);
   left = other95.left;
   processor_share = other95.processor_share;
+  link_mbps = other95.link_mbps;
   __isset = other95.__isset;
   return *this;
 }
@@ -2728,6 +2751,7 @@
   out << ", " << "data_centre=" << to_string(data_centre);
   out << ", " << "left="; (__isset.left ? (out << to_string(left)) : (out << "<null>"));
   out << ", " << "processor_share="; (__isset.processor_share ? (out << to_string(processor_share)) : (out << "<null>"));
+  out << ", " << "link_mbps="; (__isset.link_mbps ? (out << to_string(link_mbps)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/inner/gen/workflow_types.h
+++ b/src/inner/gen/workflow_types.h
@@ -967,13 +967,14 @@
 std::ostream& operator<<(std::ostream& out, const wf_roster& obj);
 
 typedef struct _wf_member__isset {
-  _wf_member__isset() : incarnation(false), address(false), port(false), data_centre(false), left(false), processor_share(false) {}
+  _wf_member__isset() : incarnation(false), address(false), port(false), data_centre(false), left(false), processor_share(false), link_mbps(false) {}
   bool incarnation :1;
   bool address :1;
   bool port :1;
   bool data_centre :1;
   bool left :1;
   bool processor_share :1;
+  bool link_mbps :1;
 } _wf_member__isset;
 
 class wf_member : public virtual ::apache::thrift::TBase {
@@ -989,7 +990,8 @@
               port(0),
               data_centre(),
               left(0),
-              processor_share(0) {
+              processor_share(0),
+              link_mbps(0) {
   }
 
   virtual ~wf_member() noexcept;
@@ -999,6 +1001,7 @@
   std::string data_centre;
   bool left;
   double processor_share;
+  double link_mbps;
 
   _wf_member__isset __isset;
 
@@ -1014,6 +1017,8 @@
 
   void __set_processor_share(const double val);
 
+  void __set_link_mbps(const double val);
+
   bool operator == (const wf_member & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -1032,6 +1037,10 @@
       return false;
     else if (__isset.processor_share && !(processor_share == rhs.processor_share))
       return false;
+    if (__isset.link_mbps != rhs.__isset.link_mbps)
+      return false;
+    else if (__isset.link_mbps && !(link_mbps == rhs.link_mbps))
+      return false;
     return true;
   }
   bool operator != (const wf_member &rhs) const {
--- a/src/inner/workflow.thrift
+++ b/src/inner/workflow.thrift
@@ -126,4 +126,5 @@
   4: string data_centre
   5: optional bool left
   6: optional double processor_share
+  7: optional double link_mbps
 }
--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -333,6 +333,9 @@
     if (record.processor_share > 0) {
         to.__set_processor_share(record.processor_share);
     }
+    if (record.link_mbps > 0) {
+        to.__set_link_mbps(record.link_mbps);
+    }
     return {.key = key_of(member_key, record.host.value()), .value = ledger::to_bytes(to)};
 }
 
@@ -423,7 +426,8 @@
         .inner = {.address = from.address, .port = static_cast<std::uint16_t>(from.port), .path = ""},
         .data_centre = core::data_centre_id{from.data_centre},
         .left = from.left,
-        .processor_share = from.processor_share};
+        .processor_share = from.processor_share,
+        .link_mbps = from.link_mbps};
 }
 
 cell_record decode_roster(const std::string& value) {
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -12,9 +12,17 @@
 constexpr core::milliseconds forget_scan_interval{5000};
 /// The longest time between two calls of run().
 constexpr core::milliseconds tick_interval{100};
-/// A host outranks another if its processor share is at least this many times as large.
+/// A host outranks another if its processor share is at least this many times as large, or if its link is and
+/// its processor share is no smaller: a leader calls all workers, so that either can bind it.
 constexpr double outranking_factor = 2;
 
+bool outranks(const workflow::member_record& host, const workflow::member_record& other) {
+    const bool larger =
+        other.processor_share > 0 && host.processor_share >= other.processor_share * outranking_factor;
+    const bool better_link = other.link_mbps > 0 && host.link_mbps >= other.link_mbps * outranking_factor;
+    return larger || (better_link && host.processor_share >= other.processor_share);
+}
+
 request_outcome to_request_outcome(write_outcome outcome) {
     switch (outcome) {
     case write_outcome::stored:
@@ -212,20 +220,17 @@
 }
 
 cell::claim_standing cell_control::standing() const {
-    const auto own_share = this->options.self.processor_share;
-    double best_share = 0;
-    double leader_share = 0;
-    for (const auto& [host, member] : this->book.members()) {
-        best_share = std::max(best_share, member.processor_share);
-        if (member.incarnation == this->election.record().leader) {
-            leader_share = member.processor_share;
-        }
-    }
-    if (leader_share > 0 && own_share >= leader_share * outranking_factor) {
+    const auto& self = this->options.self;
+    const auto& members = this->book.members();
+    const auto leader = std::find_if(members.begin(), members.end(), [this](const auto& one) {
+        return one.second.incarnation == this->election.record().leader;
+    });
+    if (leader != members.end() && outranks(self, leader->second)) {
         return cell::claim_standing::outranks_leader;
     }
-    return own_share > 0 && best_share >= own_share * outranking_factor ? cell::claim_standing::outranked
-                                                                        : cell::claim_standing::equal;
+    const bool outranked = std::any_of(members.begin(), members.end(),
+                                       [&](const auto& one) { return outranks(one.second, self); });
+    return outranked ? cell::claim_standing::outranked : cell::claim_standing::equal;
 }
 
 core::steady_time cell_control::next_due(core::steady_time now) const {
--- a/src/settings/cell_host_settings.cpp
+++ b/src/settings/cell_host_settings.cpp
@@ -172,6 +172,7 @@
         workers->reject_unknown_keys();
     }
     settings.processor_share = root.number("processor_share", settings.processor_share);
+    settings.link_mbps = root.number("link_mbps", settings.link_mbps);
     settings.shutdown_grace = root.seconds("shutdown_grace_s", settings.shutdown_grace);
     if (auto logs = root.optional_object("logs")) {
         settings.logs = {.level = telemetry::parse_log_level(logs->text("level")),
--- a/src/settings/cell_host_settings.h
+++ b/src/settings/cell_host_settings.h
@@ -36,6 +36,7 @@
         core::milliseconds stop_time{200};       ///< The longest time that a worker takes to stop a run.
     } workers;
     double processor_share = 0;              ///< The share of one core that this host may use; 0: not known.
+    double link_mbps = 0;                    ///< Bandwidth of this host's link, in Mbit/s; 0: not known.
     core::milliseconds shutdown_grace{6000}; ///< The time between a request to stop and a kill.
     telemetry::logging_options logs;
 };
--- a/src/workflow/records.h
+++ b/src/workflow/records.h
@@ -130,6 +130,7 @@
     core::data_centre_id data_centre;
     bool left = false;
     double processor_share = 0; ///< Share of one core that the host may use; 0: not known.
+    double link_mbps = 0;       ///< Bandwidth of the host's link, in Mbit/s; 0: not known.
 };
 
 /// Records the workers on which tasks may have been started. A worker is added before the first start on it.
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -19,12 +19,13 @@
     std::shared_ptr<const workflow::configuration> configuration;
     std::unique_ptr<cell_control> control;
 
-    explicit host_fixture(double processor_share = 0) {
+    explicit host_fixture(double processor_share = 0, double link_mbps = 0) {
         cell_control_options options;
         options.election = {.self = core::incarnation_id{"me"}, .random = [] { return 0.5; }};
         options.self = {.host = core::host_id{"host"},
                         .incarnation = core::incarnation_id{"me"},
-                        .processor_share = processor_share};
+                        .processor_share = processor_share,
+                        .link_mbps = link_mbps};
         options.hooks.store = [this](const auto& records, log_writer::write_callback done) {
             this->stored.push_back(records);
             this->last_callback = std::move(done);
@@ -234,9 +235,11 @@
 }
 
 TEST_CASE("a host with a much larger processor share claims leadership first and replaces a smaller leader") {
-    const auto member = [](const std::string& name, double share) {
-        return workflow::member_record{
-            .host = core::host_id{name}, .incarnation = core::incarnation_id{name}, .processor_share = share};
+    const auto member = [](const std::string& name, double share, double link_mbps = 0) {
+        return workflow::member_record{.host = core::host_id{name},
+                                       .incarnation = core::incarnation_id{name},
+                                       .processor_share = share,
+                                       .link_mbps = link_mbps};
     };
     SECTION("a small host delays its claim in favour of larger hosts") {
         host_fixture host{0.12};
@@ -265,6 +268,22 @@
         REQUIRE(host.last_claim() != nullptr);
         CHECK(host.last_claim()->epoch == core::epoch_id{2});
     }
+    SECTION("a host with a narrow link delays its claim in favour of those with a much better one") {
+        host_fixture host{0.3, 10};
+        host.read({leader_record(1, "large"), member("large", 0.5, 200)});
+        host.advance(1200ms);
+        host.read({});
+        host.advance(1ms);
+        CHECK(host.last_claim() == nullptr);
+    }
+    SECTION("a host does not give way to a smaller one that has a better link") {
+        host_fixture host{0.5, 10};
+        host.read({leader_record(1, "small"), member("small", 0.4, 200)});
+        host.advance(1200ms);
+        host.read({});
+        host.advance(1ms);
+        CHECK(host.last_claim() != nullptr);
+    }
     SECTION("a host of similar size does not replace the leader") {
         host_fixture host{0.5};
         host.read({leader_record(1, "other"), member("other", 0.4)});
