--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -4,6 +4,7 @@
 #include "app/command_check_settings.h"
 #include "app/command_entry.h"
 #include "app/command_explain.h"
+#include "app/command_explain_placement.h"
 #include "app/command_hosts.h"
 #include "app/command_metrics.h"
 #include "app/command_note.h"
@@ -39,6 +40,7 @@
     command{"status", "tell where a job stands", run_status},
     command{"cancel", "cancel a job", run_cancel},
     command{"explain", "tell what a job waits for", run_explain},
+    command{"explain-placement", "tell where a job would go, without submitting it", run_explain_placement},
     command{"quick", "send a quick request and wait for its answer", run_quick},
     command{"note", "apply a release note, or show the policies in force", run_note},
     command{"hosts", "list the entry hosts", run_hosts},
@@ -48,7 +50,7 @@
 };
 
 std::string help() {
-    constexpr std::size_t name_width = 16;
+    constexpr std::size_t name_width = 20;
     std::string text =
         "rattanmount: a cluster scheduler\n\nUsage:\n  rattanmount COMMAND [OPTION...]\n\nCommands:\n";
     for (const auto& each : commands) {
--- a/src/cell/peer_calls.h
+++ b/src/cell/peer_calls.h
@@ -7,6 +7,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "dispatch/orders.h"
+#include "dispatch/placement_explanation.h"
 
 #include <cstdint>
 #include <functional>
@@ -56,6 +57,15 @@
     std::string state;     ///< In the format of a snapshot record.
 };
 
+/// A caller's request for a job, as it would be sent to an entry host. Its body is in the encoding of the
+/// callers' interface, which the host that is asked decodes.
+struct submission {
+    std::string host_name; ///< The name by which the caller addresses the cell.
+    std::string path;
+    std::optional<std::string> key; ///< The key of the caller's team.
+    std::string body;
+};
+
 /// The calls between entry hosts, as hooks. Set by the entry host on the serving side and by the client of
 /// the inner protocol on the calling side.
 ///
@@ -95,6 +105,12 @@
     /// Calls the advisory service from the callee's machine, because the service handles one call per machine
     /// at a time.
     std::function<dispatch::advice_reply(const dispatch::advice_order&)> advise;
+    /// Explains what would become of a request; nothing is sent or recorded for it.
+    std::function<dispatch::placement_explanation(const submission&, core::milliseconds limit)>
+        explain_submission;
+    /// Explains what would become of a job, if the callee leads.
+    std::function<dispatch::placement_explanation(const keyed_record& acceptance, core::milliseconds limit)>
+        explain_job;
 };
 
 /// Returns the hooks that call one peer.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/dispatcher.h"
 
+#include "dispatch/placement_explainer.h"
 #include "telemetry/logging.h"
 
 #include <algorithm>
@@ -353,6 +354,10 @@
     }
 }
 
+placement_explanation dispatcher::explain(const workflow::job_accepted& job, core::steady_time now) const {
+    return placement_explainer{this->state, this->selector}.explain(job, now);
+}
+
 void dispatcher::open_due_occurrences(live_job& job, core::steady_time now, core::system_time system) {
     const auto& request = job.entry->accepted.request;
     while (!job.cancelled && job.next_occurrence < request.occurrences()) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "dispatch/inherited_runs.h"
 #include "dispatch/lease_manager.h"
 #include "dispatch/order_retrier.h"
+#include "dispatch/placement_explanation.h"
 #include "dispatch/preemption.h"
 #include "dispatch/progress_recorder.h"
 #include "dispatch/run_manager.h"
@@ -133,6 +134,13 @@
     /// @param record the roster.
     void roster_recorded(core::epoch_id epoch, const workflow::roster_record& record);
 
+    /// Explains where the tasks of a job would start if it was submitted now. Changes nothing.
+    /// @param job the job.
+    /// @param now the current time.
+    /// @return the explanation.
+    [[nodiscard]] placement_explanation explain(const workflow::job_accepted& job,
+                                                core::steady_time now) const;
+
     /// @return whether a worker has refused an order since start_leading() because it had seen a higher
     /// fencing token.
     [[nodiscard]] bool fenced() const { return this->was_fenced; }
--- a/src/dispatch/preemption.cpp
+++ b/src/dispatch/preemption.cpp
@@ -82,8 +82,8 @@
 
 bool preemption::may_preempt(const live_step& step, core::steady_time now) const {
     if (!this->enabled || step.waiting.empty() || step.job->policy().priority != preempting_priority ||
-        step.request->gang || step.request->long_running || step.request->uses_leftover ||
-        this->search_again_at.contains(step.name)) {
+        step.job->beyond_rate || step.request->gang || step.request->long_running ||
+        step.request->uses_leftover || this->search_again_at.contains(step.name)) {
         return false;
     }
     const auto stop_time = this->state.options.max_stop_duration;
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -14,11 +14,12 @@
 
 /// Stops runs of lower priorities where steps of the highest priority find no room.
 ///
-/// Runs are stopped only for a step that can still end on time, on a worker that it is permitted to use and
-/// where one of its tasks fits afterwards, and only if less work is lost than the task brings. Of all workers
-/// the one is taken where least work is lost. A stopped task is queued again when its worker lists its end,
-/// and goes on from its checkpoint. Gangs and long-running runs are never stopped. The number of workers on
-/// which room is being made is bounded. Owned by the dispatcher; used by the control thread only.
+/// Runs are stopped only for a step that can still end on time and came within the rate of its team, on a
+/// worker that it is permitted to use and where one of its tasks fits afterwards, and only if less work is
+/// lost than the task brings. Of all workers the one is taken where least work is lost. A stopped task is
+/// queued again when its worker lists its end, and goes on from its checkpoint. Gangs and long-running runs
+/// are never stopped. The number of workers on which room is being made is bounded. Owned by the dispatcher;
+/// used by the control thread only.
 class preemption {
 public:
     preemption(dispatch_state& state, run_manager& runs, const task_placer& selector, start_check may_start);
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -127,24 +127,25 @@
            share(missing.accelerators, capacity.accelerators);
 }
 
-double task_placer::cost(const live_step& step, const worker_state& worker, core::steady_time now) const {
+placement_cost task_placer::cost_terms(const live_step& step, const worker_state& worker,
+                                       core::steady_time now) const {
     const auto amount = reserved_resources(*step.request);
-    double cost = 0;
+    placement_cost cost;
     if (step.request->uses_leftover) {
         auto left = worker.free_capacity();
         left.millicores -= worker.leftover_millicores;
-        cost += 1 - free_share(left, worker.entry.capacity) + interference_cost * worker.long_running_runs;
+        cost.room = 1 - free_share(left, worker.entry.capacity);
+        cost.interference = interference_cost * worker.long_running_runs;
     } else {
-        cost += free_share(worker.free_capacity() - amount, worker.entry.capacity);
-        if (step.request->long_running) {
-            cost += interference_cost * worker.leftover_runs;
-        }
+        cost.room = free_share(worker.free_capacity() - amount, worker.entry.capacity);
+        cost.interference = step.request->long_running ? interference_cost * worker.leftover_runs : 0;
     }
     if (!step.request->data_rack.empty() && step.request->data_rack != worker.entry.rack) {
-        cost += wrong_rack_cost;
+        cost.wrong_rack = wrong_rack_cost;
     }
-    cost += failure_cost * worker.failures.value_at(now);
-    return cost + this->speed_cost(step, worker, now);
+    cost.failures = failure_cost * worker.failures.value_at(now);
+    cost.speed = this->speed_cost(step, worker, now);
+    return cost;
 }
 
 double task_placer::speed_cost(const live_step& step, const worker_state& worker,
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "dispatch/dispatch_state.h"
+#include "dispatch/placement_cost.h"
 
 #include <cstdint>
 #include <functional>
@@ -143,7 +144,17 @@
     /// @param worker a worker that suits it.
     /// @param now the current time.
     /// @return the cost of choosing the worker; lower is better.
-    [[nodiscard]] double cost(const live_step& step, const worker_state& worker, core::steady_time now) const;
+    [[nodiscard]] double cost(const live_step& step, const worker_state& worker,
+                              core::steady_time now) const {
+        return this->cost_terms(step, worker, now).total();
+    }
+
+    /// @param step a step.
+    /// @param worker a worker that suits it.
+    /// @param now the current time.
+    /// @return the terms of cost().
+    [[nodiscard]] placement_cost cost_terms(const live_step& step, const worker_state& worker,
+                                            core::steady_time now) const;
 
     /// @param step a step.
     /// @param worker a worker.
--- a/src/inner/conversion.h
+++ b/src/inner/conversion.h
@@ -48,6 +48,12 @@
 [[nodiscard]] gen::advice_answer to_wire(const dispatch::advice_reply& value);
 [[nodiscard]] dispatch::advice_reply from_wire(const gen::advice_answer& message);
 
+[[nodiscard]] gen::submission to_wire(const cell::submission& value);
+[[nodiscard]] cell::submission from_wire(const gen::submission& message);
+
+[[nodiscard]] gen::placement_explanation to_wire(const dispatch::placement_explanation& value);
+[[nodiscard]] dispatch::placement_explanation from_wire(const gen::placement_explanation& message);
+
 /// Returns the wire value of a slot release.
 [[nodiscard]] std::int8_t to_wire(cell::slot_release how);
 
--- a/src/inner/gen/inner_types.cpp
+++ b/src/inner/gen/inner_types.cpp
@@ -149,29 +149,29 @@
 
 int _kerror_kindValues[] = {
   /**
-   * The request is not valid: it was not carried out.
+   * The request is invalid and was not executed.
    */
   error_kind::invalid_argument,
   /**
-   * Certainly not carried out.
+   * The call was certainly not executed.
    */
   error_kind::unavailable,
   /**
-   * It may have been carried out.
+   * The call may have been executed.
    */
   error_kind::fate_unknown
 };
 const char* _kerror_kindNames[] = {
   /**
-   * The request is not valid: it was not carried out.
+   * The request is invalid and was not executed.
    */
   "invalid_argument",
   /**
-   * Certainly not carried out.
+   * The call was certainly not executed.
    */
   "unavailable",
   /**
-   * It may have been carried out.
+   * The call may have been executed.
    */
   "fate_unknown"
 };
@@ -4440,4 +4440,756 @@
   }
 }
 
+
+submission::~submission() noexcept {
+}
+
+
+void submission::__set_host_name(const std::string& val) {
+  this->host_name = val;
+}
+
+void submission::__set_path(const std::string& val) {
+  this->path = val;
+}
+
+void submission::__set_key(const std::string& val) {
+  this->key = val;
+__isset.key = true;
+}
+
+void submission::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const submission& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t submission::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host_name);
+          this->__isset.host_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t submission::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("submission");
+
+  xfer += oprot->writeFieldBegin("host_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->path);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.key) {
+    xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->key);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(submission &a, submission &b) {
+  using ::std::swap;
+  swap(a.host_name, b.host_name);
+  swap(a.path, b.path);
+  swap(a.key, b.key);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+submission::submission(const submission& other146) {
+  host_name = other146.host_name;
+  path = other146.path;
+  key = other146.key;
+  body = other146.body;
+  __isset = other146.__isset;
+}
+submission::submission(submission&& other147) noexcept {
+  host_name = std::move(other147.host_name);
+  path = std::move(other147.path);
+  key = std::move(other147.key);
+  body = std::move(other147.body);
+  __isset = other147.__isset;
+}
+submission& submission::operator=(const submission& other148) {
+  host_name = other148.host_name;
+  path = other148.path;
+  key = other148.key;
+  body = other148.body;
+  __isset = other148.__isset;
+  return *this;
+}
+submission& submission::operator=(submission&& other149) noexcept {
+  host_name = std::move(other149.host_name);
+  path = std::move(other149.path);
+  key = std::move(other149.key);
+  body = std::move(other149.body);
+  __isset = other149.__isset;
+  return *this;
+}
+void submission::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "submission(";
+  out << "host_name=" << to_string(host_name);
+  out << ", " << "path=" << to_string(path);
+  out << ", " << "key="; (__isset.key ? (out << to_string(key)) : (out << "<null>"));
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+cost_term::~cost_term() noexcept {
+}
+
+
+void cost_term::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void cost_term::__set_value(const double val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const cost_term& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t cost_term::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t cost_term::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("cost_term");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(cost_term &a, cost_term &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+cost_term::cost_term(const cost_term& other150) {
+  name = other150.name;
+  value = other150.value;
+  __isset = other150.__isset;
+}
+cost_term::cost_term(cost_term&& other151) noexcept {
+  name = std::move(other151.name);
+  value = other151.value;
+  __isset = other151.__isset;
+}
+cost_term& cost_term::operator=(const cost_term& other152) {
+  name = other152.name;
+  value = other152.value;
+  __isset = other152.__isset;
+  return *this;
+}
+cost_term& cost_term::operator=(cost_term&& other153) noexcept {
+  name = std::move(other153.name);
+  value = other153.value;
+  __isset = other153.__isset;
+  return *this;
+}
+void cost_term::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "cost_term(";
+  out << "name=" << to_string(name);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
+candidate_worker::~candidate_worker() noexcept {
+}
+
+
+void candidate_worker::__set_worker(const std::string& val) {
+  this->worker = val;
+}
+
+void candidate_worker::__set_cost(const double val) {
+  this->cost = val;
+}
+
+void candidate_worker::__set_terms(const std::vector<cost_term> & val) {
+  this->terms = val;
+}
+std::ostream& operator<<(std::ostream& out, const candidate_worker& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t candidate_worker::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->worker);
+          this->__isset.worker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->cost);
+          this->__isset.cost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->terms.clear();
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->terms.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
+            {
+              xfer += this->terms[_i158].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.terms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t candidate_worker::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("candidate_worker");
+
+  xfer += oprot->writeFieldBegin("worker", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->worker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cost", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->cost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("terms", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->terms.size()));
+    std::vector<cost_term> ::const_iterator _iter159;
+    for (_iter159 = this->terms.begin(); _iter159 != this->terms.end(); ++_iter159)
+    {
+      xfer += (*_iter159).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(candidate_worker &a, candidate_worker &b) {
+  using ::std::swap;
+  swap(a.worker, b.worker);
+  swap(a.cost, b.cost);
+  swap(a.terms, b.terms);
+  swap(a.__isset, b.__isset);
+}
+
+candidate_worker::candidate_worker(const candidate_worker& other160) {
+  worker = other160.worker;
+  cost = other160.cost;
+  terms = other160.terms;
+  __isset = other160.__isset;
+}
+candidate_worker::candidate_worker(candidate_worker&& other161) noexcept {
+  worker = std::move(other161.worker);
+  cost = other161.cost;
+  terms = std::move(other161.terms);
+  __isset = other161.__isset;
+}
+candidate_worker& candidate_worker::operator=(const candidate_worker& other162) {
+  worker = other162.worker;
+  cost = other162.cost;
+  terms = other162.terms;
+  __isset = other162.__isset;
+  return *this;
+}
+candidate_worker& candidate_worker::operator=(candidate_worker&& other163) noexcept {
+  worker = std::move(other163.worker);
+  cost = other163.cost;
+  terms = std::move(other163.terms);
+  __isset = other163.__isset;
+  return *this;
+}
+void candidate_worker::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "candidate_worker(";
+  out << "worker=" << to_string(worker);
+  out << ", " << "cost=" << to_string(cost);
+  out << ", " << "terms=" << to_string(terms);
+  out << ")";
+}
+
+
+placement_explanation::~placement_explanation() noexcept {
+}
+
+
+void placement_explanation::__set_team(const std::string& val) {
+  this->team = val;
+}
+
+void placement_explanation::__set_queue(const std::string& val) {
+  this->queue = val;
+}
+
+void placement_explanation::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void placement_explanation::__set_known_workers(const int32_t val) {
+  this->known_workers = val;
+}
+
+void placement_explanation::__set_fitting_workers(const int32_t val) {
+  this->fitting_workers = val;
+}
+
+void placement_explanation::__set_needs_advice(const bool val) {
+  this->needs_advice = val;
+}
+
+void placement_explanation::__set_candidates(const std::vector<candidate_worker> & val) {
+  this->candidates = val;
+}
+
+void placement_explanation::__set_waits_for(const std::vector<std::string> & val) {
+  this->waits_for = val;
+}
+std::ostream& operator<<(std::ostream& out, const placement_explanation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t placement_explanation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->known_workers);
+          this->__isset.known_workers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->fitting_workers);
+          this->__isset.fitting_workers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needs_advice);
+          this->__isset.needs_advice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->candidates.clear();
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->candidates.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
+            {
+              xfer += this->candidates[_i168].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.candidates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waits_for.clear();
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->waits_for.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
+            {
+              xfer += iprot->readString(this->waits_for[_i173]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waits_for = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t placement_explanation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("placement_explanation");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->queue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known_workers", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->known_workers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fitting_workers", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->fitting_workers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needs_advice", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->needs_advice);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("candidates", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->candidates.size()));
+    std::vector<candidate_worker> ::const_iterator _iter174;
+    for (_iter174 = this->candidates.begin(); _iter174 != this->candidates.end(); ++_iter174)
+    {
+      xfer += (*_iter174).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waits_for", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->waits_for.size()));
+    std::vector<std::string> ::const_iterator _iter175;
+    for (_iter175 = this->waits_for.begin(); _iter175 != this->waits_for.end(); ++_iter175)
+    {
+      xfer += oprot->writeString((*_iter175));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(placement_explanation &a, placement_explanation &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.queue, b.queue);
+  swap(a.priority, b.priority);
+  swap(a.known_workers, b.known_workers);
+  swap(a.fitting_workers, b.fitting_workers);
+  swap(a.needs_advice, b.needs_advice);
+  swap(a.candidates, b.candidates);
+  swap(a.waits_for, b.waits_for);
+  swap(a.__isset, b.__isset);
+}
+
+placement_explanation::placement_explanation(const placement_explanation& other176) {
+  team = other176.team;
+  queue = other176.queue;
+  priority = other176.priority;
+  known_workers = other176.known_workers;
+  fitting_workers = other176.fitting_workers;
+  needs_advice = other176.needs_advice;
+  candidates = other176.candidates;
+  waits_for = other176.waits_for;
+  __isset = other176.__isset;
+}
+placement_explanation::placement_explanation(placement_explanation&& other177) noexcept {
+  team = std::move(other177.team);
+  queue = std::move(other177.queue);
+  priority = other177.priority;
+  known_workers = other177.known_workers;
+  fitting_workers = other177.fitting_workers;
+  needs_advice = other177.needs_advice;
+  candidates = std::move(other177.candidates);
+  waits_for = std::move(other177.waits_for);
+  __isset = other177.__isset;
+}
+placement_explanation& placement_explanation::operator=(const placement_explanation& other178) {
+  team = other178.team;
+  queue = other178.queue;
+  priority = other178.priority;
+  known_workers = other178.known_workers;
+  fitting_workers = other178.fitting_workers;
+  needs_advice = other178.needs_advice;
+  candidates = other178.candidates;
+  waits_for = other178.waits_for;
+  __isset = other178.__isset;
+  return *this;
+}
+placement_explanation& placement_explanation::operator=(placement_explanation&& other179) noexcept {
+  team = std::move(other179.team);
+  queue = std::move(other179.queue);
+  priority = other179.priority;
+  known_workers = other179.known_workers;
+  fitting_workers = other179.fitting_workers;
+  needs_advice = other179.needs_advice;
+  candidates = std::move(other179.candidates);
+  waits_for = std::move(other179.waits_for);
+  __isset = other179.__isset;
+  return *this;
+}
+void placement_explanation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "placement_explanation(";
+  out << "team=" << to_string(team);
+  out << ", " << "queue=" << to_string(queue);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "known_workers=" << to_string(known_workers);
+  out << ", " << "fitting_workers=" << to_string(fitting_workers);
+  out << ", " << "needs_advice=" << to_string(needs_advice);
+  out << ", " << "candidates=" << to_string(candidates);
+  out << ", " << "waits_for=" << to_string(waits_for);
+  out << ")";
+}
+
 }}} // namespace
--- a/src/inner/gen/inner_types.h
+++ b/src/inner/gen/inner_types.h
@@ -85,15 +85,15 @@
 struct error_kind {
   enum type {
     /**
-     * The request is not valid: it was not carried out.
+     * The request is invalid and was not executed.
      */
     invalid_argument = 1,
     /**
-     * Certainly not carried out.
+     * The call was certainly not executed.
      */
     unavailable = 2,
     /**
-     * It may have been carried out.
+     * The call may have been executed.
      */
     fate_unknown = 3
   };
@@ -151,6 +151,14 @@
 
 class call_error;
 
+class submission;
+
+class cost_term;
+
+class candidate_worker;
+
+class placement_explanation;
+
 typedef struct _resources__isset {
   _resources__isset() : millicores(false), memory_mb(false), accelerators(false) {}
   bool millicores :1;
@@ -901,7 +909,7 @@
 } _owner_answer__isset;
 
 /**
- * owner is false where the callee does not own the shard; the rest is then absent.
+ * owner is false if the callee does not own the shard; the other fields are then absent.
  */
 class owner_answer : public virtual ::apache::thrift::TBase {
  public:
@@ -1173,7 +1181,7 @@
 } _slot_grant__isset;
 
 /**
- * The slot is described only where it is granted.
+ * executor and address are set only if the slot is granted.
  */
 class slot_grant : public virtual ::apache::thrift::TBase {
  public:
@@ -1430,7 +1438,7 @@
 } _advice_answer__isset;
 
 /**
- * The tickets and their lifetime are absent where the advisory service did not answer.
+ * The tickets and their lifetime are set only if the advisory service answered.
  */
 class advice_answer : public virtual ::apache::thrift::TBase {
  public:
@@ -1491,7 +1499,7 @@
 } _log_item__isset;
 
 /**
- * The offset is absent in what is appended.
+ * offset is absent in an append request.
  */
 class log_item : public virtual ::apache::thrift::TBase {
  public:
@@ -1629,7 +1637,7 @@
 } _log_answer__isset;
 
 /**
- * fate holds a value of log_fate; what follows it is set where it applies.
+ * fate holds a value of cell::log_status; the optional fields are set by the calls that return them.
  */
 class log_answer : public virtual ::apache::thrift::TBase {
  public:
@@ -1756,6 +1764,282 @@
 
 std::ostream& operator<<(std::ostream& out, const call_error& obj);
 
+typedef struct _submission__isset {
+  _submission__isset() : host_name(false), path(false), key(false), body(false) {}
+  bool host_name :1;
+  bool path :1;
+  bool key :1;
+  bool body :1;
+} _submission__isset;
+
+/**
+ * A caller's request for a job, as it would be sent to an entry host; `key` is absent if it has none.
+ */
+class submission : public virtual ::apache::thrift::TBase {
+ public:
+
+  submission(const submission&);
+  submission(submission&&) noexcept;
+  submission& operator=(const submission&);
+  submission& operator=(submission&&) noexcept;
+  submission() noexcept
+             : host_name(),
+               path(),
+               key(),
+               body() {
+  }
+
+  virtual ~submission() noexcept;
+  std::string host_name;
+  std::string path;
+  std::string key;
+  std::string body;
+
+  _submission__isset __isset;
+
+  void __set_host_name(const std::string& val);
+
+  void __set_path(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const submission & rhs) const
+  {
+    if (!(host_name == rhs.host_name))
+      return false;
+    if (!(path == rhs.path))
+      return false;
+    if (__isset.key != rhs.__isset.key)
+      return false;
+    else if (__isset.key && !(key == rhs.key))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const submission &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const submission & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(submission &a, submission &b);
+
+std::ostream& operator<<(std::ostream& out, const submission& obj);
+
+typedef struct _cost_term__isset {
+  _cost_term__isset() : name(false), value(false) {}
+  bool name :1;
+  bool value :1;
+} _cost_term__isset;
+
+class cost_term : public virtual ::apache::thrift::TBase {
+ public:
+
+  cost_term(const cost_term&);
+  cost_term(cost_term&&) noexcept;
+  cost_term& operator=(const cost_term&);
+  cost_term& operator=(cost_term&&) noexcept;
+  cost_term() noexcept
+            : name(),
+              value(0) {
+  }
+
+  virtual ~cost_term() noexcept;
+  std::string name;
+  double value;
+
+  _cost_term__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_value(const double val);
+
+  bool operator == (const cost_term & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const cost_term &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const cost_term & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(cost_term &a, cost_term &b);
+
+std::ostream& operator<<(std::ostream& out, const cost_term& obj);
+
+typedef struct _candidate_worker__isset {
+  _candidate_worker__isset() : worker(false), cost(false), terms(false) {}
+  bool worker :1;
+  bool cost :1;
+  bool terms :1;
+} _candidate_worker__isset;
+
+class candidate_worker : public virtual ::apache::thrift::TBase {
+ public:
+
+  candidate_worker(const candidate_worker&);
+  candidate_worker(candidate_worker&&) noexcept;
+  candidate_worker& operator=(const candidate_worker&);
+  candidate_worker& operator=(candidate_worker&&) noexcept;
+  candidate_worker() noexcept
+                   : worker(),
+                     cost(0) {
+  }
+
+  virtual ~candidate_worker() noexcept;
+  std::string worker;
+  double cost;
+  std::vector<cost_term>  terms;
+
+  _candidate_worker__isset __isset;
+
+  void __set_worker(const std::string& val);
+
+  void __set_cost(const double val);
+
+  void __set_terms(const std::vector<cost_term> & val);
+
+  bool operator == (const candidate_worker & rhs) const
+  {
+    if (!(worker == rhs.worker))
+      return false;
+    if (!(cost == rhs.cost))
+      return false;
+    if (!(terms == rhs.terms))
+      return false;
+    return true;
+  }
+  bool operator != (const candidate_worker &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const candidate_worker & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(candidate_worker &a, candidate_worker &b);
+
+std::ostream& operator<<(std::ostream& out, const candidate_worker& obj);
+
+typedef struct _placement_explanation__isset {
+  _placement_explanation__isset() : team(false), queue(false), priority(false), known_workers(false), fitting_workers(false), needs_advice(false), candidates(false), waits_for(false) {}
+  bool team :1;
+  bool queue :1;
+  bool priority :1;
+  bool known_workers :1;
+  bool fitting_workers :1;
+  bool needs_advice :1;
+  bool candidates :1;
+  bool waits_for :1;
+} _placement_explanation__isset;
+
+/**
+ * Where the tasks of the first step of a job would start.
+ */
+class placement_explanation : public virtual ::apache::thrift::TBase {
+ public:
+
+  placement_explanation(const placement_explanation&);
+  placement_explanation(placement_explanation&&) noexcept;
+  placement_explanation& operator=(const placement_explanation&);
+  placement_explanation& operator=(placement_explanation&&) noexcept;
+  placement_explanation() noexcept
+                        : team(),
+                          queue(),
+                          priority(0),
+                          known_workers(0),
+                          fitting_workers(0),
+                          needs_advice(0) {
+  }
+
+  virtual ~placement_explanation() noexcept;
+  std::string team;
+  std::string queue;
+  int32_t priority;
+  int32_t known_workers;
+  int32_t fitting_workers;
+  bool needs_advice;
+  std::vector<candidate_worker>  candidates;
+  std::vector<std::string>  waits_for;
+
+  _placement_explanation__isset __isset;
+
+  void __set_team(const std::string& val);
+
+  void __set_queue(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_known_workers(const int32_t val);
+
+  void __set_fitting_workers(const int32_t val);
+
+  void __set_needs_advice(const bool val);
+
+  void __set_candidates(const std::vector<candidate_worker> & val);
+
+  void __set_waits_for(const std::vector<std::string> & val);
+
+  bool operator == (const placement_explanation & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(queue == rhs.queue))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(known_workers == rhs.known_workers))
+      return false;
+    if (!(fitting_workers == rhs.fitting_workers))
+      return false;
+    if (!(needs_advice == rhs.needs_advice))
+      return false;
+    if (!(candidates == rhs.candidates))
+      return false;
+    if (!(waits_for == rhs.waits_for))
+      return false;
+    return true;
+  }
+  bool operator != (const placement_explanation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const placement_explanation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(placement_explanation &a, placement_explanation &b);
+
+std::ostream& operator<<(std::ostream& out, const placement_explanation& obj);
+
 }}} // namespace
 
 #endif
--- a/src/inner/gen/peer_service.cpp
+++ b/src/inner/gen/peer_service.cpp
@@ -3316,14 +3316,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->items.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->items.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += this->items[_i150].read(iprot);
+              xfer += this->items[_i184].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3360,10 +3360,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<log_item> ::const_iterator _iter151;
-    for (_iter151 = this->items.begin(); _iter151 != this->items.end(); ++_iter151)
+    std::vector<log_item> ::const_iterator _iter185;
+    for (_iter185 = this->items.begin(); _iter185 != this->items.end(); ++_iter185)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3391,10 +3391,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->items)).size()));
-    std::vector<log_item> ::const_iterator _iter152;
-    for (_iter152 = (*(this->items)).begin(); _iter152 != (*(this->items)).end(); ++_iter152)
+    std::vector<log_item> ::const_iterator _iter186;
+    for (_iter186 = (*(this->items)).begin(); _iter186 != (*(this->items)).end(); ++_iter186)
     {
-      xfer += (*_iter152).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3760,6 +3760,452 @@
   return xfer;
 }
 
+
+peer_service_explain_submission_args::~peer_service_explain_submission_args() noexcept {
+}
+
+
+uint32_t peer_service_explain_submission_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limit_ms);
+          this->__isset.limit_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t peer_service_explain_submission_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("peer_service_explain_submission_args");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->limit_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+peer_service_explain_submission_pargs::~peer_service_explain_submission_pargs() noexcept {
+}
+
+
+uint32_t peer_service_explain_submission_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("peer_service_explain_submission_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64((*(this->limit_ms)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+peer_service_explain_submission_result::~peer_service_explain_submission_result() noexcept {
+}
+
+
+uint32_t peer_service_explain_submission_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t peer_service_explain_submission_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("peer_service_explain_submission_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.error) {
+    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->error.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+peer_service_explain_submission_presult::~peer_service_explain_submission_presult() noexcept {
+}
+
+
+uint32_t peer_service_explain_submission_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+peer_service_explain_job_args::~peer_service_explain_job_args() noexcept {
+}
+
+
+uint32_t peer_service_explain_job_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->job.read(iprot);
+          this->__isset.job = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limit_ms);
+          this->__isset.limit_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t peer_service_explain_job_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("peer_service_explain_job_args");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->job.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->limit_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+peer_service_explain_job_pargs::~peer_service_explain_job_pargs() noexcept {
+}
+
+
+uint32_t peer_service_explain_job_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("peer_service_explain_job_pargs");
+
+  xfer += oprot->writeFieldBegin("job", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->job)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64((*(this->limit_ms)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+peer_service_explain_job_result::~peer_service_explain_job_result() noexcept {
+}
+
+
+uint32_t peer_service_explain_job_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t peer_service_explain_job_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("peer_service_explain_job_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.error) {
+    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->error.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+peer_service_explain_job_presult::~peer_service_explain_job_presult() noexcept {
+}
+
+
+uint32_t peer_service_explain_job_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void peer_serviceClient::heartbeat(peer_view& _return, const peer_view& caller, const int64_t limit_ms)
 {
   send_heartbeat(caller, limit_ms);
@@ -4696,19 +5142,143 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "store_items failed: unknown result");
 }
 
-void peer_serviceClient::advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms)
+void peer_serviceClient::advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms)
+{
+  send_advise(request, limit_ms);
+  recv_advise(_return);
+}
+
+void peer_serviceClient::send_advise(const advice_request& request, const int64_t limit_ms)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("advise", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  peer_service_advise_pargs args;
+  args.request = &request;
+  args.limit_ms = &limit_ms;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void peer_serviceClient::recv_advise(advice_answer& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("advise") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  peer_service_advise_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.error) {
+    throw result.error;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "advise failed: unknown result");
+}
+
+void peer_serviceClient::explain_submission(placement_explanation& _return, const submission& request, const int64_t limit_ms)
+{
+  send_explain_submission(request, limit_ms);
+  recv_explain_submission(_return);
+}
+
+void peer_serviceClient::send_explain_submission(const submission& request, const int64_t limit_ms)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("explain_submission", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  peer_service_explain_submission_pargs args;
+  args.request = &request;
+  args.limit_ms = &limit_ms;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void peer_serviceClient::recv_explain_submission(placement_explanation& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("explain_submission") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  peer_service_explain_submission_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.error) {
+    throw result.error;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "explain_submission failed: unknown result");
+}
+
+void peer_serviceClient::explain_job(placement_explanation& _return, const log_item& job, const int64_t limit_ms)
 {
-  send_advise(request, limit_ms);
-  recv_advise(_return);
+  send_explain_job(job, limit_ms);
+  recv_explain_job(_return);
 }
 
-void peer_serviceClient::send_advise(const advice_request& request, const int64_t limit_ms)
+void peer_serviceClient::send_explain_job(const log_item& job, const int64_t limit_ms)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("advise", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("explain_job", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  peer_service_advise_pargs args;
-  args.request = &request;
+  peer_service_explain_job_pargs args;
+  args.job = &job;
   args.limit_ms = &limit_ms;
   args.write(oprot_);
 
@@ -4717,7 +5287,7 @@
   oprot_->getTransport()->flush();
 }
 
-void peer_serviceClient::recv_advise(advice_answer& _return)
+void peer_serviceClient::recv_explain_job(placement_explanation& _return)
 {
 
   int32_t rseqid = 0;
@@ -4737,12 +5307,12 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("advise") != 0) {
+  if (fname.compare("explain_job") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  peer_service_advise_presult result;
+  peer_service_explain_job_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -4755,7 +5325,7 @@
   if (result.__isset.error) {
     throw result.error;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "advise failed: unknown result");
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "explain_job failed: unknown result");
 }
 
 bool peer_serviceProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
@@ -5688,6 +6258,120 @@
   }
 }
 
+void peer_serviceProcessor::process_explain_submission(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("peer_service.explain_submission", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "peer_service.explain_submission");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "peer_service.explain_submission");
+  }
+
+  peer_service_explain_submission_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "peer_service.explain_submission", bytes);
+  }
+
+  peer_service_explain_submission_result result;
+  try {
+    iface_->explain_submission(result.success, args.request, args.limit_ms);
+    result.__isset.success = true;
+  } catch (call_error &error) {
+    result.error = std::move(error);
+    result.__isset.error = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "peer_service.explain_submission");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("explain_submission", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "peer_service.explain_submission");
+  }
+
+  oprot->writeMessageBegin("explain_submission", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "peer_service.explain_submission", bytes);
+  }
+}
+
+void peer_serviceProcessor::process_explain_job(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("peer_service.explain_job", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "peer_service.explain_job");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "peer_service.explain_job");
+  }
+
+  peer_service_explain_job_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "peer_service.explain_job", bytes);
+  }
+
+  peer_service_explain_job_result result;
+  try {
+    iface_->explain_job(result.success, args.job, args.limit_ms);
+    result.__isset.success = true;
+  } catch (call_error &error) {
+    result.error = std::move(error);
+    result.__isset.error = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "peer_service.explain_job");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("explain_job", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "peer_service.explain_job");
+  }
+
+  oprot->writeMessageBegin("explain_job", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "peer_service.explain_job", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > peer_serviceProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< peer_serviceIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< peer_serviceIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -7124,5 +7808,183 @@
   } // end while(true)
 }
 
+void peer_serviceConcurrentClient::explain_submission(placement_explanation& _return, const submission& request, const int64_t limit_ms)
+{
+  int32_t seqid = send_explain_submission(request, limit_ms);
+  recv_explain_submission(_return, seqid);
+}
+
+int32_t peer_serviceConcurrentClient::send_explain_submission(const submission& request, const int64_t limit_ms)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("explain_submission", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  peer_service_explain_submission_pargs args;
+  args.request = &request;
+  args.limit_ms = &limit_ms;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void peer_serviceConcurrentClient::recv_explain_submission(placement_explanation& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("explain_submission") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      peer_service_explain_submission_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.error) {
+        sentry.commit();
+        throw result.error;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "explain_submission failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+void peer_serviceConcurrentClient::explain_job(placement_explanation& _return, const log_item& job, const int64_t limit_ms)
+{
+  int32_t seqid = send_explain_job(job, limit_ms);
+  recv_explain_job(_return, seqid);
+}
+
+int32_t peer_serviceConcurrentClient::send_explain_job(const log_item& job, const int64_t limit_ms)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("explain_job", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  peer_service_explain_job_pargs args;
+  args.job = &job;
+  args.limit_ms = &limit_ms;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void peer_serviceConcurrentClient::recv_explain_job(placement_explanation& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("explain_job") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      peer_service_explain_job_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.error) {
+        sentry.commit();
+        throw result.error;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "explain_job failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }}} // namespace
 
--- a/src/inner/gen/peer_service.h
+++ b/src/inner/gen/peer_service.h
@@ -38,13 +38,29 @@
   virtual void newest_log(log_answer& _return, const std::string& stream, const int64_t limit_ms) = 0;
 
   /**
-   * true: stored; false: not stored and never will be. Only the leader of the cell takes it.
+   * Returns whether the items are stored; if not, they never will be. Served by the leader only.
    * 
    * @param items
    * @param limit_ms
    */
   virtual bool store_items(const std::vector<log_item> & items, const int64_t limit_ms) = 0;
   virtual void advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms) = 0;
+
+  /**
+   * Explains what would become of a request. Served by every host, which asks the leader.
+   * 
+   * @param request
+   * @param limit_ms
+   */
+  virtual void explain_submission(placement_explanation& _return, const submission& request, const int64_t limit_ms) = 0;
+
+  /**
+   * Explains what would become of a job, given as its record of acceptance. Served by the leader only.
+   * 
+   * @param job
+   * @param limit_ms
+   */
+  virtual void explain_job(placement_explanation& _return, const log_item& job, const int64_t limit_ms) = 0;
 };
 
 class peer_serviceIfFactory {
@@ -123,6 +139,12 @@
   void advise(advice_answer& /* _return */, const advice_request& /* request */, const int64_t /* limit_ms */) override {
     return;
   }
+  void explain_submission(placement_explanation& /* _return */, const submission& /* request */, const int64_t /* limit_ms */) override {
+    return;
+  }
+  void explain_job(placement_explanation& /* _return */, const log_item& /* job */, const int64_t /* limit_ms */) override {
+    return;
+  }
 };
 
 typedef struct _peer_service_heartbeat_args__isset {
@@ -2197,6 +2219,254 @@
 
 };
 
+typedef struct _peer_service_explain_submission_args__isset {
+  _peer_service_explain_submission_args__isset() : request(false), limit_ms(false) {}
+  bool request :1;
+  bool limit_ms :1;
+} _peer_service_explain_submission_args__isset;
+
+class peer_service_explain_submission_args {
+ public:
+
+  peer_service_explain_submission_args(const peer_service_explain_submission_args&);
+  peer_service_explain_submission_args(peer_service_explain_submission_args&&) noexcept;
+  peer_service_explain_submission_args& operator=(const peer_service_explain_submission_args&);
+  peer_service_explain_submission_args& operator=(peer_service_explain_submission_args&&) noexcept;
+  peer_service_explain_submission_args() noexcept
+                                       : limit_ms(0) {
+  }
+
+  virtual ~peer_service_explain_submission_args() noexcept;
+  submission request;
+  int64_t limit_ms;
+
+  _peer_service_explain_submission_args__isset __isset;
+
+  void __set_request(const submission& val);
+
+  void __set_limit_ms(const int64_t val);
+
+  bool operator == (const peer_service_explain_submission_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(limit_ms == rhs.limit_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const peer_service_explain_submission_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const peer_service_explain_submission_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class peer_service_explain_submission_pargs {
+ public:
+
+
+  virtual ~peer_service_explain_submission_pargs() noexcept;
+  const submission* request;
+  const int64_t* limit_ms;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _peer_service_explain_submission_result__isset {
+  _peer_service_explain_submission_result__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _peer_service_explain_submission_result__isset;
+
+class peer_service_explain_submission_result {
+ public:
+
+  peer_service_explain_submission_result(const peer_service_explain_submission_result&);
+  peer_service_explain_submission_result(peer_service_explain_submission_result&&) noexcept;
+  peer_service_explain_submission_result& operator=(const peer_service_explain_submission_result&);
+  peer_service_explain_submission_result& operator=(peer_service_explain_submission_result&&) noexcept;
+  peer_service_explain_submission_result() noexcept {
+  }
+
+  virtual ~peer_service_explain_submission_result() noexcept;
+  placement_explanation success;
+  call_error error;
+
+  _peer_service_explain_submission_result__isset __isset;
+
+  void __set_success(const placement_explanation& val);
+
+  void __set_error(const call_error& val);
+
+  bool operator == (const peer_service_explain_submission_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(error == rhs.error))
+      return false;
+    return true;
+  }
+  bool operator != (const peer_service_explain_submission_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const peer_service_explain_submission_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _peer_service_explain_submission_presult__isset {
+  _peer_service_explain_submission_presult__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _peer_service_explain_submission_presult__isset;
+
+class peer_service_explain_submission_presult {
+ public:
+
+
+  virtual ~peer_service_explain_submission_presult() noexcept;
+  placement_explanation* success;
+  call_error error;
+
+  _peer_service_explain_submission_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
+typedef struct _peer_service_explain_job_args__isset {
+  _peer_service_explain_job_args__isset() : job(false), limit_ms(false) {}
+  bool job :1;
+  bool limit_ms :1;
+} _peer_service_explain_job_args__isset;
+
+class peer_service_explain_job_args {
+ public:
+
+  peer_service_explain_job_args(const peer_service_explain_job_args&);
+  peer_service_explain_job_args(peer_service_explain_job_args&&) noexcept;
+  peer_service_explain_job_args& operator=(const peer_service_explain_job_args&);
+  peer_service_explain_job_args& operator=(peer_service_explain_job_args&&) noexcept;
+  peer_service_explain_job_args() noexcept
+                                : limit_ms(0) {
+  }
+
+  virtual ~peer_service_explain_job_args() noexcept;
+  log_item job;
+  int64_t limit_ms;
+
+  _peer_service_explain_job_args__isset __isset;
+
+  void __set_job(const log_item& val);
+
+  void __set_limit_ms(const int64_t val);
+
+  bool operator == (const peer_service_explain_job_args & rhs) const
+  {
+    if (!(job == rhs.job))
+      return false;
+    if (!(limit_ms == rhs.limit_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const peer_service_explain_job_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const peer_service_explain_job_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class peer_service_explain_job_pargs {
+ public:
+
+
+  virtual ~peer_service_explain_job_pargs() noexcept;
+  const log_item* job;
+  const int64_t* limit_ms;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _peer_service_explain_job_result__isset {
+  _peer_service_explain_job_result__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _peer_service_explain_job_result__isset;
+
+class peer_service_explain_job_result {
+ public:
+
+  peer_service_explain_job_result(const peer_service_explain_job_result&);
+  peer_service_explain_job_result(peer_service_explain_job_result&&) noexcept;
+  peer_service_explain_job_result& operator=(const peer_service_explain_job_result&);
+  peer_service_explain_job_result& operator=(peer_service_explain_job_result&&) noexcept;
+  peer_service_explain_job_result() noexcept {
+  }
+
+  virtual ~peer_service_explain_job_result() noexcept;
+  placement_explanation success;
+  call_error error;
+
+  _peer_service_explain_job_result__isset __isset;
+
+  void __set_success(const placement_explanation& val);
+
+  void __set_error(const call_error& val);
+
+  bool operator == (const peer_service_explain_job_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(error == rhs.error))
+      return false;
+    return true;
+  }
+  bool operator != (const peer_service_explain_job_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const peer_service_explain_job_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _peer_service_explain_job_presult__isset {
+  _peer_service_explain_job_presult__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _peer_service_explain_job_presult__isset;
+
+class peer_service_explain_job_presult {
+ public:
+
+
+  virtual ~peer_service_explain_job_presult() noexcept;
+  placement_explanation* success;
+  call_error error;
+
+  _peer_service_explain_job_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class peer_serviceClient : virtual public peer_serviceIf {
  public:
   peer_serviceClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -2265,7 +2535,7 @@
   void send_newest_log(const std::string& stream, const int64_t limit_ms);
   void recv_newest_log(log_answer& _return);
   /**
-   * true: stored; false: not stored and never will be. Only the leader of the cell takes it.
+   * Returns whether the items are stored; if not, they never will be. Served by the leader only.
    * 
    * @param items
    * @param limit_ms
@@ -2276,6 +2546,24 @@
   void advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms) override;
   void send_advise(const advice_request& request, const int64_t limit_ms);
   void recv_advise(advice_answer& _return);
+  /**
+   * Explains what would become of a request. Served by every host, which asks the leader.
+   * 
+   * @param request
+   * @param limit_ms
+   */
+  void explain_submission(placement_explanation& _return, const submission& request, const int64_t limit_ms) override;
+  void send_explain_submission(const submission& request, const int64_t limit_ms);
+  void recv_explain_submission(placement_explanation& _return);
+  /**
+   * Explains what would become of a job, given as its record of acceptance. Served by the leader only.
+   * 
+   * @param job
+   * @param limit_ms
+   */
+  void explain_job(placement_explanation& _return, const log_item& job, const int64_t limit_ms) override;
+  void send_explain_job(const log_item& job, const int64_t limit_ms);
+  void recv_explain_job(placement_explanation& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -2307,6 +2595,8 @@
   void process_newest_log(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_store_items(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_advise(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_explain_submission(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_explain_job(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   peer_serviceProcessor(::std::shared_ptr<peer_serviceIf> iface) :
     iface_(iface) {
@@ -2326,6 +2616,8 @@
     processMap_["newest_log"] = &peer_serviceProcessor::process_newest_log;
     processMap_["store_items"] = &peer_serviceProcessor::process_store_items;
     processMap_["advise"] = &peer_serviceProcessor::process_advise;
+    processMap_["explain_submission"] = &peer_serviceProcessor::process_explain_submission;
+    processMap_["explain_job"] = &peer_serviceProcessor::process_explain_job;
   }
 
   virtual ~peer_serviceProcessor() {}
@@ -2494,7 +2786,7 @@
   }
 
   /**
-   * true: stored; false: not stored and never will be. Only the leader of the cell takes it.
+   * Returns whether the items are stored; if not, they never will be. Served by the leader only.
    * 
    * @param items
    * @param limit_ms
@@ -2518,6 +2810,38 @@
     return;
   }
 
+  /**
+   * Explains what would become of a request. Served by every host, which asks the leader.
+   * 
+   * @param request
+   * @param limit_ms
+   */
+  void explain_submission(placement_explanation& _return, const submission& request, const int64_t limit_ms) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->explain_submission(_return, request, limit_ms);
+    }
+    ifaces_[i]->explain_submission(_return, request, limit_ms);
+    return;
+  }
+
+  /**
+   * Explains what would become of a job, given as its record of acceptance. Served by the leader only.
+   * 
+   * @param job
+   * @param limit_ms
+   */
+  void explain_job(placement_explanation& _return, const log_item& job, const int64_t limit_ms) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->explain_job(_return, job, limit_ms);
+    }
+    ifaces_[i]->explain_job(_return, job, limit_ms);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -2593,7 +2917,7 @@
   int32_t send_newest_log(const std::string& stream, const int64_t limit_ms);
   void recv_newest_log(log_answer& _return, const int32_t seqid);
   /**
-   * true: stored; false: not stored and never will be. Only the leader of the cell takes it.
+   * Returns whether the items are stored; if not, they never will be. Served by the leader only.
    * 
    * @param items
    * @param limit_ms
@@ -2604,6 +2928,24 @@
   void advise(advice_answer& _return, const advice_request& request, const int64_t limit_ms) override;
   int32_t send_advise(const advice_request& request, const int64_t limit_ms);
   void recv_advise(advice_answer& _return, const int32_t seqid);
+  /**
+   * Explains what would become of a request. Served by every host, which asks the leader.
+   * 
+   * @param request
+   * @param limit_ms
+   */
+  void explain_submission(placement_explanation& _return, const submission& request, const int64_t limit_ms) override;
+  int32_t send_explain_submission(const submission& request, const int64_t limit_ms);
+  void recv_explain_submission(placement_explanation& _return, const int32_t seqid);
+  /**
+   * Explains what would become of a job, given as its record of acceptance. Served by the leader only.
+   * 
+   * @param job
+   * @param limit_ms
+   */
+  void explain_job(placement_explanation& _return, const log_item& job, const int64_t limit_ms) override;
+  int32_t send_explain_job(const log_item& job, const int64_t limit_ms);
+  void recv_explain_job(placement_explanation& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/src/inner/inner.thrift
+++ b/src/inner/inner.thrift
@@ -223,6 +223,37 @@
   2: string reason
 }
 
+/** A caller's request for a job, as it would be sent to an entry host; `key` is absent if it has none. */
+struct submission {
+  1: string host_name
+  2: string path
+  3: optional string key
+  4: binary body
+}
+
+struct cost_term {
+  1: string name
+  2: double value
+}
+
+struct candidate_worker {
+  1: string worker
+  2: double cost
+  3: list<cost_term> terms
+}
+
+/** Where the tasks of the first step of a job would start. */
+struct placement_explanation {
+  1: string team
+  2: string queue
+  3: i32 priority
+  4: i32 known_workers
+  5: i32 fitting_workers
+  6: bool needs_advice
+  7: list<candidate_worker> candidates
+  8: list<string> waits_for
+}
+
 service peer_service {
   peer_view heartbeat(1: peer_view caller, 2: i64 limit_ms) throws (1: call_error error)
   owner_answer submit(1: i64 shard, 2: job_spec spec, 3: i64 limit_ms) throws (1: call_error error)
@@ -245,4 +276,8 @@
   /** Returns whether the items are stored; if not, they never will be. Served by the leader only. */
   bool store_items(1: list<log_item> items, 2: i64 limit_ms) throws (1: call_error error)
   advice_answer advise(1: advice_request request, 2: i64 limit_ms) throws (1: call_error error)
+  /** Explains what would become of a request. Served by every host, which asks the leader. */
+  placement_explanation explain_submission(1: submission request, 2: i64 limit_ms) throws (1: call_error error)
+  /** Explains what would become of a job, given as its record of acceptance. Served by the leader only. */
+  placement_explanation explain_job(1: log_item job, 2: i64 limit_ms) throws (1: call_error error)
 }
--- a/src/inner/inner_client.cpp
+++ b/src/inner/inner_client.cpp
@@ -89,6 +89,7 @@
     this->add_job_hooks(hooks);
     this->add_slot_hooks(hooks);
     this->add_log_hooks(hooks);
+    this->add_explanation_hooks(hooks);
     return hooks;
 }
 
@@ -205,4 +206,23 @@
     };
 }
 
+void inner_client::add_explanation_hooks(cell::peer_calls& hooks) const {
+    hooks.explain_submission = [runner = this->calls](const cell::submission& request, milliseconds limit) {
+        const auto message = to_wire(request);
+        return decode(invoke(
+            *runner, retry_policy::retry_once, limit,
+            [&](thrift_client& client, milliseconds left) {
+                client.send_explain_submission(message, left.count());
+            },
+            &thrift_client::recv_explain_submission));
+    };
+    hooks.explain_job = [runner = this->calls](const cell::keyed_record& acceptance, milliseconds limit) {
+        const auto message = to_wire(std::vector{acceptance}).front();
+        return decode(invoke(
+            *runner, retry_policy::retry_once, limit,
+            [&](thrift_client& client, milliseconds left) { client.send_explain_job(message, left.count()); },
+            &thrift_client::recv_explain_job));
+    };
+}
+
 } // namespace rattanmount::inner
--- a/src/inner/inner_client.h
+++ b/src/inner/inner_client.h
@@ -43,6 +43,7 @@
     void add_job_hooks(cell::peer_calls& calls) const;
     void add_slot_hooks(cell::peer_calls& calls) const;
     void add_log_hooks(cell::peer_calls& calls) const;
+    void add_explanation_hooks(cell::peer_calls& calls) const;
 
     core::milliseconds default_quick_limit;
     std::shared_ptr<call_runner> heartbeats; ///< Separate, so that long calls do not delay heartbeats.
--- a/src/inner/service_handler.cpp
+++ b/src/inner/service_handler.cpp
@@ -175,4 +175,19 @@
     });
 }
 
+void service_handler::explain_submission(gen::placement_explanation& answer, const gen::submission& request,
+                                         std::int64_t limit_ms) {
+    this->run_hook(this->calls.explain_submission, [&] {
+        answer = to_wire(this->calls.explain_submission(from_wire(request), limit_from_wire(limit_ms)));
+    });
+}
+
+void service_handler::explain_job(gen::placement_explanation& answer, const gen::log_item& job,
+                                  std::int64_t limit_ms) {
+    this->run_hook(this->calls.explain_job, [&] {
+        const cell::keyed_record acceptance{.key = job.key, .value = job.value};
+        answer = to_wire(this->calls.explain_job(acceptance, limit_from_wire(limit_ms)));
+    });
+}
+
 } // namespace rattanmount::inner
--- a/src/inner/service_handler.h
+++ b/src/inner/service_handler.h
@@ -47,6 +47,10 @@
     bool store_items(const std::vector<gen::log_item>& items, std::int64_t limit_ms) override;
     void advise(gen::advice_answer& answer, const gen::advice_request& request,
                 std::int64_t limit_ms) override;
+    void explain_submission(gen::placement_explanation& answer, const gen::submission& request,
+                            std::int64_t limit_ms) override;
+    void explain_job(gen::placement_explanation& answer, const gen::log_item& job,
+                     std::int64_t limit_ms) override;
 
 private:
     /// Runs one call and converts its exceptions to gen::call_error.
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -142,6 +142,14 @@
     /// ends.
     void leave(core::steady_time now);
 
+    /// Explains what would become of a job that was submitted now.
+    /// @param job the job, which is not recorded.
+    /// @param now the current time.
+    [[nodiscard]] dispatch::placement_explanation explain(const workflow::job_accepted& job,
+                                                          core::steady_time now) const {
+        return this->dispatcher.explain(job, now);
+    }
+
     /// Returns the dispatcher, which takes the changes of workers and the replies to orders.
     [[nodiscard]] dispatch::dispatcher& job_dispatcher() { return this->dispatcher; }
     [[nodiscard]] bool leads() const { return this->election.leads(); }
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -226,6 +226,12 @@
         }
         return this->records.store_for_peer(items, limit);
     };
+    calls.explain_submission = [this](const cell::submission& request, core::milliseconds limit) {
+        return this->explain(request, limit);
+    };
+    calls.explain_job = [this](const cell::keyed_record& acceptance, core::milliseconds) {
+        return this->explain_as_leader(acceptance);
+    };
     calls.append_log = [this](const std::string& stream, const std::vector<cell::keyed_record>& items,
                               const cell::producer_stamp& stamp, core::milliseconds limit) {
         return this->find_log(stream).as_direct_log().append(items, stamp, limit);
@@ -240,6 +246,44 @@
     return calls;
 }
 
+dispatch::placement_explanation host_process::explain(const cell::submission& request,
+                                                      core::milliseconds limit) {
+    const auto version = this->configuration();
+    if (version == nullptr || !this->options.decode_submission) {
+        throw core::unavailable("this host has no configuration yet");
+    }
+    auto job = this->options.decode_submission(request, *version);
+    job.accepted_at = this->options.clock.system();
+    const auto acceptance = inner::encode_record(job).front();
+    if (this->leading) {
+        return this->explain_as_leader(acceptance);
+    }
+    const auto leader = this->query_control<core::incarnation_id>(
+        [](const cell_control& control, core::steady_time) { return control.leader(); });
+    const auto peer = leader ? this->peers.find(*leader) : std::nullopt;
+    if (!peer) {
+        throw core::unavailable("the cell has no leader now");
+    }
+    return peer->calls.explain_job(acceptance, limit);
+}
+
+dispatch::placement_explanation host_process::explain_as_leader(const cell::keyed_record& acceptance) {
+    const auto record = inner::decode_record(acceptance);
+    const auto* job = std::get_if<workflow::job_accepted>(&record);
+    if (job == nullptr) {
+        throw core::invalid_argument("the record to explain is not an accepted job");
+    }
+    using explanation = std::optional<dispatch::placement_explanation>;
+    const auto answer = this->query_control<explanation>(
+        [job = *job](const cell_control& control, core::steady_time now) -> explanation {
+            return control.leads() ? explanation{control.explain(job, now)} : std::nullopt;
+        });
+    if (!answer || !*answer) {
+        throw core::unavailable("this host is not the leader");
+    }
+    return **answer;
+}
+
 relayed_log_options host_process::make_relay_options(const char* stream, const cell::keyed_log& direct) {
     relayed_log_options result{
         .stream = stream, .direct = direct, .peers = [this] { return this->peers.peers(); }};
--- a/src/runtime/host_process.h
+++ b/src/runtime/host_process.h
@@ -51,9 +51,15 @@
     std::function<std::optional<dispatch::worker_entry>(const cell::keyed_record&)> decode_worker;
 };
 
+/// Decodes a caller's request as its submission would be decoded.
+/// @throws core::invalid_argument if the request is not valid, with the reason.
+using submission_decoder =
+    std::function<workflow::job_accepted(const cell::submission&, const workflow::configuration&)>;
+
 struct host_process_options {
     workflow::member_record self;
     host_streams streams;
+    submission_decoder decode_submission; ///< For explanations of requests that are not submitted.
     worker_calls workers;
     cell::peer_connector connect;        ///< Creates the calls to another host.
     dispatch::dispatch_options dispatch; ///< Its hooks are set by host_process.
@@ -159,6 +165,9 @@
     [[nodiscard]] request_answer
     await_request(std::function<void(cell_control&, std::function<void(request_outcome)>)> request,
                   core::milliseconds limit);
+    [[nodiscard]] dispatch::placement_explanation explain(const cell::submission& request,
+                                                          core::milliseconds limit);
+    [[nodiscard]] dispatch::placement_explanation explain_as_leader(const cell::keyed_record& acceptance);
     void on_records_stored(const std::vector<cell::keyed_record>& items);
     void on_cell_batch(const log_batch& batch);
     void on_configuration_items(const std::vector<cell::log_item>& items);
--- a/tests/app/command_page_test.cpp
+++ b/tests/app/command_page_test.cpp
@@ -53,7 +53,7 @@
     hooks.print = [&](std::string_view part) { all += part; };
     REQUIRE(run_command(2, argv, hooks) == 0);
     const auto commands = matches(all, "\n  ([a-z-]+)  ");
-    CHECK(commands.size() == 13);
+    CHECK(commands.size() == 14);
     const auto common = section_of(page, "Options of all commands that call a cell");
     for (const auto& command : commands) {
         const auto section = section_of(page, command);
--- a/tests/dispatch/recurrence_test.cpp
+++ b/tests/dispatch/recurrence_test.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint32_t occurrences = 4;
 constexpr std::uint32_t tasks = 4;
+constexpr std::uint64_t all_runs = std::uint64_t{occurrences} * tasks;
 
 /// A job of which one task of each occurrence takes much longer than the others.
 workflow::job_request recurring_job(core::steady_time first) {
@@ -38,12 +39,12 @@
     cell.submit(recurring_job(cell.now()),
                 {.queue = workflow::queue_id{"queue"}, .service = core::service_id{"service"}});
     cell.run_for(1s);
-    REQUIRE(cell.started_runs() == occurrences * tasks);
+    REQUIRE(cell.started_runs() == all_runs);
     cell.set_clock_offset(0ms);
     cell.change_leader();
     cell.run_for(15s);
     CHECK(cell.phase_of("a") == workflow::job_phase::completed);
-    CHECK(cell.started_runs() == occurrences * tasks);
+    CHECK(cell.started_runs() == all_runs);
     for (const auto& violation : cell.violations()) {
         FAIL_CHECK(violation);
     }
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -335,6 +335,9 @@
 void simulated_cell::make_dispatcher() {
     dispatch_options made;
     made.hooks.start = [this](const start_order& order) {
+        if (this->start_sent) {
+            this->start_sent(order);
+        }
         this->deliver(
             order, order.timeout, [this](auto index, const auto& one) { return this->do_start(index, one); },
             [this](auto& sender, const auto& one, const auto& reply) {
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -140,6 +140,9 @@
                                      std::uint32_t worker)>
         work_time;
 
+    /// Called with each start that a dispatcher sends, if set.
+    std::function<void(const dispatch::start_order&)> start_sent;
+
     /// Returns whether a run fails. Default: at random, with `failing_share`.
     std::function<bool(const workflow::run_name&, std::uint32_t worker)> fails;
 
--- a/tests/inner/conversion_test.cpp
+++ b/tests/inner/conversion_test.cpp
@@ -43,6 +43,27 @@
     CHECK(left.status->places == right.status->places);
 }
 
+TEST_CASE("an explanation of a placement and the request for it survive encoding and decoding") {
+    const dispatch::placement_explanation explanation{
+        .team = core::team_id{"team"},
+        .queue = workflow::queue_id{"queue"},
+        .priority = 2,
+        .known_workers = 8,
+        .fitting_workers = 3,
+        .needs_advice = true,
+        .candidates = {{.worker = core::worker_id{"w1"},
+                        .cost = 1.5,
+                        .terms = {{.name = "room", .value = 1}, {.name = "speed", .value = 0.5}}}},
+        .waits_for = {"runs to end"}};
+    CHECK(from_wire(to_wire(explanation)) == explanation);
+    const cell::submission request{
+        .host_name = "host", .path = "/queue/", .key = std::nullopt, .body = std::string{"\0body", 5}};
+    const auto read = from_wire(to_wire(request));
+    CHECK(read.path == request.path);
+    CHECK_FALSE(read.key);
+    CHECK(read.body == request.body);
+}
+
 } // namespace
 
 TEST_CASE("every message keeps all fields when it is encoded and decoded") {
