Say what a newcomer stumbled on in the new parts

Comments are corrected; is_within_rate() is count_towards_rate(), since it counts; has_room_beside_runs() is has_room_without_places(); the counters of step_order say what they count by; step_run_times::size() and caller_loss::if_never_started had no caller. Behaviour is unchanged.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -72,7 +72,7 @@
             this->state.jobs.at(key)->inherited = true;
             continue;
         }
-        static_cast<void>(this->is_within_rate(*entry)); // It counts towards the rate of its team.
+        static_cast<void>(this->count_towards_rate(*entry)); // Jobs that are over count as well.
         if (!entry->accepted.request.steps.empty() || !entry->parts.empty()) {
             this->state.closed_jobs.emplace(
                 key, closed_job{.phase = entry->phase(), .parts = entry->recorded_parts()});
@@ -205,12 +205,12 @@
     job.recorded_parts = {parts.begin(), parts.end()};
     job.recorded_in_parts = entry.progress.in_parts;
     job.folded_occurrences = entry.progress.complete_occurrences;
-    job.beyond_rate = !this->is_within_rate(entry);
+    job.beyond_rate = !this->count_towards_rate(entry);
     job.first_unrecorded_occurrence = first_unrecorded_occurrence(entry);
     this->state.jobs_awaiting_occurrences.insert(key);
 }
 
-bool dispatcher::is_within_rate(const workflow::job_entry& entry) {
+bool dispatcher::count_towards_rate(const workflow::job_entry& entry) {
     const auto& job = entry.accepted;
     const auto* policy = this->state.teams.policy_of(job.team);
     return policy == nullptr || policy->jobs_per_second <= 0 ||
@@ -504,7 +504,7 @@
 bool dispatcher::may_move(const live_step& step, const live_task& task, core::steady_time now) const {
     // While the task runs, it already counts.
     const auto added = task.runs.empty() ? reserved_resources(*step.request) : core::resources{};
-    return this->state.teams.has_room_beside_runs(step.job->team(), added) &&
+    return this->state.teams.has_room_without_places(step.job->team(), added) &&
            this->former_runs_ended(step, task, now);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -149,7 +149,7 @@
     void open_job(const workflow::job_entry& entry);
     /// Counts a job towards the rate of its team.
     /// @return whether it is within that rate.
-    bool is_within_rate(const workflow::job_entry& entry);
+    bool count_towards_rate(const workflow::job_entry& entry);
     void open_due_occurrences(live_job& job, core::steady_time now, core::system_time system);
     void index_recorded_tasks(const live_occurrence& occurrence);
     void place_all(core::steady_time now);
@@ -158,11 +158,13 @@
     void place_if_due(live_step& step, const std::set<core::worker_id>& freed, bool settles,
                       core::steady_time now);
     void place_step(live_step& step, const std::set<core::worker_id>& freed, core::steady_time now);
+    /// Also notes that the team is held by its cap, and that the step has to be placed again later.
     /// @return the standing of a waiting step; nothing if its team's cap leaves no room for it.
     [[nodiscard]] std::optional<team_standing> standing_of(live_step& step, const team_shares& shares);
     [[nodiscard]] start_check make_start_check() const;
     [[nodiscard]] start_check make_move_check() const;
-    /// @return whether a task may be started. For a gang, whether its team has room for all of its tasks.
+    /// @return whether a task may be started: its team has room for it (for a gang, for all of its tasks),
+    /// and no run of it that a former leader started can be left.
     [[nodiscard]] bool may_start(const live_step& step, const live_task& task, core::steady_time now) const;
     /// @return whether a task may be moved, or started in the place to which it is moved.
     [[nodiscard]] bool may_move(const live_step& step, const live_task& task, core::steady_time now) const;
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -93,7 +93,9 @@
     core::steady_time place_again_at; ///< When a waiting gang is placed again although nothing has changed.
     std::map<core::worker_id, std::uint32_t> runs_per_worker; ///< Number of runs of the step per worker.
     bool ready = false;
-    bool needs_placement = false; ///< Whether tasks or permitted workers were added since the last placement.
+    /// Whether the next placement has to look at all permitted workers: tasks or workers were added, or the
+    /// last one was held back by the cap of its team or by orders in flight.
+    bool needs_placement = false;
 
     /// @return whether all its tasks are done.
     [[nodiscard]] bool complete() const { return this->done_tasks == this->tasks.size(); }
@@ -144,7 +146,8 @@
     [[nodiscard]] const workflow::job_key& key() const { return this->entry->accepted.request.key; }
 };
 
-/// Returns whether a task may start now as far as a former leader's runs are concerned.
+/// Returns whether a task may start now: whether its team's cap leaves room for it, and no run of it that a
+/// former leader started can be left.
 using start_check = std::function<bool(const live_step&, const live_task&, core::steady_time)>;
 
 /// Adds an occurrence to a job, with the progress that the log has of it.
--- a/src/dispatch/preemption.cpp
+++ b/src/dispatch/preemption.cpp
@@ -13,7 +13,7 @@
 
 /// Runs are stopped only for steps of this priority, the highest.
 constexpr std::uint32_t preempting_priority = 0;
-/// Workers on which room is made at a time: one per this many workers, and at least `least_pending`.
+/// Room is made on at most one in so many workers at a time, but on at least `least_pending`.
 constexpr std::size_t workers_per_pending_one = 8;
 constexpr std::size_t least_pending = 1;
 /// Time between two searches for the same step.
--- a/src/dispatch/preemption.h
+++ b/src/dispatch/preemption.h
@@ -24,7 +24,8 @@
 public:
     preemption(dispatch_state& state, run_manager& runs, const task_placer& selector, start_check may_start);
 
-    /// @param enabled whether runs may be stopped at all. Off until this is called.
+    /// @param enabled whether runs may be stopped at all: if the configuration has teams. False until this is
+    /// called.
     void set_enabled(bool enabled) { this->enabled = enabled; }
 
     /// Called when tasks of a step wait for a worker with room: stops runs of a lower priority, for each
@@ -81,7 +82,7 @@
     start_check may_start;
     bool enabled = false;
     std::map<core::worker_id, pending_stop> pending;
-    /// By step, when it may be looked for room again.
+    /// By step, the time before which room is not searched for it again.
     std::map<workflow::step_name, core::steady_time> search_again_at;
 };
 
--- a/src/dispatch/step_order.cpp
+++ b/src/dispatch/step_order.cpp
@@ -72,27 +72,27 @@
     };
     std::vector<entry> entries;
     entries.reserve(ready.size());
-    // The last priority of which a step with this standing and prospect, or with this standing, got its turn.
-    std::array<std::array<std::optional<std::uint32_t>, 3>, 3> served_priorities;
-    std::array<std::optional<std::uint32_t>, 3> priority_of_turn;
+    // The last priority in which the oldest step of a standing and prospect, or of a standing, got its turn.
+    std::array<std::array<std::optional<std::uint32_t>, 3>, 3> served_by_prospect;
+    std::array<std::optional<std::uint32_t>, 3> served_by_standing;
     for (const auto& [key, step] : ready) {
         const auto standing = standing_of(*step);
         if (!standing) {
             continue;
         }
         const auto priority = std::get<0>(key);
-        auto& turn = priority_of_turn.at(index_of(*standing));
+        auto& turn = served_by_standing.at(index_of(*standing));
         if (this->has_turn(*standing) && turn != priority) {
-            turn = priority;
+            turn = priority; // Sorted as on time and most urgent, so that it comes first.
             entries.push_back(
                 {.priority = priority, .standing = team_standing::within_share, .ahead = {}, .step = step});
             continue;
         }
         auto ahead = outlook_of(*step, now);
-        auto& served = served_priorities.at(index_of(*standing)).at(index_of(ahead.prospect));
+        auto& served = served_by_prospect.at(index_of(*standing)).at(index_of(ahead.prospect));
         if (this->has_turn(ahead.prospect) && served != priority) {
             served = priority;
-            ahead = {};
+            ahead = {}; // As above.
         }
         entries.push_back({.priority = priority, .standing = *standing, .ahead = ahead, .step = step});
     }
@@ -109,27 +109,27 @@
 }
 
 void step_order::on_started(team_standing standing) {
-    for (auto& count : this->starts_of_other_teams) {
+    for (auto& count : this->starts_of_other_standings) {
         count++;
     }
-    this->starts_of_other_teams.at(index_of(standing)) = 0;
+    this->starts_of_other_standings.at(index_of(standing)) = 0;
 }
 
 void step_order::on_started(const live_step& step, core::steady_time now) {
-    for (auto& count : this->other_starts) {
+    for (auto& count : this->starts_of_other_prospects) {
         count++;
     }
-    this->other_starts.at(index_of(outlook_of(step, now).prospect)) = 0;
+    this->starts_of_other_prospects.at(index_of(outlook_of(step, now).prospect)) = 0;
 }
 
 bool step_order::has_turn(overload::prospect prospect) const {
-    const auto others = this->other_starts.at(index_of(prospect));
+    const auto others = this->starts_of_other_prospects.at(index_of(prospect));
     return (prospect == overload::prospect::late && others >= starts_per_late_one) ||
            (prospect == overload::prospect::overdue && others >= starts_per_overdue_one);
 }
 
 bool step_order::has_turn(team_standing standing) const {
-    const auto others = this->starts_of_other_teams.at(index_of(standing));
+    const auto others = this->starts_of_other_standings.at(index_of(standing));
     return (standing == team_standing::over_share && others >= starts_per_over_share_one) ||
            (standing == team_standing::beyond_rate && others >= starts_per_beyond_rate_one);
 }
--- a/src/dispatch/step_order.h
+++ b/src/dispatch/step_order.h
@@ -60,9 +60,9 @@
     [[nodiscard]] bool has_turn(team_standing standing) const;
 
     /// By standing: starts of other steps since the last one of a step with this standing.
-    std::array<std::uint32_t, 3> starts_of_other_teams{};
+    std::array<std::uint32_t, 3> starts_of_other_standings{};
     /// By prospect: starts of other steps since the last one of a step with this prospect.
-    std::array<std::uint32_t, 3> other_starts{};
+    std::array<std::uint32_t, 3> starts_of_other_prospects{};
 };
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/step_run_times.cpp
+++ b/src/dispatch/step_run_times.cpp
@@ -18,7 +18,6 @@
 
 void step_run_times::add(const entry& run) {
     this->batch.push_back(run);
-    this->runs++;
     std::vector<double> times;
     times.reserve(this->batch.size());
     for (const auto& one : this->batch) {
--- a/src/dispatch/step_run_times.h
+++ b/src/dispatch/step_run_times.h
@@ -11,8 +11,9 @@
 /// How long the tasks of one step have taken.
 ///
 /// They run the same program on similar work, so they show better than an estimate which workers are slow and
-/// which runs take too long. The first ones are collected until there are enough to compare, then they teach
-/// `worker_speeds`. A value type.
+/// which runs take too long. They are collected in batches, which are passed to `worker_speeds`. The usual
+/// time is the median of the present batch, or of the one before while the present one is too small. A value
+/// type.
 class step_run_times {
 public:
     /// A run that has ended well.
@@ -25,9 +26,6 @@
     /// Adds a run that has ended well.
     void add(const entry& run);
 
-    /// @return the number of runs so far.
-    [[nodiscard]] std::size_t size() const { return this->runs; }
-
     /// @return how long a task takes on a worker of usual speed; 0 if too few have ended.
     [[nodiscard]] core::milliseconds usual_time() const;
 
@@ -39,7 +37,6 @@
 
 private:
     std::vector<entry> batch;
-    std::size_t runs = 0;
     core::milliseconds usual{0};
 };
 
--- a/src/dispatch/straggler_copies.h
+++ b/src/dispatch/straggler_copies.h
@@ -18,7 +18,7 @@
 /// as a share of all work. Owned by the dispatcher; used by the control thread only.
 class straggler_copies {
 public:
-    /// @param may_start returns whether a task may start as far as a former leader's runs are concerned.
+    /// @param may_start the condition for starting a run of a task.
     straggler_copies(dispatch_state& state, run_manager& runs, const task_placer& selector,
                      advice_manager& advice, start_check may_start);
 
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -18,8 +18,9 @@
 constexpr double interference_cost = 1.5;
 constexpr double failed_here_cost = 8;
 constexpr double fast_worker_cost = 0.5; ///< Of using a worker of usual speed; less for slower ones.
-constexpr double lateness_cost = 5;      ///< Per time that the job can still afford.
-constexpr double missing_cost = 10;      ///< Per missing_share().
+constexpr double lateness_cost =
+    5; ///< Per share of the affordable time that a task takes beyond urgent_share.
+constexpr double missing_cost = 10; ///< Per missing_share().
 
 bool has_label(const worker_entry& worker, const workflow::worker_label& label) {
     return label.empty() ||
@@ -50,7 +51,8 @@
 constexpr double urgent_share = 0.5;
 
 /// @return the time that a task of the step may take if its job is to end within its latency objective, or
-/// else while it is still of use; empty if it may take any time.
+/// else while it is still of use; empty if the speed of the worker makes no difference to that: the step has
+/// no estimate or no end that could be late, or its job is overdue in any case.
 std::optional<core::milliseconds> affordable_time(const live_step& step, core::steady_time now) {
     if (step.request->long_running || step.request->uses_leftover || step.request->estimate.count() == 0) {
         return std::nullopt;
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -177,8 +177,9 @@
     choose_for_gang(const live_step& step, core::steady_time now,
                     const std::function<std::uint32_t(const worker_state&)>& fitting) const;
 
-    /// @return the part of cost() that stands for the speed of the worker: for urgent work, the share of the
-    /// time that the job can still afford, beyond a half; for other work, less on slow workers.
+    /// @return the part of cost() for the speed of the worker: less on slow workers, so that fast ones stay
+    /// free; and more the longer the task takes there, if that is more than half of the time that its job can
+    /// still afford.
     [[nodiscard]] double speed_cost(const live_step& step, const worker_state& worker,
                                     core::steady_time now) const;
 
--- a/src/dispatch/team_accounts.cpp
+++ b/src/dispatch/team_accounts.cpp
@@ -92,7 +92,7 @@
     return this->fits(team, amount_of(this->places, team) + amount);
 }
 
-bool team_accounts::has_room_beside_runs(const core::team_id& team, const core::resources& amount) const {
+bool team_accounts::has_room_without_places(const core::team_id& team, const core::resources& amount) const {
     return this->fits(team, amount);
 }
 
--- a/src/dispatch/team_accounts.h
+++ b/src/dispatch/team_accounts.h
@@ -14,7 +14,7 @@
 /// Where a team's waiting tasks stand among those of other teams with the same priority.
 enum class team_standing : std::uint8_t {
     within_share, ///< It uses no more than its share, or it belongs to no team.
-    over_share,   ///< It uses more than its share while other teams wait.
+    over_share,   ///< It uses more than its share among the teams that have tasks.
     beyond_rate,  ///< Its job came beyond the rate at which its team may send jobs.
 };
 
@@ -54,12 +54,16 @@
 
     /// @param team a team, or an empty name.
     /// @param amount what is to be started.
-    /// @return whether the team's runs and reserved places stay within its cap.
+    /// @return whether the team's runs, those that may be left of former leaders, and its reserved places
+    /// stay within its cap.
     [[nodiscard]] bool has_room(const core::team_id& team, const core::resources& amount) const;
 
-    /// As has_room() for a task that has a place reserved, or is about to get one in exchange for its run:
-    /// places do not count.
-    [[nodiscard]] bool has_room_beside_runs(const core::team_id& team, const core::resources& amount) const;
+    /// As has_room() for a task that has a place reserved, or is about to get one in exchange for its run.
+    /// @param team a team, or an empty name.
+    /// @param amount what is to be started.
+    /// @return whether the team's runs, without its reserved places, stay within its cap.
+    [[nodiscard]] bool has_room_without_places(const core::team_id& team,
+                                               const core::resources& amount) const;
 
     /// @param team a team, or an empty name.
     /// @param each what one task needs.
@@ -91,7 +95,7 @@
 
 /// @param cap a team's cap.
 /// @param amount an amount.
-/// @return the cap, with the amount in place of each limit that is 0, so that it fits there.
+/// @return the cap, where each 0, which means no limit, is replaced by the amount, so that the amount fits.
 [[nodiscard]] core::resources limits_of(const core::resources& cap, const core::resources& amount);
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/team_shares.h
+++ b/src/dispatch/team_shares.h
@@ -12,7 +12,8 @@
 ///
 /// Weighted dominant resource fairness: the use of a team is the dominant share of its reservations in the
 /// capacity of the listed workers, divided by its weight. A team is over its share if its use is above the
-/// mean of the teams that have tasks running or waiting. An immutable value that holds for one placement.
+/// sum of the dominant shares divided by the sum of the weights, over all teams that have tasks running or
+/// waiting. An immutable value that holds for one placement.
 class team_shares {
 public:
     /// @param state the accounts of the teams, the workers and the steps that wait.
--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -42,7 +42,8 @@
     if (!this->state.leading) {
         return std::nullopt;
     }
-    // Also while a record is in flight: a worker that has answered is never recorded as unreached later.
+    // Done even while a record is in flight, so that a worker that has answered counts as reached from then
+    // on.
     this->settle_inherited_workers(now);
     if (this->record_in_flight || !this->state.worker_list_read) {
         return std::nullopt;
@@ -61,7 +62,8 @@
     // Until the record is stored, the log surely has only the workers that are in both.
     std::erase_if(this->recorded_workers,
                   [&record](const core::worker_id& id) { return !record.workers.contains(id); });
-    // The log may have either of the two.
+    // Until the record is stored, the log may have this record or the one before, so workers that either
+    // names count.
     this->recorded_unreached.insert(record.unreached.begin(), record.unreached.end());
     this->apply_unreached();
     this->record_in_flight = true;
--- a/src/dispatch/worker_speeds.h
+++ b/src/dispatch/worker_speeds.h
@@ -28,6 +28,8 @@
 class worker_speeds {
 public:
     /// Adds a run that has ended well on a worker.
+    /// @param worker the worker.
+    /// @param run the run; `expected` is its time on a worker of usual speed.
     void add(const worker_entry& worker, const timed_run& run);
 
     /// Adds a run that has ended well to what is known of the estimates of its queue.
--- a/src/overload/delay_cost.cpp
+++ b/src/overload/delay_cost.cpp
@@ -33,8 +33,7 @@
 
 caller_loss loss_of(const waiting_work& work, core::milliseconds delay) {
     return {.if_started_now = lost_share(prospect_after(work, core::milliseconds{0})),
-            .if_started_later = lost_share(prospect_after(work, delay)),
-            .if_never_started = 1};
+            .if_started_later = lost_share(prospect_after(work, delay))};
 }
 
 double urgency_of(const waiting_work& work, core::milliseconds delay) {
--- a/src/overload/delay_cost.h
+++ b/src/overload/delay_cost.h
@@ -29,7 +29,6 @@
 struct caller_loss {
     double if_started_now = 0;
     double if_started_later = 0; ///< After the delay that was asked about.
-    double if_never_started = 0;
 };
 
 /// @param work a piece of work.
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -13,7 +13,8 @@
 /// The longest time between two calls of run().
 constexpr core::milliseconds tick_interval{100};
 /// A host outranks another if its processor share is at least this many times as large, or if its link is and
-/// its processor share is no smaller: a leader calls all workers, so that either can bind it.
+/// its processor share is no smaller: a leader calls all workers, so either its processors or its link can
+/// limit it.
 constexpr double outranking_factor = 2;
 
 bool outranks(const workflow::member_record& host, const workflow::member_record& other) {
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -145,6 +145,7 @@
     /// Explains what would become of a job that was submitted now.
     /// @param job the job, which is not recorded.
     /// @param now the current time.
+    /// @return the explanation; of use only while this host leads.
     [[nodiscard]] dispatch::placement_explanation explain(const workflow::job_accepted& job,
                                                           core::steady_time now) const {
         return this->dispatcher.explain(job, now);
--- a/src/runtime/host_process.h
+++ b/src/runtime/host_process.h
@@ -128,8 +128,9 @@
     /// Returns the current configuration, or null if none has been read yet.
     [[nodiscard]] std::shared_ptr<const workflow::configuration> configuration();
 
-    /// Finds the team of a caller's key; see key_check.
+    /// Finds the team of a caller's key.
     /// @param key the key; empty if the caller sent none.
+    /// @return whether it is valid, and its team. May block; see key_check::check().
     [[nodiscard]] key_answer check_key(const tenancy::api_key& key) { return this->keys.check(key); }
 
     /// Returns true if this host can serve callers.
@@ -165,8 +166,10 @@
     [[nodiscard]] request_answer
     await_request(std::function<void(cell_control&, std::function<void(request_outcome)>)> request,
                   core::milliseconds limit);
+    /// Explains a request here if this host leads, or else asks the leader.
     [[nodiscard]] dispatch::placement_explanation explain(const cell::submission& request,
                                                           core::milliseconds limit);
+    /// @throws core::unavailable if this host does not lead.
     [[nodiscard]] dispatch::placement_explanation explain_as_leader(const cell::keyed_record& acceptance);
     void on_records_stored(const std::vector<cell::keyed_record>& items);
     void on_cell_batch(const log_batch& batch);
--- a/src/workflow/cell_state.h
+++ b/src/workflow/cell_state.h
@@ -85,10 +85,10 @@
     /// @return the workers on which a leader may have started tasks.
     [[nodiscard]] const std::set<core::worker_id>& roster() const { return this->roster_workers; }
 
-    /// Returns the workers that the leader of an epoch has recorded as unreached until its end, and the time
-    /// at which it was known here. After that time no lease was granted on them, but for those that a leader
-    /// which was already fenced could still grant by earlier proofs.
-    /// @param epoch the epoch.
+    /// @param epoch an epoch.
+    /// @return the workers that the last roster of the epoch names as unreached. The time of each is when
+    /// this host read the first of the consecutive rosters that name it. Leases that were granted there after
+    /// that time can only come from leaders that were already fenced and still used earlier proofs.
     [[nodiscard]] std::map<core::worker_id, core::steady_time> unreached_in(core::epoch_id epoch) const {
         return epoch == this->roster_epoch ? this->unreached_since
                                            : std::map<core::worker_id, core::steady_time>{};
--- a/src/workflow/records.h
+++ b/src/workflow/records.h
@@ -137,8 +137,9 @@
 struct roster_record {
     std::set<core::worker_id> workers;
     core::epoch_id epoch; ///< In which it was recorded; 0 if `unreached` is empty.
-    /// Those on which no lease has been granted in this epoch, and none will be before a roster without them
-    /// is in the log. All leases on them are of leaders that could not grant any more when this was recorded.
+    /// Those that the leader of this epoch has not reached: it has granted no lease there, and will grant
+    /// none before a roster without them is in the log. All leases on them are of leaders that could not
+    /// grant any more when this was recorded.
     std::set<core::worker_id> unreached;
 };
 
