--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -18,8 +18,8 @@
 constexpr double interference_cost = 1.5;
 constexpr double failed_here_cost = 8;
 constexpr double fast_worker_cost = 0.5; ///< Of using a worker of usual speed; less for slower ones.
-constexpr double lateness_cost =
-    5; ///< Per share of the affordable time that a task takes beyond urgent_share.
+/// Per share of the affordable time that a task takes beyond urgent_share.
+constexpr double lateness_cost = 5;
 constexpr double missing_cost = 10; ///< Per missing_share().
 
 bool has_label(const worker_entry& worker, const workflow::worker_label& label) {
@@ -153,14 +153,14 @@
 double task_placer::speed_cost(const live_step& step, const worker_state& worker,
                                core::steady_time now) const {
     const auto factor = this->state.speeds.factor_of(worker.entry);
+    const auto cost = fast_worker_cost / factor;
     const auto affordable = affordable_time(step, now);
     if (!affordable) {
-        return fast_worker_cost / factor;
+        return cost;
     }
     const auto ratio = this->state.speeds.estimate_ratio(step.job->policy().queue);
     const auto share = step.request->estimate * ratio * factor / *affordable;
-    return share <= urgent_share ? fast_worker_cost / factor
-                                 : fast_worker_cost / factor + lateness_cost * (share - urgent_share);
+    return cost + lateness_cost * std::max(share - urgent_share, 0.0);
 }
 
 double task_placer::gang_cost(const live_step& step, const worker_state& worker,
--- a/src/dispatch/worker_speeds.cpp
+++ b/src/dispatch/worker_speeds.cpp
@@ -1,7 +1,5 @@
 #include "dispatch/worker_speeds.h"
 
-#include <cmath>
-
 namespace rattanmount::dispatch {
 
 namespace {
@@ -15,8 +13,8 @@
 /// Factors between this and its inverse count as 1.
 constexpr double least_difference = 1.25;
 
-double log_ratio(const timed_run& run) {
-    return std::log(static_cast<double>(run.taken.count()) / static_cast<double>(run.expected.count()));
+double ratio_of(const timed_run& run) {
+    return static_cast<double>(run.taken.count()) / static_cast<double>(run.expected.count());
 }
 
 bool has_times(const timed_run& run) {
@@ -45,15 +43,14 @@
     if (!has_times(run)) {
         return;
     }
-    const auto ratio = log_ratio(run);
+    const auto ratio = ratio_of(run);
     this->workers.try_emplace(worker.worker, worker_window).first->second.add(ratio);
     this->kinds.try_emplace(kind_of(worker), kind_window).first->second.add(ratio);
 }
 
 void worker_speeds::add_estimate(const workflow::queue_id& queue, const timed_run& run, double factor) {
     if (has_times(run)) {
-        const auto ratio = log_ratio(run) - std::log(factor);
-        this->queues.try_emplace(queue, queue_window).first->second.add(ratio);
+        this->queues.try_emplace(queue, queue_window).first->second.add(ratio_of(run) / factor);
     }
 }
 
@@ -62,15 +59,16 @@
     if (known == nullptr) {
         known = find_known(this->kinds, kind_of(worker));
     }
-    if (known == nullptr || std::abs(known->value()) < std::log(least_difference)) {
+    if (known == nullptr) {
         return 1;
     }
-    return std::exp(known->value());
+    const auto factor = known->value();
+    return factor < least_difference && factor > 1 / least_difference ? 1 : factor;
 }
 
 double worker_speeds::estimate_ratio(const workflow::queue_id& queue) const {
     const auto* known = find_known(this->queues, queue);
-    return known == nullptr ? 1 : std::exp(known->value());
+    return known == nullptr ? 1 : known->value();
 }
 
 void worker_speeds::reset() {
--- a/src/dispatch/worker_speeds.h
+++ b/src/dispatch/worker_speeds.h
@@ -54,7 +54,7 @@
     void reset();
 
 private:
-    /// Medians of the logarithms of ratios.
+    /// Medians of ratios.
     std::unordered_map<core::worker_id, moving_median> workers;
     std::unordered_map<workflow::worker_label, moving_median> kinds;
     std::unordered_map<workflow::queue_id, moving_median> queues;
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -156,8 +156,8 @@
 
 void cell_control::submit(workflow::job_accepted record, std::function<void(request_outcome)> done) {
     if (const auto* known = this->book.find(record.request.key)) {
-        const auto& owner = known->accepted.team;
-        done(owner.empty() || owner == record.team ? request_outcome::stored : request_outcome::conflict);
+        const tenancy::caller caller{.team = record.team};
+        done(caller.may_access(known->accepted.team) ? request_outcome::stored : request_outcome::conflict);
         return;
     }
     this->options.hooks.store({std::move(record)}, [this, done = std::move(done)](write_outcome outcome) {
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -79,6 +79,13 @@
     return request_answer::unknown;
 }
 
+/// @throws core::invalid_argument if the job can never run under the cap of its team.
+void require_fits_cap(const workflow::job_accepted& job, const workflow::configuration& version) {
+    if (const auto* team = version.team_of(job.team)) {
+        dispatch::check_fits_cap(job.request, *team);
+    }
+}
+
 double random_fraction() {
     static thread_local std::mt19937 numbers{std::random_device{}()};
     return std::uniform_real_distribution<double>{0, 1}(numbers);
@@ -141,10 +148,8 @@
                                   .accepted_at = this->options.clock.system(),
                                   .team = caller.team};
     this->require_recordable(record);
-    if (const auto config = this->configuration()) {
-        if (const auto* team = config->team_of(caller.team)) {
-            dispatch::check_fits_cap(record.request, *team);
-        }
+    if (const auto version = this->configuration()) {
+        require_fits_cap(record, *version);
     }
     return this->await_request(
         [record = std::move(record)](cell_control& control,
@@ -253,6 +258,7 @@
         throw core::unavailable("this host has no configuration yet");
     }
     auto job = this->options.decode_submission(request, *version);
+    require_fits_cap(job, *version);
     job.accepted_at = this->options.clock.system();
     const auto acceptance = inner::encode_record(job).front();
     if (this->leading) {
--- a/src/workflow/cell_state.cpp
+++ b/src/workflow/cell_state.cpp
@@ -1,5 +1,7 @@
 #include "workflow/cell_state.h"
 
+#include "tenancy/caller.h"
+
 #include <utility>
 
 namespace rattanmount::workflow {
@@ -92,8 +94,8 @@
         return {};
     }
     auto& job = *found->second;
-    const bool may_cancel = job.accepted.team.empty() || job.accepted.team == record.team;
-    if (!may_cancel || job.cancelled || is_over(job.progress.phase)) {
+    const tenancy::caller caller{.team = record.team};
+    if (!caller.may_access(job.accepted.team) || job.cancelled || is_over(job.progress.phase)) {
         return {};
     }
     job.cancelled = true;
