--- a/tests/end_to_end/process.cpp
+++ b/tests/end_to_end/process.cpp
@@ -30,6 +30,10 @@
     return port;
 }
 
+bool process::is_running() const {
+    return this->handle && Poco::Process::isRunning(*this->handle);
+}
+
 void process::signal(int number) {
     if (this->handle) {
         ::kill(this->handle->id(), number);
--- a/tests/end_to_end/process.h
+++ b/tests/end_to_end/process.h
@@ -25,6 +25,9 @@
     /// @throws std::runtime_error if it prints anything else.
     int listening_port();
 
+    /// @return whether the process has been started and has not ended.
+    [[nodiscard]] bool is_running() const;
+
     /// Sends a signal, such as SIGKILL, SIGSTOP, SIGCONT or SIGTERM.
     void signal(int number);
 
--- a/tests/platform/loopback_cell.h
+++ b/tests/platform/loopback_cell.h
@@ -7,6 +7,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/TemporaryFile.h>
+#include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include <fstream>
@@ -56,13 +57,20 @@
 
     void kill(int host) { this->processes[static_cast<std::size_t>(host)]->kill(); }
 
+    /// Waits until a host is ready. If it is not, the failed check says whether its process still runs and
+    /// what it answered last.
     bool wait_ready(int host) {
-        return wait_for(10s, [&] {
-            return this->client
-                       .call(this->ready[static_cast<std::size_t>(host)],
-                             {.method = "GET", .target = "/ready"}, 1s)
-                       .status == 200;
+        const auto index = static_cast<std::size_t>(host);
+        int status = 0;
+        const bool ready = wait_for(10s, [&] {
+            status = this->client.call(this->ready[index], {.method = "GET", .target = "/ready"}, 1s).status;
+            return status == 200;
         });
+        if (!ready) {
+            UNSCOPED_INFO("host " << host << (this->processes[index]->is_running() ? " runs" : " has ended")
+                                  << ", last status " << status);
+        }
+        return ready;
     }
 
     int submit(int host, const std::string& key, int tasks, int work_ms) {
