--- a/src/dispatch/dispatch_state.cpp
+++ b/src/dispatch/dispatch_state.cpp
@@ -73,7 +73,7 @@
     return {.worker = worker.entry.worker,
             .incarnation = worker.entry.incarnation,
             .address = worker.entry.address,
-            .fencing_token = this->epoch};
+            .fencing_token = {.epoch = this->epoch}};
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -274,7 +274,7 @@
 
 bool dispatcher::count_reply(const order_target& target, const order_reply& reply, core::steady_time sent_at,
                              core::steady_time now) {
-    if (!this->state.leading || target.fencing_token != this->state.epoch) {
+    if (!this->state.leading || target.fencing_token.epoch != this->state.epoch) {
         return false;
     }
     this->state.order_finished(target, reply.outcome, sent_at, now);
@@ -299,7 +299,7 @@
 }
 
 void dispatcher::on_hold_reply(const hold_order& order, const hold_reply& reply, core::steady_time now) {
-    if (!this->state.leading || order.target.fencing_token != this->state.epoch) {
+    if (!this->state.leading || order.target.fencing_token.epoch != this->state.epoch) {
         return;
     }
     this->was_fenced = this->was_fenced || reply.fenced;
--- a/src/dispatch/orders.h
+++ b/src/dispatch/orders.h
@@ -7,6 +7,7 @@
 #include "workflow/job_request.h"
 #include "workflow/task_name.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -23,6 +24,20 @@
 /// A time on the clock of one incarnation of a worker.
 using worker_time = core::milliseconds;
 
+/// The authority of an order. A worker carries out no order with a token lower than the highest that its
+/// present incarnation has seen.
+///
+/// Workers restart under their names, and a new incarnation cannot tell an order that was meant for a former
+/// one from one that is meant for itself. So each order also proves which incarnations its sender knew of: a
+/// leader counts the restarts that it has found, and an order that was sent before a restart was found has a
+/// lower token than those after it.
+struct fencing_token {
+    core::epoch_id epoch;       ///< The epoch in which the sender leads.
+    std::uint64_t restarts = 0; ///< Restarts of workers that it had found in this epoch.
+
+    friend auto operator<=>(const fencing_token&, const fencing_token&) = default;
+};
+
 /// An entry of the platform's list of workers.
 struct worker_entry {
     core::worker_id worker;
@@ -42,8 +57,7 @@
     core::worker_id worker;
     worker_incarnation_id incarnation;
     core::endpoint address;
-    core::epoch_id
-        fencing_token; ///< Fencing token; the worker refuses tokens lower than the highest it has seen.
+    dispatch::fencing_token fencing_token;
 };
 
 /// Requests the start of a run.
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -175,7 +175,7 @@
 void simulated_cell::begin_incarnation(sim_worker& worker) {
     worker.entry.incarnation = worker_incarnation_id{worker.entry.incarnation.value() + 1};
     worker.started_at = this->time;
-    worker.token = 0;
+    worker.token = {};
     worker.runs.clear();
     worker.highest_run.clear();
     worker.ended.clear();
@@ -185,7 +185,7 @@
     worker.taken = {};
     for (const auto& waiting : std::exchange(worker.holds, {})) {
         this->schedule(this->time + order_limit, [this, order = waiting.order] {
-            if (auto* sender = this->find_dispatcher(order.target.fencing_token.value())) {
+            if (auto* sender = this->find_dispatcher(order.target.fencing_token.epoch.value())) {
                 sender->on_hold_reply(order, {}, this->time);
             }
         });
@@ -259,7 +259,7 @@
 /// Delivers an order to its worker and the reply back, with the faults that the options ask for.
 template <typename Order, typename Act, typename OnReply>
 void simulated_cell::deliver(const Order& order, core::milliseconds timeout, Act act, OnReply on_reply) {
-    const auto leader = order.target.fencing_token.value();
+    const auto leader = order.target.fencing_token.epoch.value();
     const auto index = this->index_of(order.target.worker);
     const auto reply = [this, leader, order, on_reply](const order_reply& answer) {
         if (auto* sender = this->find_dispatcher(leader)) {
@@ -353,7 +353,7 @@
     };
     made.hooks.hold = [this](const hold_order& order) {
         const auto index = this->index_of(order.target.worker);
-        const auto leader = order.target.fencing_token.value();
+        const auto leader = order.target.fencing_token.epoch.value();
         const auto stall = this->workers[index].stall;
         if (!reaches(this->workers[index], leader) || stall.count() > 0) {
             this->schedule(this->time + std::max(stall, order.wait + order_limit), [this, leader, order] {
@@ -486,10 +486,10 @@
     if (order.target.incarnation != worker.entry.incarnation) {
         return {.outcome = order_outcome::other_incarnation};
     }
-    if (order.target.fencing_token.value() < worker.token) {
+    if (order.target.fencing_token < worker.token) {
         return {.outcome = order_outcome::fenced};
     }
-    worker.token = order.target.fencing_token.value();
+    worker.token = order.target.fencing_token;
     if (worker.runs.contains(order.run)) {
         return {.outcome = order_outcome::done};
     }
@@ -528,10 +528,10 @@
 
 order_reply simulated_cell::do_stop(std::uint32_t index, const stop_order& order) {
     auto& worker = this->workers[index];
-    if (order.target.fencing_token.value() < worker.token) {
+    if (order.target.fencing_token < worker.token) {
         return {.outcome = order_outcome::fenced};
     }
-    worker.token = order.target.fencing_token.value();
+    worker.token = order.target.fencing_token;
     auto& highest = worker.highest_run[order.run.task];
     highest = std::max(highest, order.run.run);
     const auto found = worker.runs.find(order.run);
@@ -548,8 +548,8 @@
 
 void simulated_cell::do_hold(std::uint32_t index, const hold_order& order, core::steady_time deadline) {
     auto& worker = this->workers[index];
-    if (order.target.fencing_token.value() >= worker.token) {
-        worker.token = order.target.fencing_token.value();
+    if (order.target.fencing_token >= worker.token) {
+        worker.token = order.target.fencing_token;
         if (order.lease_until) {
             this->extend_lease(worker, *order.lease_until);
         }
@@ -577,14 +577,14 @@
     auto& worker = this->workers[index];
     hold_reply reply{
         .answered = true, .incarnation = worker.entry.incarnation, .clock = this->clock_of(worker)};
-    reply.fenced = order.target.fencing_token.value() < worker.token;
+    reply.fenced = order.target.fencing_token < worker.token;
     for (const auto& [name, run] : worker.runs) {
         reply.running.push_back({.run = name});
     }
     const auto listed = std::min(worker.ended.size(), this->options.max_ends_per_answer);
     reply.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<std::ptrdiff_t>(listed));
     reply.lists_all_ends = listed < this->options.max_ends_per_answer;
-    const auto leader = order.target.fencing_token.value();
+    const auto leader = order.target.fencing_token.epoch.value();
     if (!reaches(worker, leader)) {
         this->schedule(this->time + order_limit,
                        [this, leader, order] { this->report_hold(leader, order, {}); });
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -166,7 +166,7 @@
     struct sim_worker {
         dispatch::worker_entry entry;
         dispatch::worker_entry listed_entry; ///< What the platform's list has of it.
-        std::uint64_t token = 0;
+        dispatch::fencing_token token;
         core::steady_time started_at;
         core::steady_time lease_end;
         std::map<workflow::run_name, sim_run> runs;
