Log the incarnation and lease that an order carried, and how long leaders wait

Change: fields for these on the lines of holds, starts, restarts and takeovers; a line for each worker on which tasks of former leaders were not found; a warning if a worker lists a run after its lease had been counted as expired. A restart that the platform's list shows is logged as well. Names of lines and fields that existed stay. No decision is changed.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "telemetry/logging.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace rattanmount::dispatch {
@@ -39,6 +40,31 @@
     return first;
 }
 
+/// @return a duration in milliseconds, as the value of a log field.
+std::string milliseconds_text(core::steady_time::duration duration) {
+    return std::to_string(std::chrono::duration_cast<core::milliseconds>(duration).count());
+}
+
+/// Logs the workers on which the log has tasks that this leader has not found there, and for how long it
+/// still counts with them.
+void log_workers_with_missing_tasks(dispatch_state& state, core::steady_time now) {
+    for (const auto& [worker, names] : state.recorded_tasks) {
+        const auto tasks = std::count_if(names.begin(), names.end(), [&state, &worker = worker](auto& name) {
+            const auto* step = state.find_step(name.step);
+            return step != nullptr && step->tasks[name.index].recorded_worker == worker;
+        });
+        if (tasks == 0) {
+            continue;
+        }
+        const auto left = state.authority.inherited_leases_expire_at(worker) - now;
+        telemetry::log_state("tasks of former leaders were not found on worker",
+                             {{"worker", worker.value()},
+                              {"tasks", std::to_string(tasks)},
+                              {"inherited_leases_ms", milliseconds_text(left)},
+                              {"unreached_before", state.authority.was_unreached(worker) ? "yes" : "no"}});
+    }
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatch_options options)
@@ -78,10 +104,13 @@
                 key, closed_job{.phase = entry->phase(), .parts = entry->recorded_parts()});
         }
     }
-    telemetry::log_state("started to lead the cell",
-                         {{"epoch", std::to_string(epoch.value())},
-                          {"jobs", std::to_string(this->state.jobs.size())},
-                          {"workers", std::to_string(this->state.workers.size())}});
+    telemetry::log_state(
+        "started to lead the cell",
+        {{"epoch", std::to_string(epoch.value())},
+         {"jobs", std::to_string(this->state.jobs.size())},
+         {"workers", std::to_string(this->state.workers.size())},
+         {"roster", std::to_string(cell.roster().size())},
+         {"inherited_leases_ms", milliseconds_text(this->state.inherited_leases_expire_at() - now)}});
 }
 
 void dispatcher::stop_leading() {
@@ -135,6 +164,15 @@
                                                     {"runs", std::to_string(worker.runs.size())}});
     }
     const auto known_incarnation = worker.entry.incarnation;
+    if (!same_incarnation && entry.incarnation != worker.listed_incarnation) {
+        telemetry::log_state("worker restarted", {{"worker", entry.worker.value()},
+                                                  {"runs", std::to_string(worker.runs.size())},
+                                                  {"found_by", "list"},
+                                                  {"from", std::to_string(known_incarnation.value())},
+                                                  {"to", std::to_string(entry.incarnation.value())},
+                                                  {"lease_until", std::to_string(worker.lease_until.count())},
+                                                  {"leading", this->state.leading ? "yes" : "no"}});
+    }
     if (entry.labels != worker.entry.labels) {
         this->state.speeds.forget(entry.worker);
     }
@@ -240,10 +278,14 @@
         run->answered_at = now;
         return;
     }
-    telemetry::log_state("start not confirmed", {{"task", order.run.task.text()},
-                                                 {"run", std::to_string(order.run.run)},
-                                                 {"worker", run->worker.value()},
-                                                 {"why", std::string{to_string(reply.outcome)}}});
+    telemetry::log_state("start not confirmed",
+                         {{"task", order.run.task.text()},
+                          {"run", std::to_string(order.run.run)},
+                          {"worker", run->worker.value()},
+                          {"why", std::string{to_string(reply.outcome)}},
+                          {"sent_to", std::to_string(order.target.incarnation.value())},
+                          {"incarnation", std::to_string(worker.entry.incarnation.value())},
+                          {"lease_until", std::to_string(order.lease_until.count())}});
     if (reply.outcome == order_outcome::unknown || run->start_tries > 1) {
         // An earlier try may still be carried out, so a refusal of this try does not mean that the run will
         // not start.
@@ -404,6 +446,9 @@
         !this->predecessor_settled && this->used_workers.inherited_workers_settled(now);
     this->inherited_leases_expired = this->inherited_leases_expired || leases_expired;
     this->predecessor_settled = this->predecessor_settled || workers_settled;
+    if (workers_settled) {
+        log_workers_with_missing_tasks(this->state, now);
+    }
     const bool settles = leases_expired || workers_settled;
     this->former_runs.update(this->predecessor_settled, now);
     const team_shares shares{this->state};
--- a/src/dispatch/leader_authority.cpp
+++ b/src/dispatch/leader_authority.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -71,9 +72,13 @@
         std::max(this->confirmed_by_workers_at, asked_majority_at(std::move(times)));
     if (!this->predecessor_fenced_at && this->knows_token_at_most_workers(workers)) {
         this->predecessor_fenced_at = now;
-        telemetry::log_state("fencing token is known to most workers",
-                             {{"roster", std::to_string(this->inherited_roster.size())},
-                              {"workers", std::to_string(workers.size())}});
+        const auto left = this->inherited_leases_expire_at() - now;
+        telemetry::log_state(
+            "fencing token is known to most workers",
+            {{"roster", std::to_string(this->inherited_roster.size())},
+             {"workers", std::to_string(workers.size())},
+             {"inherited_leases_ms",
+              std::to_string(std::chrono::duration_cast<core::milliseconds>(left).count())}});
     }
 }
 
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/logging.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,44 @@
     return worker.unanswered_holds == 0 && worker.proven.knows_token;
 }
 
+/// @return the time from `since` to `now` in milliseconds, as the value of a log field; `none` if `since` is
+/// not set.
+std::string age_text(core::steady_time since, core::steady_time now) {
+    if (since == core::steady_time{}) {
+        return "none";
+    }
+    return std::to_string(std::chrono::duration_cast<core::milliseconds>(now - since).count());
+}
+
+/// @return the lease end that a hold carried, as the value of a log field.
+std::string lease_text(const hold_order& order) {
+    return order.lease_until ? std::to_string(order.lease_until->count()) : "none";
+}
+
+/// @return why the reply to a hold does not count as an answer, by the names of the outcomes of orders.
+std::string failure_text(const hold_reply& reply) {
+    if (reply.fenced) {
+        return std::string{to_string(order_outcome::fenced)};
+    }
+    const auto why = reply.other_incarnation ? order_outcome::other_incarnation : order_outcome::unknown;
+    return std::string{to_string(why)};
+}
+
+/// Logs runs that a worker lists after this host has counted its lease as expired: tasks of them may have
+/// been started elsewhere.
+void log_outlasting_runs(const worker_state& worker, const hold_reply& reply) {
+    for (const auto& row : reply.running) {
+        telemetry::log_state("lease lasted longer than granted",
+                             {{"task", row.run.task.text()},
+                              {"run", std::to_string(row.run.run)},
+                              {"worker", worker.entry.worker.value()},
+                              {"incarnation", std::to_string(worker.entry.incarnation.value())},
+                              {"lease_until", std::to_string(worker.lease_until.count())},
+                              {"worker_clock", std::to_string(reply.clock.count())}},
+                             telemetry::log_level::warning);
+    }
+}
+
 } // namespace
 
 void lease_manager::tick(core::steady_time now) {
@@ -138,15 +177,22 @@
     auto& worker = place->second;
     worker.hold_in_flight = false;
     if (now > worker.hold_sent_at + order.wait + slow_hold) {
-        const auto age = [now](core::steady_time since) {
-            return std::to_string(std::chrono::duration_cast<core::milliseconds>(now - since).count());
-        };
-        telemetry::log_state("worker answered hold late", {{"worker", worker.entry.worker.value()},
-                                                           {"wait_ms", std::to_string(order.wait.count())},
-                                                           {"sent_ago_ms", age(worker.hold_sent_at)},
-                                                           {"received_ago_ms", age(reply.received_at)}});
+        telemetry::log_state("worker answered hold late",
+                             {{"worker", worker.entry.worker.value()},
+                              {"wait_ms", std::to_string(order.wait.count())},
+                              {"sent_ago_ms", age_text(worker.hold_sent_at, now)},
+                              {"received_ago_ms", age_text(reply.received_at, now)}});
     }
     if (!reply.answered || reply.fenced || reply.other_incarnation) {
+        if (worker.unanswered_holds == 0) {
+            telemetry::log_state("worker did not answer hold",
+                                 {{"worker", worker.entry.worker.value()},
+                                  {"runs", std::to_string(worker.runs.size())},
+                                  {"why", failure_text(reply)},
+                                  {"sent_to", std::to_string(order.target.incarnation.value())},
+                                  {"lease_until", lease_text(order)},
+                                  {"sent_ago_ms", age_text(worker.hold_sent_at, now)}});
+        }
         this->on_unanswered(worker, now);
         return;
     }
@@ -157,7 +203,17 @@
     worker.has_reported_incarnation = worker.has_reported_incarnation || reply.incarnation.has_value();
     const bool first = !worker.proven.knows_token;
     if (worker.unanswered_holds > 0 || first) {
-        telemetry::log_state("worker reachable", {{"worker", worker.entry.worker.value()}});
+        telemetry::log_state("worker reachable",
+                             {{"worker", worker.entry.worker.value()},
+                              {"incarnation", std::to_string(worker.entry.incarnation.value())},
+                              {"worker_clock", std::to_string(reply.clock.count())},
+                              {"sent_to", std::to_string(order.target.incarnation.value())},
+                              {"lease_until", lease_text(order)},
+                              {"sent_ago_ms", age_text(worker.hold_sent_at, now)}});
+        // The answer is younger than its hold, so the runs that it lists have outlasted the expiry.
+        if (this->state.inherited_runs_ended(worker.entry.worker, worker.hold_sent_at)) {
+            log_outlasting_runs(worker, reply);
+        }
     }
     worker.answered_holds++;
     worker.unanswered_holds = 0;
@@ -232,16 +288,20 @@
     // until it answers.
     const bool again = worker.unanswered_holds > 1;
     worker.next_hold_at = now + (again ? this->state.options.hold_retry_interval : shortest_hold_interval);
-    if (worker.unanswered_holds == 1) {
-        telemetry::log_state("worker did not answer hold", {{"worker", worker.entry.worker.value()},
-                                                            {"runs", std::to_string(worker.runs.size())}});
-    }
 }
 
 void lease_manager::begin_incarnation(worker_state& worker, worker_incarnation_id incarnation,
                                       core::steady_time now) {
-    telemetry::log_state("worker restarted", {{"worker", worker.entry.worker.value()},
-                                              {"runs", std::to_string(worker.runs.size())}});
+    telemetry::log_state("worker restarted",
+                         {{"worker", worker.entry.worker.value()},
+                          {"runs", std::to_string(worker.runs.size())},
+                          {"found_by", "answer"},
+                          {"from", std::to_string(worker.entry.incarnation.value())},
+                          {"to", std::to_string(incarnation.value())},
+                          {"lease_until", std::to_string(worker.lease_until.count())},
+                          {"former_clock", std::to_string(worker.clock.estimate_at(now).count())},
+                          {"hold_age_ms", age_text(worker.hold_sent_at, now)},
+                          {"answered_hold_age_ms", age_text(worker.answered_hold_sent_at, now)}});
     worker.entry.incarnation = incarnation;
     worker.clock = {};
     worker.lease_until = worker_time{0};
@@ -282,9 +342,11 @@
         this->runs.stop_unknown(worker, row.run, now);
         return;
     }
-    telemetry::log_state("adopted run found on worker", {{"task", name.text()},
-                                                         {"run", std::to_string(row.run.run)},
-                                                         {"worker", worker.entry.worker.value()}});
+    telemetry::log_state("adopted run found on worker",
+                         {{"task", name.text()},
+                          {"run", std::to_string(row.run.run)},
+                          {"worker", worker.entry.worker.value()},
+                          {"incarnation", std::to_string(worker.entry.incarnation.value())}});
     std::erase(step->waiting, name.index);
     task.queued = false;
     this->runs.adopt(*step, name.index, worker, row, now).last_listing = worker.answered_holds;
@@ -332,15 +394,13 @@
 
 void lease_manager::give_up_runs(worker_state& worker, core::steady_time now) {
     if (!worker.runs.empty()) {
-        telemetry::log_state(
-            "worker lease expired; giving up its runs",
-            {{"worker", worker.entry.worker.value()},
-             {"runs", std::to_string(worker.runs.size())},
-             {"lease_until", std::to_string(worker.lease_until.count())},
-             {"worker_clock", std::to_string(worker.clock.estimate_at(now).count())},
-             {"hold_age_ms",
-              std::to_string(
-                  std::chrono::duration_cast<core::milliseconds>(now - worker.hold_sent_at).count())}});
+        telemetry::log_state("worker lease expired; giving up its runs",
+                             {{"worker", worker.entry.worker.value()},
+                              {"runs", std::to_string(worker.runs.size())},
+                              {"incarnation", std::to_string(worker.entry.incarnation.value())},
+                              {"lease_until", std::to_string(worker.lease_until.count())},
+                              {"worker_clock", std::to_string(worker.clock.estimate_at(now).count())},
+                              {"hold_age_ms", age_text(worker.hold_sent_at, now)}});
     }
     const auto lost = worker.runs;
     for (const auto& name : lost) {
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -61,7 +61,8 @@
     telemetry::log_state("start", {{"task", name.task.text()},
                                    {"run", std::to_string(run.run)},
                                    {"worker", run.worker.value()},
-                                   {"try", std::to_string(run.start_tries)}});
+                                   {"try", std::to_string(run.start_tries)},
+                                   {"incarnation", std::to_string(worker.entry.incarnation.value())}});
     this->state.options.hooks.start(
         {.target = this->state.target_of(worker),
          .run = name,
@@ -106,7 +107,8 @@
     telemetry::log_state("stopping unknown run reported by worker",
                          {{"task", run.task.text()},
                           {"run", std::to_string(run.run)},
-                          {"worker", worker.entry.worker.value()}});
+                          {"worker", worker.entry.worker.value()},
+                          {"incarnation", std::to_string(worker.entry.incarnation.value())}});
     this->state.options.hooks.stop({.target = this->state.target_of(worker), .run = run, .sent_at = now});
 }
 
