Fence the orders that were meant for a former incarnation of a worker

Cause: a worker that is back under its id cannot tell calls that were meant for its former incarnation. A start or hold that carries the end of a lease on the former clock gives the new incarnation the longest lease that it accepts, 10 s, where leaders count with 4 s. The leader that found the restart waited for 10 s from its first answer; its successor knew of nothing and started the tasks elsewhere. Class: a fact about a worker (a lease, an acknowledgement, a start) that is told apart by the worker's name only, or by an incarnation that the receiver does not check.

Change, where the receiver does check: by the fencing token, which each incarnation compares. - A leader raises the token of a worker when it finds a restart, by the platform's list, an answer to a hold, or the clock in the reply to a start or stop. Once the worker has answered under that token, no order from before has any effect: no lease, start or acknowledgement. A hold goes out at once; the reply to an older one is dropped. A refusal of an older token is not taken for another leader. - Until 10 s (on a clock that is 2% slow) after that answer, the worker's runs are not given up. - The roster in the log names the incarnations, and those that have restarted so recently. A restarted worker gets no start before that is stored. The next leader waits for the longest lease there, also where it finds an incarnation that the roster does not name. - A start is repeated only to a worker that knows the present token. A run whose start neither an inventory nor a fitting clock has confirmed counts as running for the longest lease.

--- a/src/dispatch/dispatch_state.cpp
+++ b/src/dispatch/dispatch_state.cpp
@@ -9,6 +9,9 @@
     if (place != this->workers.end() && place->second.answered_holds > 0) {
         return place->second.runs_given_up;
     }
+    if (place != this->workers.end() && place->second.restart_unrecorded) {
+        return now >= this->authority.foreign_leases_expire_at();
+    }
     return now >= this->authority.inherited_leases_expire_at(worker);
 }
 
@@ -73,7 +76,30 @@
     return {.worker = worker.entry.worker,
             .incarnation = worker.entry.incarnation,
             .address = worker.entry.address,
-            .fencing_token = {.epoch = this->epoch}};
+            .fencing_token = worker.fencing_token};
+}
+
+void dispatch_state::raise_token(worker_state& worker) {
+    this->restarts_found++;
+    worker.fencing_token = this->highest_token();
+    worker.hold_in_flight = false; // Its answer no longer counts, so the next one is sent at once.
+    worker.next_hold_at = {};
+}
+
+void dispatch_state::restart_found(worker_state& worker, core::steady_time now) {
+    if (worker.proven.knows_token) {
+        // Starts, leases and acknowledgements may have been sent under the present token. Before that only
+        // holds without any, and stops, were.
+        this->raise_token(worker);
+    }
+    worker.proven = {};
+    worker.restart_unrecorded = true;
+    worker.drained_runs_recorded = false;
+    this->allow_foreign_lease(worker, now);
+}
+
+void dispatch_state::allow_foreign_lease(worker_state& worker, core::steady_time now) const {
+    worker.foreign_lease_until = now + this->longest_lease();
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -63,6 +63,7 @@
     leader_authority authority{{.proof_lifetime = options.proof_lifetime,
                                 .longest_log_outage = options.longest_log_outage,
                                 .lease_term = options.lease_term,
+                                .max_lease_term = options.max_lease_term,
                                 .max_stop_duration = options.max_stop_duration}};
     /// Until then, live workers may be missing from the platform's list; used if the log has no roster.
     core::steady_time list_complete_at;
@@ -75,6 +76,8 @@
     worker_speeds speeds;          ///< How fast each worker is.
     bool worker_list_read = false; ///< Whether the platform's list has been read completely.
     std::map<core::worker_id, worker_state> workers;
+    std::uint64_t restarts_found =
+        0; ///< Restarts of workers found in this epoch; part of the fencing tokens.
     std::unordered_map<workflow::job_key, std::unique_ptr<live_job>> jobs;
     std::map<step_sort_key, live_step*> ready_steps; ///< Steps with tasks that wait to be started.
     /// By worker, the tasks that the log has running on it and of which its inventory has shown nothing yet.
@@ -150,6 +153,31 @@
     /// @param task the index of the task.
     void mark_dirty(live_step& step, std::uint32_t task);
 
+    /// @return the lowest token that is not lower than those of all orders that were sent in this epoch.
+    [[nodiscard]] fencing_token highest_token() const {
+        return {.epoch = this->epoch, .restarts = this->restarts_found};
+    }
+
+    /// Gives a worker a token that is higher than those of all orders that were sent to it.
+    void raise_token(worker_state& worker);
+
+    /// Called when another incarnation of a worker than the one that was known has been found. Its proofs
+    /// begin anew, and its lease may be one that was meant for an earlier incarnation.
+    /// @param worker the worker.
+    /// @param now the current time.
+    void restart_found(worker_state& worker, core::steady_time now);
+
+    /// @return how long the longest lease that a worker accepts lasts, on this host's clock.
+    [[nodiscard]] core::milliseconds longest_lease() const {
+        return std::chrono::ceil<core::milliseconds>(this->options.max_lease_term /
+                                                     worker_clock::slowest_rate);
+    }
+
+    /// Notes that a worker may now hold a lease of the longest term, whatever was sent to it.
+    /// @param worker the worker.
+    /// @param now the current time.
+    void allow_foreign_lease(worker_state& worker, core::steady_time now) const;
+
     /// @param worker a worker.
     /// @return the target of orders to it.
     [[nodiscard]] order_target target_of(const worker_state& worker) const;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -84,12 +84,16 @@
     this->state.leading = true;
     this->state.epoch = epoch;
     const core::epoch_id former{epoch.value() - 1};
-    this->state.authority.begin(cell.roster(), now, cell.unreached_in(former));
+    this->state.restarts_found = 0;
+    this->state.authority.begin(cell.roster(), now, cell.unreached_in(former), cell.restarted());
     this->state.list_complete_at = list_complete_at;
     this->was_fenced = false;
     this->predecessor_settled = false;
     this->inherited_leases_expired = false;
-    this->used_workers.begin(cell.roster());
+    for (auto& [id, worker] : this->state.workers) {
+        worker.fencing_token = this->state.highest_token();
+    }
+    this->used_workers.begin(cell.roster(), cell.roster_incarnations(), now);
     this->former_runs.begin(cell);
     for (const auto* entry : in_order_of_arrival(cell)) {
         const auto& key = entry->accepted.request.key;
@@ -144,14 +148,15 @@
     }
 }
 
-void dispatcher::set_worker(const worker_entry& entry) {
+void dispatcher::set_worker(const worker_entry& entry, core::steady_time now) {
     auto [place, added] = this->state.workers.try_emplace(entry.worker);
     auto& worker = place->second;
     worker.listed = true;
     if (added) {
         worker.entry = entry;
         worker.listed_incarnation = entry.incarnation;
-        this->used_workers.add(worker);
+        worker.fencing_token = this->state.highest_token();
+        this->used_workers.add(worker, now);
         return;
     }
     if (worker.has_reported_incarnation && entry.incarnation < worker.entry.incarnation) {
@@ -183,8 +188,7 @@
         if (worker.has_reported_incarnation) {
             worker.entry.incarnation = known_incarnation;
         }
-        worker.proven = {}; // The answer to the next hold reports the new incarnation.
-        worker.restart_listed = true;
+        this->state.restart_found(worker, now); // The answer to the next hold reports the new incarnation.
     }
 }
 
@@ -198,11 +202,11 @@
     }
 }
 
-void dispatcher::set_worker_list(const std::vector<worker_entry>& listed) {
+void dispatcher::set_worker_list(const std::vector<worker_entry>& listed, core::steady_time now) {
     std::set<core::worker_id> names;
     for (const auto& entry : listed) {
         names.insert(entry.worker);
-        this->set_worker(entry);
+        this->set_worker(entry, now);
     }
     std::vector<core::worker_id> gone;
     for (const auto& [id, worker] : this->state.workers) {
@@ -276,6 +280,8 @@
     if (reply.outcome == order_outcome::done) {
         run->phase = run_phase::running;
         run->answered_at = now;
+        run->is_confirmed =
+            run->is_confirmed || (reply.clock && order.target.fencing_token == worker.fencing_token);
         return;
     }
     telemetry::log_state("start not confirmed",
@@ -289,9 +295,6 @@
     if (reply.outcome == order_outcome::unknown || run->start_tries > 1) {
         // An earlier try may still be carried out, so a refusal of this try does not mean that the run will
         // not start.
-        if (reply.outcome == order_outcome::fenced) {
-            this->was_fenced = true;
-        }
         run->phase = run_phase::unconfirmed;
         run->retry_at = now;
         if (reply.outcome == order_outcome::not_sent) {
@@ -305,7 +308,6 @@
         this->state.retries.add(run->retry_at, order.run);
         return;
     }
-    this->was_fenced = this->was_fenced || reply.outcome == order_outcome::fenced;
     if (reply.outcome == order_outcome::ticket_rejected) {
         step->advice.allowed.erase(run->worker);
     } else {
@@ -320,10 +322,42 @@
         return false;
     }
     this->state.order_finished(target, reply.outcome, sent_at, now);
+    this->note_refusal(target, reply.outcome == order_outcome::fenced);
+    this->compare_clock(target, reply, sent_at, now);
     this->state.placement_needed = this->state.placement_needed || this->starts_wait_for_room;
     return true;
 }
 
+void dispatcher::note_refusal(const order_target& target, bool fenced) {
+    const auto worker = this->state.workers.find(target.worker);
+    // A worker that has restarted may know the token that this host has raised for it since.
+    const bool current =
+        worker != this->state.workers.end() && worker->second.fencing_token == target.fencing_token;
+    this->was_fenced = this->was_fenced || (fenced && current);
+}
+
+void dispatcher::compare_clock(const order_target& target, const order_reply& reply,
+                               core::steady_time sent_at, core::steady_time now) {
+    const auto place = this->state.workers.find(target.worker);
+    if (!reply.clock || place == this->state.workers.end() ||
+        place->second.fencing_token != target.fencing_token) {
+        return;
+    }
+    auto& worker = place->second;
+    if (*reply.clock >= worker.clock.lowest_at(sent_at)) {
+        return;
+    }
+    telemetry::log_state("worker restarted",
+                         {{"worker", target.worker.value()},
+                          {"runs", std::to_string(worker.runs.size())},
+                          {"found_by", "clock"},
+                          {"from", std::to_string(worker.entry.incarnation.value())},
+                          {"worker_clock", std::to_string(reply.clock->count())},
+                          {"former_clock", std::to_string(worker.clock.estimate_at(now).count())},
+                          {"lease_until", std::to_string(worker.lease_until.count())}});
+    this->state.restart_found(worker, now);
+}
+
 void dispatcher::on_stop_reply(const stop_order& order, const order_reply& reply, core::steady_time now) {
     auto* step = this->state.find_step(order.run.task.step);
     if (!this->count_reply(order.target, reply, order.sent_at, now) || step == nullptr) {
@@ -335,8 +369,6 @@
     }
     if (reply.outcome == order_outcome::done || reply.outcome == order_outcome::superseded) {
         run->answered_at = now;
-    } else if (reply.outcome == order_outcome::fenced) {
-        this->was_fenced = true;
     }
 }
 
@@ -344,7 +376,7 @@
     if (!this->state.leading || order.target.fencing_token.epoch != this->state.epoch) {
         return;
     }
-    this->was_fenced = this->was_fenced || reply.fenced;
+    this->note_refusal(order.target, reply.fenced);
     this->leases.on_reply(order, reply, now);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -47,7 +47,7 @@
     dispatcher& operator=(const dispatcher&) = delete;
 
     /// Starts to lead: takes over the workers first, then the tasks.
-    /// @param epoch the fencing token of all orders.
+    /// @param epoch part of the fencing token of all orders.
     /// @param cell the state of the cell up to the record that made this host the leader.
     /// @param now the current time.
     /// @param list_complete_at the time until which live workers may be missing from the platform's list;
@@ -72,14 +72,17 @@
     }
 
     /// Called when a worker is added to the platform's list or its entry changes.
-    void set_worker(const worker_entry& entry);
+    /// @param entry its entry.
+    /// @param now the current time.
+    void set_worker(const worker_entry& entry, core::steady_time now);
 
     /// Called when a worker is removed from the platform's list.
     void drop_worker(const core::worker_id& worker);
 
     /// Called when the platform's list has been read completely; drops all workers that are not in it.
     /// @param listed all workers in the list.
-    void set_worker_list(const std::vector<worker_entry>& listed);
+    /// @param now the current time.
+    void set_worker_list(const std::vector<worker_entry>& listed, core::steady_time now);
 
     /// Called when a version of the configuration takes effect, also while this host does not lead.
     /// @param teams all teams of that version.
@@ -142,7 +145,7 @@
                                                 core::steady_time now) const;
 
     /// @return whether a worker has refused an order since start_leading() because it had seen a higher
-    /// fencing token.
+    /// fencing token than this host has for it.
     [[nodiscard]] bool fenced() const { return this->was_fenced; }
 
 private:
@@ -179,6 +182,14 @@
     bool count_reply(const order_target& target, const order_reply& reply, core::steady_time sent_at,
                      core::steady_time now);
 
+    /// Notes that another host leads if a worker knows a higher token than this host has for it.
+    /// @param fenced whether the worker has refused the order because of its token.
+    void note_refusal(const order_target& target, bool fenced);
+    /// Finds out from the clock in a reply whether the worker has restarted.
+    /// @param sent_at when the order was sent.
+    void compare_clock(const order_target& target, const order_reply& reply, core::steady_time sent_at,
+                       core::steady_time now);
+
     dispatch_state state;
     run_manager runs;
     task_lifecycle lifecycle;
--- a/src/dispatch/leader_authority.cpp
+++ b/src/dispatch/leader_authority.cpp
@@ -42,9 +42,11 @@
 leader_authority::leader_authority(authority_options options) : options(options) {}
 
 void leader_authority::begin(std::set<core::worker_id> roster, core::steady_time now,
-                             std::map<core::worker_id, core::steady_time> unreached) {
+                             std::map<core::worker_id, core::steady_time> unreached,
+                             std::map<core::worker_id, core::steady_time> restarted) {
     this->inherited_roster = std::move(roster);
     this->inherited_unreached = std::move(unreached);
+    this->inherited_restarted = std::move(restarted);
     this->leading_since = now;
     this->confirmed_by_workers_at = {};
     this->predecessor_fenced_at.reset();
@@ -114,28 +116,43 @@
     return now >= this->confirmed_by_log_at + outage_suspected_after;
 }
 
-core::milliseconds leader_authority::longest_lease() const {
-    return std::chrono::ceil<core::milliseconds>(this->options.lease_term / worker_clock::slowest_rate) +
+core::milliseconds leader_authority::longest_run(core::milliseconds term) const {
+    return std::chrono::ceil<core::milliseconds>(term / worker_clock::slowest_rate) +
            this->options.max_stop_duration + this->options.expiry_margin;
 }
 
-core::steady_time leader_authority::inherited_leases_expire_at() const {
-    const auto latest = this->leading_since + this->options.longest_log_outage + this->longest_lease();
+core::steady_time leader_authority::expire_at(core::milliseconds term) const {
+    const auto longest = this->longest_run(term);
+    const auto latest = this->leading_since + this->options.longest_log_outage + longest;
     if (this->predecessor_fenced_at) {
         // A token that becomes known late must not revive leases that have expired.
-        return std::min(latest,
-                        *this->predecessor_fenced_at + this->options.proof_lifetime + this->longest_lease());
+        return std::min(latest, *this->predecessor_fenced_at + this->options.proof_lifetime + longest);
     }
     return latest;
 }
 
+core::steady_time leader_authority::inherited_leases_expire_at() const {
+    return this->expire_at(this->options.lease_term);
+}
+
+core::steady_time leader_authority::foreign_leases_expire_at() const {
+    return this->expire_at(this->options.max_lease_term);
+}
+
+core::steady_time leader_authority::recorded_foreign_lease_expires_at(const core::worker_id& worker) const {
+    const auto restarted = this->inherited_restarted.find(worker);
+    return restarted == this->inherited_restarted.end()
+               ? core::steady_time{}
+               : restarted->second + this->longest_run(this->options.max_lease_term);
+}
+
 core::steady_time leader_authority::inherited_leases_expire_at(const core::worker_id& worker) const {
-    const auto latest = this->inherited_leases_expire_at();
-    const auto known = this->inherited_unreached.find(worker);
-    if (known == this->inherited_unreached.end()) {
-        return latest;
+    auto latest = this->inherited_leases_expire_at();
+    if (const auto known = this->inherited_unreached.find(worker); known != this->inherited_unreached.end()) {
+        latest = std::min(latest, known->second + this->options.proof_lifetime +
+                                      this->longest_run(this->options.lease_term));
     }
-    return std::min(latest, known->second + this->options.proof_lifetime + this->longest_lease());
+    return std::max(latest, this->recorded_foreign_lease_expires_at(worker));
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -81,7 +81,8 @@
             this->runs_certainly_ended(worker, now)) {
             this->give_up_runs(worker, now);
         }
-        if (!worker.listed && worker.runs.empty() && !worker.hold_in_flight && !worker.may_hide_runs()) {
+        if (!worker.listed && worker.runs.empty() && !worker.hold_in_flight && !worker.may_hide_runs() &&
+            !this->awaits_foreign_lease(worker, now)) {
             this->state.speeds.forget(place->first);
             place = this->state.workers.erase(place);
             continue;
@@ -104,6 +105,13 @@
     this->send_in_turn(std::move(unknown), now);
 }
 
+bool lease_manager::awaits_foreign_lease(const worker_state& worker, core::steady_time now) const {
+    const bool inherited = this->state.has_predecessor() && worker.answered_holds == 0;
+    return worker.restart_unrecorded && !worker.runs_given_up &&
+           (now <= worker.foreign_lease_until ||
+            (inherited && now <= this->state.authority.foreign_leases_expire_at()));
+}
+
 void lease_manager::send_in_turn(std::vector<worker_state*> unknown, core::steady_time now) {
     this->pace.advance(this->state.orders.limit(), this->state.orders.usual_round_trip(), now);
     std::sort(unknown.begin(), unknown.end(),
@@ -150,7 +158,6 @@
         order.wait = this->hold_wait(worker, now);
     }
     worker.hold_in_flight = true;
-    worker.restart_listed = false;
     worker.hold_sent_at = now;
     worker.hold_sent_after_expiry = this->lease_expired(worker, now);
     this->state.options.hooks.hold(order);
@@ -175,6 +182,9 @@
         return;
     }
     auto& worker = place->second;
+    if (order.target.fencing_token != worker.fencing_token) {
+        return; // A restart was found since; either incarnation may have answered.
+    }
     worker.hold_in_flight = false;
     if (now > worker.hold_sent_at + order.wait + slow_hold) {
         telemetry::log_state("worker answered hold late",
@@ -198,10 +208,18 @@
     }
     if (reply.incarnation && *reply.incarnation != worker.entry.incarnation) {
         this->begin_incarnation(worker, *reply.incarnation, now);
-        worker.restart_listed = false;
     }
     worker.has_reported_incarnation = worker.has_reported_incarnation || reply.incarnation.has_value();
+    if (order.target.fencing_token != worker.fencing_token) {
+        return; // What the new incarnation holds may still change; it is asked again.
+    }
     const bool first = !worker.proven.knows_token;
+    if (first) {
+        worker.proven.knows_token = true;
+        if (worker.restart_unrecorded) {
+            this->state.allow_foreign_lease(worker, now); // No order that was sent before can extend it.
+        }
+    }
     if (worker.unanswered_holds > 0 || first) {
         telemetry::log_state("worker reachable",
                              {{"worker", worker.entry.worker.value()},
@@ -219,7 +237,6 @@
     worker.unanswered_holds = 0;
     worker.hold_failed_after_expiry = false;
     worker.runs_given_up = false;
-    worker.proven.knows_token = !worker.restart_listed;
     worker.answered_hold_sent_at = worker.hold_sent_at;
     worker.clock.add_reading(reply.clock, reply.received_at);
     if (order.wait.count() == 0) {
@@ -251,10 +268,8 @@
         return;
     }
     this->remove_missing_runs(worker, now);
-    if (worker.proven.knows_token) {
-        worker.proven.inventory_complete = true;
-        this->clear_recorded_tasks(worker.entry.worker);
-    }
+    worker.proven.inventory_complete = true;
+    this->clear_recorded_tasks(worker.entry.worker);
 }
 
 core::steady_time lease_manager::next_hold_after(const hold_order& order, const worker_state& worker,
@@ -305,11 +320,10 @@
     worker.entry.incarnation = incarnation;
     worker.clock = {};
     worker.lease_until = worker_time{0};
-    worker.earliest_expiry = now + this->state.options.max_lease_term;
     worker.last_end_applied = 0;
     worker.unknown_ends.clear();
     worker.last_end_recorded = 0;
-    worker.proven = {};
+    this->state.restart_found(worker, now);
 }
 
 void lease_manager::apply_running(worker_state& worker, const reported_run& row, core::steady_time now) {
@@ -324,6 +338,8 @@
     if (auto* run = run_manager::find_run(task, row.run.run);
         run != nullptr && run->worker == worker.entry.worker) {
         run->last_listing = worker.answered_holds;
+        run->incarnation = worker.entry.incarnation;
+        run->is_confirmed = true;
         run->checkpoint = row.checkpoint;
         if (run->phase == run_phase::unconfirmed) {
             run->phase = run_phase::running;
@@ -393,7 +409,13 @@
 }
 
 void lease_manager::give_up_runs(worker_state& worker, core::steady_time now) {
-    if (!worker.runs.empty()) {
+    std::vector<workflow::run_name> lost;
+    for (const auto& name : worker.runs) {
+        if (this->certainly_ended(name, now)) {
+            lost.push_back(name);
+        }
+    }
+    if (!lost.empty()) {
         telemetry::log_state("worker lease expired; giving up its runs",
                              {{"worker", worker.entry.worker.value()},
                               {"runs", std::to_string(worker.runs.size())},
@@ -402,14 +424,23 @@
                               {"worker_clock", std::to_string(worker.clock.estimate_at(now).count())},
                               {"hold_age_ms", age_text(worker.hold_sent_at, now)}});
     }
-    const auto lost = worker.runs;
     for (const auto& name : lost) {
         if (auto* step = this->state.find_step(name.task.step)) {
             this->lifecycle.run_lost(*step, name.task.index, name.run, now);
         }
     }
     this->clear_recorded_tasks(worker.entry.worker);
-    worker.runs_given_up = true;
+    worker.runs_given_up = worker.runs.empty();
+}
+
+bool lease_manager::certainly_ended(const workflow::run_name& name, core::steady_time now) const {
+    auto* step = this->state.find_step(name.task.step);
+    const auto* run =
+        step == nullptr ? nullptr : run_manager::find_run(step->tasks[name.task.index], name.run);
+    // An incarnation that nobody has found yet may have carried out an unconfirmed start.
+    return run == nullptr || run->is_confirmed ||
+           now > run->start_sent_at + this->state.longest_lease() + this->state.options.max_stop_duration +
+                     expiry_margin;
 }
 
 void lease_manager::clear_recorded_tasks(const core::worker_id& worker) {
@@ -434,10 +465,14 @@
 
 bool lease_manager::lease_expired(const worker_state& worker, core::steady_time now) const {
     // A former leader may have extended the lease beyond what this host knows.
-    if (this->state.has_predecessor() && now <= this->state.inherited_leases_expire_at()) {
+    const bool restart_inherited = worker.restart_unrecorded && worker.answered_holds == 0;
+    if (this->state.has_predecessor() &&
+        now <= (restart_inherited ? this->state.authority.foreign_leases_expire_at()
+                                  : this->state.inherited_leases_expire_at())) {
         return false;
     }
-    if (now <= worker.earliest_expiry) {
+    if (now <= std::max(worker.foreign_lease_until,
+                        this->state.authority.recorded_foreign_lease_expires_at(worker.entry.worker))) {
         return false;
     }
     return !worker.clock.has_reading() || now > worker.clock.latest_local_time(worker.lease_until);
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -36,6 +36,10 @@
     std::optional<core::steady_time> answered_at; ///< When its last order was answered.
     core::steady_time retry_at;                   ///< When an unanswered order is sent again.
     std::uint32_t start_tries = 1;
+    core::steady_time start_sent_at; ///< When the last try of its start was sent.
+    /// Whether `incarnation` has listed it, or has answered its start as its clock shows. If not, a later one
+    /// may have carried the start out.
+    bool is_confirmed = false;
     ticket_id ticket;
     workflow::checkpoint_id checkpoint; ///< The newest one that the worker reported.
     /// Value of `worker_state::answered_holds` when an answer last listed it.
--- a/src/dispatch/order_retrier.cpp
+++ b/src/dispatch/order_retrier.cpp
@@ -23,8 +23,10 @@
         return;
     }
     const auto worker = this->state.workers.find(run.worker);
-    if (worker != this->state.workers.end() && worker->second.unanswered_holds > 0) {
-        // Orders to a worker that does not answer holds take the room of those to others.
+    if (worker != this->state.workers.end() &&
+        (worker->second.unanswered_holds > 0 || !worker->second.proven.knows_token)) {
+        // Orders to a worker that does not answer holds take the room of those to others. One that has
+        // restarted has to answer under its token before the next order.
         run.retry_at = now + this->state.options.order_retry_interval;
         this->state.retries.add(run.retry_at, {.task = {.step = step.name, .index = index}, .run = run.run});
         return;
--- a/src/dispatch/orders.h
+++ b/src/dispatch/orders.h
@@ -16,9 +16,7 @@
 
 namespace rattanmount::dispatch {
 
-/// Identifies an incarnation of a worker: a worker that restarts under the same name has no state from
-/// before.
-using worker_incarnation_id = core::number_id<struct life_id_tag>;
+using workflow::worker_incarnation_id;
 /// Proves to a worker that a step is permitted to run on it.
 using ticket_id = core::text_id<struct ticket_id_tag>;
 /// A time on the clock of one incarnation of a worker.
@@ -121,6 +119,7 @@
 /// The answer to an order.
 struct order_reply {
     order_outcome outcome = order_outcome::unknown;
+    std::optional<worker_time> clock; ///< The worker's clock at the time of its answer, if it states one.
 };
 
 /// A running run as reported by its worker.
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -38,6 +38,7 @@
     auto& task = step.tasks[index];
     auto& run = this->add(step, index, worker, row.run.run);
     run.phase = run_phase::running;
+    run.is_confirmed = true;
     run.answered_at = now;
     run.checkpoint = row.checkpoint;
     task.last_run = std::max(task.last_run, row.run.run);
@@ -52,6 +53,7 @@
 void run_manager::send_start(live_step& step, std::uint32_t index, live_run& run, core::steady_time now) {
     auto& worker = this->state.workers.at(run.worker);
     run.phase = run_phase::starting;
+    run.start_sent_at = now;
     run.answered_at.reset();
     run.retry_at = now + this->state.options.order_retry_interval;
     this->state.orders.sent();
--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -21,21 +21,37 @@
 
 } // namespace
 
-void worker_roster::begin(const std::set<core::worker_id>& roster) {
+void worker_roster::begin(const std::set<core::worker_id>& roster,
+                          const std::map<core::worker_id, worker_incarnation_id>& incarnations,
+                          core::steady_time now) {
     this->inherited_roster = !roster.empty();
     this->unsettled_workers = roster;
     this->recorded_workers = roster;
     this->recorded_unreached.clear();
+    this->recorded_restarted.clear();
+    this->named_incarnations = incarnations;
     this->record_in_flight = false;
     for (auto& [id, worker] : this->state.workers) {
         worker.in_roster = roster.contains(id);
         worker.recorded_unreached = false;
+        this->compare_incarnation(worker, now);
     }
 }
 
-void worker_roster::add(worker_state& worker) const {
+void worker_roster::add(worker_state& worker, core::steady_time now) {
     worker.in_roster = this->state.leading && this->recorded_workers.contains(worker.entry.worker);
     worker.recorded_unreached = this->state.leading && this->recorded_unreached.contains(worker.entry.worker);
+    if (this->state.leading) {
+        this->compare_incarnation(worker, now);
+    }
+}
+
+void worker_roster::compare_incarnation(worker_state& worker, core::steady_time now) {
+    const auto named = this->named_incarnations.find(worker.entry.worker);
+    if (named != this->named_incarnations.end() && named->second != worker.entry.incarnation) {
+        this->state.raise_token(worker);
+        this->state.restart_found(worker, now);
+    }
 }
 
 std::optional<workflow::roster_record> worker_roster::take_record(core::steady_time now) {
@@ -54,8 +70,8 @@
         return worker.listed && !worker.in_roster && may_have_unknown_runs(worker);
     });
     const bool removed = this->recorded_workers.size() > this->update_membership();
-    if (!added && !this->unreached_changed(now) &&
-        !(removed && now >= this->record_taken_at + removal_interval)) {
+    if (!added && !this->unreached_changed(now) && !this->restart_to_record() &&
+        !((removed || this->foreign_lease_ended(now)) && now >= this->record_taken_at + removal_interval)) {
         return std::nullopt;
     }
     auto record = this->make_record(now);
@@ -66,6 +82,10 @@
     // names count.
     this->recorded_unreached.insert(record.unreached.begin(), record.unreached.end());
     this->apply_unreached();
+    for (const auto& [id, incarnation] : record.incarnations) {
+        this->named_incarnations.insert_or_assign(id, incarnation);
+    }
+    this->recorded_restarted = record.restarted;
     this->record_in_flight = true;
     this->record_taken_at = now;
     return record;
@@ -96,9 +116,48 @@
             record.workers.insert(id);
         }
     }
+    for (const auto& id : record.workers) {
+        const auto incarnation = this->find_incarnation(id);
+        if (!incarnation) {
+            continue;
+        }
+        record.incarnations.emplace(id, *incarnation);
+        if (this->may_hold_foreign_lease(id, now)) {
+            record.restarted.insert(id);
+        }
+    }
     return record;
 }
 
+std::optional<worker_incarnation_id> worker_roster::find_incarnation(const core::worker_id& id) const {
+    const auto place = this->state.workers.find(id);
+    if (place != this->state.workers.end() && place->second.proven.knows_token) {
+        return place->second.entry.incarnation;
+    }
+    const auto named = this->named_incarnations.find(id);
+    return named == this->named_incarnations.end() ? std::nullopt : std::optional{named->second};
+}
+
+bool worker_roster::may_hold_foreign_lease(const core::worker_id& id, core::steady_time now) const {
+    const auto place = this->state.workers.find(id);
+    return now <= this->state.authority.recorded_foreign_lease_expires_at(id) ||
+           (place != this->state.workers.end() && now <= place->second.foreign_lease_until);
+}
+
+bool worker_roster::restart_to_record() const {
+    return std::any_of(this->state.workers.begin(), this->state.workers.end(), [](const auto& place) {
+        const auto& worker = place.second;
+        return worker.listed && worker.restart_unrecorded && worker.proven.knows_token &&
+               may_have_unknown_runs(worker);
+    });
+}
+
+bool worker_roster::foreign_lease_ended(core::steady_time now) const {
+    return std::any_of(
+        this->recorded_restarted.begin(), this->recorded_restarted.end(),
+        [this, now](const core::worker_id& id) { return !this->may_hold_foreign_lease(id, now); });
+}
+
 std::set<core::worker_id> worker_roster::find_unreached(core::steady_time now) const {
     const auto& authority = this->state.authority;
     std::set<core::worker_id> found;
@@ -144,6 +203,9 @@
     this->apply_unreached();
     for (auto& [id, worker] : this->state.workers) {
         worker.in_roster = worker.in_roster || record.workers.contains(id);
+        const auto named = record.incarnations.find(id);
+        const bool is_named = named != record.incarnations.end() && named->second == worker.entry.incarnation;
+        worker.restart_unrecorded = worker.restart_unrecorded && !is_named;
     }
 }
 
--- a/src/dispatch/worker_state.cpp
+++ b/src/dispatch/worker_state.cpp
@@ -28,6 +28,16 @@
     return this->reading + std::chrono::duration_cast<worker_time>(now - *this->taken_at);
 }
 
+worker_time worker_clock::lowest_at(core::steady_time time) const {
+    constexpr worker_time rounding{2};
+    if (!this->taken_at) {
+        return worker_time{0};
+    }
+    const std::chrono::duration<double, worker_time::period> since = time - *this->taken_at;
+    const auto shown = since.count() >= 0 ? since * slowest_rate : since / slowest_rate;
+    return this->reading + std::chrono::duration_cast<worker_time>(shown) - rounding;
+}
+
 core::steady_time worker_clock::latest_local_time(worker_time time) const {
     const auto left = static_cast<double>((time - this->reading).count()) / slowest_rate;
     return this->taken_at.value_or(core::steady_time{}) + worker_time{static_cast<std::int64_t>(left) + 1};
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -31,6 +31,10 @@
     /// @return an estimate of what the worker's clock shows now; a lower bound unless that clock is slow.
     [[nodiscard]] worker_time estimate_at(core::steady_time now) const;
 
+    /// @param time a time; a reading may have been added later.
+    /// @return the least that the worker's clock showed then, assuming the slowest rate.
+    [[nodiscard]] worker_time lowest_at(core::steady_time time) const;
+
     /// @param time a time on the worker's clock.
     /// @return the latest local time at which the worker's clock reaches it, assuming the slowest rate.
     [[nodiscard]] core::steady_time latest_local_time(worker_time time) const;
@@ -65,7 +69,8 @@
 ///
 /// A value type; a new incarnation begins without any proof.
 struct incarnation_proofs {
-    /// It has answered under the leader's fencing token, so it refuses the orders of a former leader.
+    /// It has answered under the present token, so it refuses the orders of a former leader and those that
+    /// were meant for an earlier incarnation.
     bool knows_token = false;
     /// All runs and ends that it had when it learned the token have been listed, so that a task that a former
     /// leader started there, and that was not listed, neither runs nor has ended there.
@@ -89,14 +94,16 @@
     incarnation_proofs proven; ///< Proofs by the present incarnation, in this epoch.
     /// Whether the worker itself has reported its incarnation, which so far only its entry stated.
     bool has_reported_incarnation = false;
-    /// Whether its entry has stated another incarnation since the last hold was sent, so that the answer to
-    /// that hold may be one of the earlier incarnation.
-    bool restart_listed = false;
+    /// Token of the orders to it, raised when a restart is found: an incarnation that has answered under it
+    /// carries out no order that was sent before and may have been meant for an earlier incarnation.
+    dispatch::fencing_token fencing_token;
+    /// Whether a restart was found that the log's roster does not name; until it does, it gets no starts.
+    bool restart_unrecorded = false;
     worker_clock clock;
     worker_time lease_until{0}; ///< Latest lease end that was sent to it, on its clock.
-    /// Its lease is not treated as expired before this time, because an order for an earlier incarnation may
-    /// have extended it.
-    core::steady_time earliest_expiry;
+    /// Until when, after a restart, it may hold a lease of the longest term: an order for an earlier
+    /// incarnation gave it one that ends on the clock of that incarnation.
+    core::steady_time foreign_lease_until;
     bool hold_in_flight = false;             ///< Whether a hold has been sent and not answered.
     bool hold_sent_after_expiry = false;     ///< Whether the last hold was sent after the lease had expired.
     bool hold_failed_after_expiry = false;   ///< Whether a hold sent after the expiry got no answer.
@@ -135,7 +142,7 @@
 
     /// @return whether tasks may be started on it, regardless of capacity, labels and advice.
     [[nodiscard]] bool accepts_starts(core::steady_time now) const {
-        return this->listed && this->in_roster && !this->recorded_unreached &&
+        return this->listed && this->in_roster && !this->restart_unrecorded && !this->recorded_unreached &&
                this->proven.inventory_complete && this->is_described() && !this->has_unknown_runs &&
                !this->entry.draining && !this->suspected_faulty && this->unanswered_holds == 0 &&
                now >= this->avoid_until;
--- a/src/inner/gen/workflow_types.cpp
+++ b/src/inner/gen/workflow_types.cpp
@@ -2345,6 +2345,16 @@
   this->unreached = val;
 __isset.unreached = true;
 }
+
+void wf_roster::__set_incarnations(const std::vector<int64_t> & val) {
+  this->incarnations = val;
+__isset.incarnations = true;
+}
+
+void wf_roster::__set_restarted(const std::vector<int32_t> & val) {
+  this->restarted = val;
+__isset.restarted = true;
+}
 std::ostream& operator<<(std::ostream& out, const wf_roster& obj)
 {
   obj.printTo(out);
@@ -2421,6 +2431,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->incarnations.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->incarnations.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += iprot->readI64(this->incarnations[_i90]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.incarnations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->restarted.clear();
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->restarted.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
+            {
+              xfer += iprot->readI32(this->restarted[_i95]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.restarted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2441,10 +2491,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->workers.size()));
-    std::vector<std::string> ::const_iterator _iter86;
-    for (_iter86 = this->workers.begin(); _iter86 != this->workers.end(); ++_iter86)
+    std::vector<std::string> ::const_iterator _iter96;
+    for (_iter96 = this->workers.begin(); _iter96 != this->workers.end(); ++_iter96)
     {
-      xfer += oprot->writeString((*_iter86));
+      xfer += oprot->writeString((*_iter96));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2459,10 +2509,36 @@
     xfer += oprot->writeFieldBegin("unreached", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->unreached.size()));
-      std::vector<int32_t> ::const_iterator _iter87;
-      for (_iter87 = this->unreached.begin(); _iter87 != this->unreached.end(); ++_iter87)
+      std::vector<int32_t> ::const_iterator _iter97;
+      for (_iter97 = this->unreached.begin(); _iter97 != this->unreached.end(); ++_iter97)
       {
-        xfer += oprot->writeI32((*_iter87));
+        xfer += oprot->writeI32((*_iter97));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.incarnations) {
+    xfer += oprot->writeFieldBegin("incarnations", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->incarnations.size()));
+      std::vector<int64_t> ::const_iterator _iter98;
+      for (_iter98 = this->incarnations.begin(); _iter98 != this->incarnations.end(); ++_iter98)
+      {
+        xfer += oprot->writeI64((*_iter98));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.restarted) {
+    xfer += oprot->writeFieldBegin("restarted", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->restarted.size()));
+      std::vector<int32_t> ::const_iterator _iter99;
+      for (_iter99 = this->restarted.begin(); _iter99 != this->restarted.end(); ++_iter99)
+      {
+        xfer += oprot->writeI32((*_iter99));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2478,33 +2554,43 @@
   swap(a.workers, b.workers);
   swap(a.epoch, b.epoch);
   swap(a.unreached, b.unreached);
+  swap(a.incarnations, b.incarnations);
+  swap(a.restarted, b.restarted);
   swap(a.__isset, b.__isset);
 }
 
-wf_roster::wf_roster(const wf_roster& other88) {
-  workers = other88.workers;
-  epoch = other88.epoch;
-  unreached = other88.unreached;
-  __isset = other88.__isset;
-}
-wf_roster::wf_roster(wf_roster&& other89) noexcept {
-  workers = std::move(other89.workers);
-  epoch = other89.epoch;
-  unreached = std::move(other89.unreached);
-  __isset = other89.__isset;
-}
-wf_roster& wf_roster::operator=(const wf_roster& other90) {
-  workers = other90.workers;
-  epoch = other90.epoch;
-  unreached = other90.unreached;
-  __isset = other90.__isset;
+wf_roster::wf_roster(const wf_roster& other100) {
+  workers = other100.workers;
+  epoch = other100.epoch;
+  unreached = other100.unreached;
+  incarnations = other100.incarnations;
+  restarted = other100.restarted;
+  __isset = other100.__isset;
+}
+wf_roster::wf_roster(wf_roster&& other101) noexcept {
+  workers = std::move(other101.workers);
+  epoch = other101.epoch;
+  unreached = std::move(other101.unreached);
+  incarnations = std::move(other101.incarnations);
+  restarted = std::move(other101.restarted);
+  __isset = other101.__isset;
+}
+wf_roster& wf_roster::operator=(const wf_roster& other102) {
+  workers = other102.workers;
+  epoch = other102.epoch;
+  unreached = other102.unreached;
+  incarnations = other102.incarnations;
+  restarted = other102.restarted;
+  __isset = other102.__isset;
   return *this;
 }
-wf_roster& wf_roster::operator=(wf_roster&& other91) noexcept {
-  workers = std::move(other91.workers);
-  epoch = other91.epoch;
-  unreached = std::move(other91.unreached);
-  __isset = other91.__isset;
+wf_roster& wf_roster::operator=(wf_roster&& other103) noexcept {
+  workers = std::move(other103.workers);
+  epoch = other103.epoch;
+  unreached = std::move(other103.unreached);
+  incarnations = std::move(other103.incarnations);
+  restarted = std::move(other103.restarted);
+  __isset = other103.__isset;
   return *this;
 }
 void wf_roster::printTo(std::ostream& out) const {
@@ -2513,6 +2599,8 @@
   out << "workers=" << to_string(workers);
   out << ", " << "epoch="; (__isset.epoch ? (out << to_string(epoch)) : (out << "<null>"));
   out << ", " << "unreached="; (__isset.unreached ? (out << to_string(unreached)) : (out << "<null>"));
+  out << ", " << "incarnations="; (__isset.incarnations ? (out << to_string(incarnations)) : (out << "<null>"));
+  out << ", " << "restarted="; (__isset.restarted ? (out << to_string(restarted)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2700,46 +2788,46 @@
   swap(a.__isset, b.__isset);
 }
 
-wf_member::wf_member(const wf_member& other92) {
-  incarnation = other92.incarnation;
-  address = other92.address;
-  port = other92.port;
-  data_centre = other92.data_centre;
-  left = other92.left;
-  processor_share = other92.processor_share;
-  link_mbps = other92.link_mbps;
-  __isset = other92.__isset;
-}
-wf_member::wf_member(wf_member&& other93) noexcept {
-  incarnation = std::move(other93.incarnation);
-  address = std::move(other93.address);
-  port = other93.port;
-  data_centre = std::move(other93.data_centre);
-  left = other93.left;
-  processor_share = other93.processor_share;
-  link_mbps = other93.link_mbps;
-  __isset = other93.__isset;
-}
-wf_member& wf_member::operator=(const wf_member& other94) {
-  incarnation = other94.incarnation;
-  address = other94.address;
-  port = other94.port;
-  data_centre = other94.data_centre;
-  left = other94.left;
-  processor_share = other94.processor_share;
-  link_mbps = other94.link_mbps;
-  __isset = other94.__isset;
+wf_member::wf_member(const wf_member& other104) {
+  incarnation = other104.incarnation;
+  address = other104.address;
+  port = other104.port;
+  data_centre = other104.data_centre;
+  left = other104.left;
+  processor_share = other104.processor_share;
+  link_mbps = other104.link_mbps;
+  __isset = other104.__isset;
+}
+wf_member::wf_member(wf_member&& other105) noexcept {
+  incarnation = std::move(other105.incarnation);
+  address = std::move(other105.address);
+  port = other105.port;
+  data_centre = std::move(other105.data_centre);
+  left = other105.left;
+  processor_share = other105.processor_share;
+  link_mbps = other105.link_mbps;
+  __isset = other105.__isset;
+}
+wf_member& wf_member::operator=(const wf_member& other106) {
+  incarnation = other106.incarnation;
+  address = other106.address;
+  port = other106.port;
+  data_centre = other106.data_centre;
+  left = other106.left;
+  processor_share = other106.processor_share;
+  link_mbps = other106.link_mbps;
+  __isset = other106.__isset;
   return *this;
 }
-wf_member& wf_member::operator=(wf_member&& other95) noexcept {
-  incarnation = std::move(other95.incarnation);
-  address = std::move(other95.address);
-  port = other95.port;
-  data_centre = std::move(other95.data_centre);
-  left = other95.left;
-  processor_share = other95.processor_share;
-  link_mbps = other95.link_mbps;
-  __isset = other95.__isset;
+wf_member& wf_member::operator=(wf_member&& other107) noexcept {
+  incarnation = std::move(other107.incarnation);
+  address = std::move(other107.address);
+  port = other107.port;
+  data_centre = std::move(other107.data_centre);
+  left = other107.left;
+  processor_share = other107.processor_share;
+  link_mbps = other107.link_mbps;
+  __isset = other107.__isset;
   return *this;
 }
 void wf_member::printTo(std::ostream& out) const {
--- a/src/inner/gen/workflow_types.h
+++ b/src/inner/gen/workflow_types.h
@@ -906,10 +906,12 @@
 std::ostream& operator<<(std::ostream& out, const wf_leader& obj);
 
 typedef struct _wf_roster__isset {
-  _wf_roster__isset() : workers(false), epoch(false), unreached(false) {}
+  _wf_roster__isset() : workers(false), epoch(false), unreached(false), incarnations(false), restarted(false) {}
   bool workers :1;
   bool epoch :1;
   bool unreached :1;
+  bool incarnations :1;
+  bool restarted :1;
 } _wf_roster__isset;
 
 class wf_roster : public virtual ::apache::thrift::TBase {
@@ -927,6 +929,8 @@
   std::vector<std::string>  workers;
   int64_t epoch;
   std::vector<int32_t>  unreached;
+  std::vector<int64_t>  incarnations;
+  std::vector<int32_t>  restarted;
 
   _wf_roster__isset __isset;
 
@@ -936,6 +940,10 @@
 
   void __set_unreached(const std::vector<int32_t> & val);
 
+  void __set_incarnations(const std::vector<int64_t> & val);
+
+  void __set_restarted(const std::vector<int32_t> & val);
+
   bool operator == (const wf_roster & rhs) const
   {
     if (!(workers == rhs.workers))
@@ -948,6 +956,14 @@
       return false;
     else if (__isset.unreached && !(unreached == rhs.unreached))
       return false;
+    if (__isset.incarnations != rhs.__isset.incarnations)
+      return false;
+    else if (__isset.incarnations && !(incarnations == rhs.incarnations))
+      return false;
+    if (__isset.restarted != rhs.__isset.restarted)
+      return false;
+    else if (__isset.restarted && !(restarted == rhs.restarted))
+      return false;
     return true;
   }
   bool operator != (const wf_roster &rhs) const {
--- a/src/inner/workflow.thrift
+++ b/src/inner/workflow.thrift
@@ -117,6 +117,10 @@
   // this epoch.
   2: optional i64 epoch
   3: optional list<i32> unreached
+  // The incarnations of the workers, in the order of `workers`; 0 if it is not known. The indexes of those that
+  // may hold a lease that was meant for an earlier incarnation.
+  4: optional list<i64> incarnations
+  5: optional list<i32> restarted
 }
 
 struct wf_member {
--- a/src/inner/workflow_codec.cpp
+++ b/src/inner/workflow_codec.cpp
@@ -339,6 +339,37 @@
     return {.key = key_of(member_key, record.host.value()), .value = ledger::to_bytes(to)};
 }
 
+/// @return the indexes that some of the workers have among all of them.
+std::vector<std::int32_t> indexes_of(const std::set<core::worker_id>& some,
+                                     const std::set<core::worker_id>& all) {
+    std::vector<std::int32_t> indexes;
+    std::int32_t index = 0;
+    for (const auto& worker : all) {
+        if (some.contains(worker)) {
+            indexes.push_back(index);
+        }
+        index++;
+    }
+    return indexes;
+}
+
+/// @return the workers with some indexes.
+/// @param field the name of the field that holds the indexes.
+/// @throws core::invalid_argument if an index is not one of a worker.
+std::set<core::worker_id> workers_at(const std::vector<std::int32_t>& indexes,
+                                     const std::vector<std::string>& workers, const char* field) {
+    std::set<core::worker_id> found;
+    for (const auto index : indexes) {
+        const auto place = count_of(index, field);
+        if (place >= workers.size()) {
+            throw core::invalid_argument(std::string{field} + ": " + std::to_string(index) +
+                                         " is not the index of a worker");
+        }
+        found.emplace(workers[place]);
+    }
+    return found;
+}
+
 keyed_record encode_one(const roster_record& record) {
     gen::wf_roster to;
     for (const auto& worker : record.workers) {
@@ -346,15 +377,19 @@
     }
     if (!record.unreached.empty()) {
         to.__set_epoch(static_cast<std::int64_t>(record.epoch.value()));
-        std::vector<std::int32_t> unreached;
-        std::int32_t index = 0;
+        to.__set_unreached(indexes_of(record.unreached, record.workers));
+    }
+    if (!record.incarnations.empty()) {
+        std::vector<std::int64_t> incarnations;
         for (const auto& worker : record.workers) {
-            if (record.unreached.contains(worker)) {
-                unreached.push_back(index);
-            }
-            index++;
+            const auto known = record.incarnations.find(worker);
+            incarnations.push_back(
+                known == record.incarnations.end() ? 0 : static_cast<std::int64_t>(known->second.value()));
         }
-        to.__set_unreached(unreached);
+        to.__set_incarnations(incarnations);
+    }
+    if (!record.restarted.empty()) {
+        to.__set_restarted(indexes_of(record.restarted, record.workers));
     }
     return {.key = key_of(roster_key, ""), .value = ledger::to_bytes(to)};
 }
@@ -437,13 +472,20 @@
         record.workers.emplace(worker);
     }
     record.epoch = core::epoch_id{static_cast<std::uint64_t>(from.epoch)};
-    for (const auto index : from.unreached) {
-        const auto place = count_of(index, "unreached");
-        if (place >= from.workers.size()) {
-            throw core::invalid_argument("unreached: " + std::to_string(index) +
-                                         " is not the index of a worker");
+    record.unreached = workers_at(from.unreached, from.workers, "unreached");
+    if (from.incarnations.size() > from.workers.size()) {
+        throw core::invalid_argument("incarnations: more than there are workers");
+    }
+    for (std::size_t i = 0; i < from.incarnations.size(); i++) {
+        if (from.incarnations[i] != 0) {
+            const auto incarnation = static_cast<std::uint64_t>(from.incarnations[i]);
+            record.incarnations.emplace(from.workers[i], worker_incarnation_id{incarnation});
+        }
+    }
+    for (const auto& worker : workers_at(from.restarted, from.workers, "restarted")) {
+        if (record.incarnations.contains(worker)) {
+            record.restarted.insert(worker);
         }
-        record.unreached.emplace(from.workers[place]);
     }
     return record;
 }
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -546,17 +546,17 @@
         }
     }
     if (batch.reset) {
-        this->post([listed](cell_control& control, core::steady_time) {
-            control.job_dispatcher().set_worker_list(listed);
+        this->post([listed](cell_control& control, core::steady_time now) {
+            control.job_dispatcher().set_worker_list(listed, now);
         });
         return;
     }
     if (listed.empty() && removed.empty()) {
         return;
     }
-    this->post([listed, removed](cell_control& control, core::steady_time) {
+    this->post([listed, removed](cell_control& control, core::steady_time now) {
         for (const auto& entry : listed) {
-            control.job_dispatcher().set_worker(entry);
+            control.job_dispatcher().set_worker(entry, now);
         }
         for (const auto& worker : removed) {
             control.job_dispatcher().drop_worker(worker);
--- a/src/workflow/cell_state.cpp
+++ b/src/workflow/cell_state.cpp
@@ -209,6 +209,13 @@
         this->unreached_since.emplace(worker, continues && known != before.end() ? known->second : now);
     }
     this->roster_epoch = record.epoch;
+    const auto former = std::exchange(this->incarnations, record.incarnations);
+    const auto restarted = std::exchange(this->restarted_since, {});
+    for (const auto& worker : record.restarted) {
+        const auto known = restarted.find(worker);
+        const bool same = known != restarted.end() && former.at(worker) == record.incarnations.at(worker);
+        this->restarted_since.emplace(worker, same ? known->second : now);
+    }
     return {};
 }
 
--- a/src/workflow/cell_state.h
+++ b/src/workflow/cell_state.h
@@ -94,6 +94,17 @@
                                            : std::map<core::worker_id, core::steady_time>{};
     }
 
+    /// @return the incarnations of the workers in the roster, as far as it names them.
+    [[nodiscard]] const std::map<core::worker_id, worker_incarnation_id>& roster_incarnations() const {
+        return this->incarnations;
+    }
+
+    /// @return the workers that may hold a lease that was meant for an earlier incarnation, with the time at
+    /// which this host read the first of the consecutive rosters that say so.
+    [[nodiscard]] const std::map<core::worker_id, core::steady_time>& restarted() const {
+        return this->restarted_since;
+    }
+
     /// @return the hosts that have not left, by name.
     [[nodiscard]] const std::map<core::host_id, member_record>& members() const { return this->hosts; }
 
@@ -131,6 +142,9 @@
     core::epoch_id roster_epoch; ///< In which the roster was recorded, if it names unreached workers.
     /// Since when consecutive rosters, of consecutive epochs, name them as unreached.
     std::map<core::worker_id, core::steady_time> unreached_since;
+    std::map<core::worker_id, worker_incarnation_id> incarnations; ///< Of the workers in the roster.
+    /// Since when consecutive rosters name their incarnations as restarted.
+    std::map<core::worker_id, core::steady_time> restarted_since;
 };
 
 } // namespace rattanmount::workflow
--- a/src/workflow/job_request.h
+++ b/src/workflow/job_request.h
@@ -20,6 +20,9 @@
 using image_id = core::text_id<struct image_id_tag>;
 /// Label of a worker, such as its kind.
 using worker_label = core::text_id<struct worker_label_tag>;
+/// Identifies an incarnation of a worker: a worker that restarts under the same name has no state from
+/// before.
+using worker_incarnation_id = core::number_id<struct worker_incarnation_id_tag>;
 /// Identifies the saved progress of a task; opaque to the scheduler, empty if there is none.
 using checkpoint_id = core::text_id<struct checkpoint_id_tag>;
 
--- a/src/workflow/records.h
+++ b/src/workflow/records.h
@@ -141,6 +141,12 @@
     /// none before a roster without them is in the log. All leases on them are of leaders that could not
     /// grant any more when this was recorded.
     std::set<core::worker_id> unreached;
+    /// The incarnations that the leader knew when it recorded this; one that it did not know is missing. A
+    /// later incarnation gets no start before a roster that names it is in the log.
+    std::map<core::worker_id, worker_incarnation_id> incarnations;
+    /// Those of `incarnations` that may hold a lease that was meant for an earlier incarnation. It is of the
+    /// longest term and was granted before the first roster that names the incarnation here.
+    std::set<core::worker_id> restarted;
 };
 
 /// A record of the cell's log.
