Let no simulated run succeed after its lease has expired

Cause: leases were checked after the events of a step of time, so that a run whose lease expired up to 20 ms before its end counted as done.

Change: the lease is checked before a run ends. Stricter for the worker; no check changes.

--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -614,6 +614,7 @@
     worker.taken += reserved_resources(*step);
     if (!step->long_running) {
         this->schedule(this->time + length, [this, index, run = order.run, id] {
+            this->check_lease(index); // A run whose lease has expired does not succeed.
             const auto found = this->workers[index].runs.find(run);
             if (found != this->workers[index].runs.end() && found->second.id == id) {
                 this->end_run(index, run, found->second.will_fail ? run_outcome::failed : run_outcome::done);
