--- a/tests/dispatch/former_incarnation_paths_test.cpp
+++ b/tests/dispatch/former_incarnation_paths_test.cpp
@@ -163,7 +163,8 @@
             return;
         }
         there.running.push_back({.run = order.run});
-        this->leader.on_start_reply(order, {.outcome = order_outcome::done}, this->now);
+        const auto clock = std::chrono::duration_cast<worker_time>(this->now - there.born);
+        this->leader.on_start_reply(order, {.outcome = order_outcome::done, .clock = clock}, this->now);
     }
 
     void fail_starts() {
@@ -317,4 +318,25 @@
     CHECK(cell.leases_sent() == 0);
 }
 
+// TWICE: a new incarnation that answered a start for the former one counted as that until a hold had failed.
+TEST_CASE("the clock in the reply to a start shows that the worker has restarted") {
+    scripted_cell cell{1};
+    cell.lead();
+    cell.run_for(300ms);
+    cell.worker(0).answers_holds = false; // The hold is in flight.
+    cell.run_for(40ms);
+    const auto before = cell.sent_holds.back().target.fencing_token;
+    cell.accept("a");
+    SECTION("the same incarnation") {
+        cell.run_for(40ms);
+        CHECK(cell.sent_holds.back().target.fencing_token == before);
+    }
+    SECTION("the next one, whose clock has begun anew") {
+        cell.restart(0);
+        cell.run_for(40ms);
+        CHECK(cell.sent_holds.back().target.fencing_token > before);
+    }
+    REQUIRE(cell.starts.size() == 1);
+}
+
 } // namespace rattanmount::tests
--- a/tests/inner/workflow_codec_test.cpp
+++ b/tests/inner/workflow_codec_test.cpp
@@ -159,6 +159,28 @@
                     core::invalid_argument);
 }
 
+TEST_CASE("a roster names the incarnations that are known, and which of them have restarted") {
+    const core::worker_id a{"a"};
+    const core::worker_id b{"b"};
+    const core::worker_id c{"c"};
+    const workflow::roster_record roster{.workers = {a, b, c},
+                                         .incarnations = {{a, workflow::worker_incarnation_id{1764892800000}},
+                                                          {c, workflow::worker_incarnation_id{7}}},
+                                         .restarted = {c}};
+    const auto read =
+        std::get<workflow::roster_record>(inner::decode_record(inner::encode_record(roster).front()));
+    CHECK(read.incarnations == roster.incarnations);
+    CHECK(read.restarted == roster.restarted);
+    inner::gen::wf_roster other;
+    other.workers = {"a", "b"};
+    other.__set_restarted({0});
+    const auto unnamed = inner::decode_record({.key = "w", .value = ledger::to_bytes(other)});
+    CHECK(std::get<workflow::roster_record>(unnamed).restarted.empty());
+    other.__set_incarnations({1, 2, 3});
+    CHECK_THROWS_AS(inner::decode_record({.key = "w", .value = ledger::to_bytes(other)}),
+                    core::invalid_argument);
+}
+
 TEST_CASE("records that cannot be decoded are rejected") {
     CHECK_THROWS_AS(inner::decode_record({.key = "", .value = "x"}), core::invalid_argument);
     CHECK_THROWS_AS(inner::decode_record({.key = "?a", .value = "x"}), core::invalid_argument);
--- a/tests/platform/wire_decode_test.cpp
+++ b/tests/platform/wire_decode_test.cpp
@@ -147,6 +147,11 @@
 TEST_CASE("replies to orders are decoded into distinct results") {
     using dispatch::order_outcome;
     CHECK(platform::decode_order_reply(200, R"({"clockMs":1})").outcome == order_outcome::done);
+    CHECK(platform::decode_order_reply(200, R"({"clockMs":482113})").clock == dispatch::worker_time{482113});
+    CHECK(platform::decode_order_reply(409, R"({"clockMs":7,"reason":"old"})").clock ==
+          dispatch::worker_time{7});
+    CHECK_FALSE(platform::decode_order_reply(200, R"({"clockMs":"7"})").clock);
+    CHECK_FALSE(platform::decode_order_reply(503, "").clock);
     CHECK(platform::decode_order_reply(409, R"({"reason":"fence"})").outcome == order_outcome::fenced);
     CHECK(platform::decode_order_reply(409, R"({"reason":"old"})").outcome == order_outcome::superseded);
     CHECK(platform::decode_order_reply(409, R"({"reason":"late"})").outcome == order_outcome::too_late);
--- a/tests/workflow/cell_state_test.cpp
+++ b/tests/workflow/cell_state_test.cpp
@@ -208,4 +208,23 @@
     CHECK(state.unreached_in(core::epoch_id{8}).at(worker) == start + 4s);
 }
 
+// TWICE: a lease that was meant for a former incarnation is waited for from the first roster that says so.
+TEST_CASE("a worker counts as restarted since the first of the rosters that name its incarnation so") {
+    const core::worker_id worker{"w"};
+    const auto roster = [&](std::uint64_t incarnation) {
+        return roster_record{.workers = {worker},
+                             .incarnations = {{worker, worker_incarnation_id{incarnation}}},
+                             .restarted = {worker}};
+    };
+    cell_state state;
+    state.apply(roster(5), core::log_offset{1}, start + 1s);
+    state.apply(roster(5), core::log_offset{2}, start + 2s);
+    CHECK(state.restarted().at(worker) == start + 1s);
+    CHECK(state.roster_incarnations().at(worker) == worker_incarnation_id{5});
+    state.apply(roster(6), core::log_offset{3}, start + 3s);
+    CHECK(state.restarted().at(worker) == start + 3s);
+    state.apply(roster_record{.workers = {worker}}, core::log_offset{4}, start + 4s);
+    CHECK(state.restarted().empty());
+}
+
 } // namespace rattanmount::tests
