--- a/tests/runtime/progress_size_test.cpp
+++ b/tests/runtime/progress_size_test.cpp
@@ -226,7 +226,10 @@
     for (const std::size_t workers : {48U, 540U, 800U}) {
         workflow::roster_record roster;
         for (std::size_t i = 0; i < workers; i++) {
-            roster.workers.emplace("i-" + std::to_string(10000000 + i));
+            constexpr std::uint64_t started{1764892800000};
+            const core::worker_id worker{"i-" + std::to_string(10000000 + i)};
+            roster.workers.insert(worker);
+            roster.incarnations.emplace(worker, workflow::worker_incarnation_id{started + i});
         }
         std::cout << "roster of " << workers << " workers: " << total(inner::encode_record(roster))
                   << " bytes\n";
