Restore three scenarios of the incident's tests that had been changed so that they pass

- "a start without answer counts as running for the longest lease of any incarnation": kept the list from being read in it, after the wait had been shortened.
As first written it fails again: known red.
The changed scenario is a test of its own, beside the one that bounds the usual wait (LOST).
- "a successor that reaches a restarted worker and loses it": let its roster name the incarnations.
Without them it fails: a test of its own, known red.
The test of a worker that left the list holds with and without, and runs both.
- "a start meant for a former incarnation": its times are as first written, and it passes.

Preludes that tests shared stand once. The test of "former lives" speaks of incarnations.

--- a/tests/dispatch/former_incarnation_paths_test.cpp
+++ b/tests/dispatch/former_incarnation_paths_test.cpp
@@ -92,12 +92,15 @@
         there.running.clear();
     }
 
-    /// Records a roster of all workers and their incarnations, as a former leader did.
-    void record_roster() {
+    /// Records a roster of all workers, as a former leader did.
+    /// @param names_incarnations whether it names their incarnations.
+    void record_roster(bool names_incarnations) {
         workflow::roster_record roster;
         for (const auto& [id, worker] : this->workers) {
             roster.workers.insert(id);
-            roster.incarnations.emplace(id, worker.incarnation);
+            if (names_incarnations) {
+                roster.incarnations.emplace(id, worker.incarnation);
+            }
         }
         this->cell.apply(roster, core::log_offset{1}, this->now);
     }
@@ -200,58 +203,87 @@
     }
 };
 
+/// Leads, and sends the start of job "a" to the first worker, which answers it with silence.
+void send_unanswered_start(scripted_cell& cell) {
+    cell.lead();
+    cell.run_for(300ms);
+    cell.worker(0).answers_starts = false;
+    cell.accept("a");
+    cell.run_for(40ms);
+    REQUIRE(cell.starts.size() == 1);
+    REQUIRE(cell.starts[0].target.worker == scripted_cell::name(0));
+}
+
+/// As send_unanswered_start(), and loses the first worker; a second one is reached from then on.
+void lose_worker_with_unanswered_start(scripted_cell& cell) {
+    cell.worker(1).answers_holds = false;
+    send_unanswered_start(cell);
+    cell.worker(0).answers_holds = false;
+    cell.worker(1).answers_holds = true;
+}
+
+/// Leads with one run of job "a", and loses the log.
+void lose_log_with_one_run(scripted_cell& cell) {
+    cell.lead();
+    cell.run_for(300ms);
+    cell.accept("a");
+    cell.run_for(300ms);
+    REQUIRE(cell.starts.size() == 1);
+    cell.log_answers = false;
+}
+
+/// A successor reaches a restarted worker, on which a run of the former leader goes on, and loses it.
+void check_lost_after_first_answer(bool roster_names_incarnations) {
+    scripted_cell cell{4, core::epoch_id{2}};
+    cell.record_roster(roster_names_incarnations);
+    cell.accept("a");
+    cell.restart(0);
+    cell.worker(0).running.push_back({.run = {.task = {.step = {.job = workflow::job_key{"a"}}}, .run = 1}});
+    cell.now += 2s;
+    cell.lead();
+    cell.run_for(100ms);
+    cell.worker(0).answers_holds = false; // Its lease may be one of 10 s that it was given just before.
+    cell.run_for(longest_lease - 100ms);
+    CHECK(cell.starts.empty());
+}
+
 } // namespace
 
 // TWICE: the repeat of an unanswered start went to an incarnation that so far only the platform's list
 // showed.
 TEST_CASE("an unanswered start is not repeated to a worker that is listed as restarted") {
     scripted_cell cell{1};
-    cell.lead();
-    cell.run_for(300ms);
-    cell.worker(0).answers_starts = false;
+    send_unanswered_start(cell);
     cell.worker(0).answers_holds = false;
-    cell.accept("a");
-    cell.run_for(40ms);
-    REQUIRE(cell.starts.size() == 1);
     cell.restart(0);
     cell.list(scripted_cell::name(0));
     cell.run_for(1s);
     CHECK(cell.starts.size() == 1);
 }
 
-// TWICE: a restart that nobody can find. The new incarnation carries out a start that got no answer, with a
+// TWICE: a restart that nobody has found. The new incarnation carries out a start that got no answer, with a
 // lease by the clock of the former one, and is cut off.
-TEST_CASE("a start without answer counts as running for the longest lease of any incarnation") {
+TEST_CASE("a start without answer counts as running for the longest lease of any incarnation", "[!mayfail]") {
     scripted_cell cell{2};
-    cell.worker(1).answers_holds = false;
-    cell.lead();
-    cell.run_for(300ms);
-    cell.worker(0).answers_starts = false;
-    cell.accept("a");
-    cell.run_for(40ms);
-    REQUIRE(cell.starts.size() == 1);
-    REQUIRE(cell.starts[0].target.worker == scripted_cell::name(0));
-    cell.worker(0).answers_holds = false;
+    lose_worker_with_unanswered_start(cell);
+    cell.run_for(longest_lease);
+    CHECK(cell.starts_elsewhere("a", scripted_cell::name(0)) == 0);
+}
+
+// TWICE: as before, while the platform's list cannot show the restart.
+TEST_CASE("a start without answer counts as running for the longest lease while the list is not read") {
+    scripted_cell cell{2};
+    lose_worker_with_unanswered_start(cell);
     cell.list_is_read = false;
-    cell.worker(1).answers_holds = true;
     cell.run_for(longest_lease);
     CHECK(cell.starts_elsewhere("a", scripted_cell::name(0)) == 0);
 }
 
-// LOST: the wait for an incarnation that nobody has found, where the platform's list shows that there is
-// none.
+// LOST: the wait for an incarnation that nobody has found, where the platform's list shows none.
 TEST_CASE("a task whose start got no answer from a lost worker is started again when its lease has ended") {
     constexpr core::milliseconds usual_wait{6500};
     scripted_cell cell{2};
-    cell.worker(1).answers_holds = false;
-    cell.lead();
-    cell.run_for(300ms);
-    cell.worker(0).answers_starts = false;
-    cell.accept("a");
-    cell.run_for(40ms);
-    REQUIRE(cell.starts.size() == 1);
-    cell.worker(0).answers_holds = false;
-    cell.worker(1).answers_holds = true;
+    lose_worker_with_unanswered_start(cell);
     cell.run_for(usual_wait);
     CHECK(cell.starts_elsewhere("a", scripted_cell::name(0)) == 1);
 }
@@ -259,24 +291,21 @@
 // TWICE: the successor's list already has the new incarnation, so that its first answer is no news; its lease
 // was meant for the former incarnation, by an order of the former leader.
 TEST_CASE("a successor that reaches a restarted worker and loses it waits for the longest lease") {
-    scripted_cell cell{4, core::epoch_id{2}};
-    cell.record_roster();
-    cell.accept("a");
-    cell.restart(0);
-    cell.worker(0).running.push_back({.run = {.task = {.step = {.job = workflow::job_key{"a"}}}, .run = 1}});
-    cell.now += 2s;
-    cell.lead();
-    cell.run_for(100ms);
-    cell.worker(0).answers_holds = false; // Its lease may be one of 10 s that it was given just before.
-    cell.run_for(longest_lease - 100ms);
-    CHECK(cell.starts.empty());
+    check_lost_after_first_answer(true);
+}
+
+// TWICE: as before, with a roster that does not name the former incarnation, so that nothing shows the
+// restart.
+TEST_CASE("a successor whose roster names no incarnations waits for the longest lease as well",
+          "[!mayfail]") {
+    check_lost_after_first_answer(false);
 }
 
 // TWICE: a restarted worker that is cut off from the store too leaves the platform's list while it runs tasks
 // under the longest lease.
 TEST_CASE("a restarted worker that left the list before it was reached is waited for") {
     scripted_cell cell{4, core::epoch_id{2}};
-    cell.record_roster();
+    cell.record_roster(GENERATE(true, false));
     cell.accept("a");
     cell.worker(0).answers_holds = false;
     cell.lead();
@@ -292,12 +321,7 @@
 // nothing.
 TEST_CASE("workers that restart during a log outage do not prove leadership") {
     scripted_cell cell{5};
-    cell.lead();
-    cell.run_for(300ms);
-    cell.accept("a");
-    cell.run_for(300ms);
-    REQUIRE(cell.starts.size() == 1);
-    cell.log_answers = false;
+    lose_log_with_one_run(cell);
     for (std::uint32_t i = 0; i < 5; i++) {
         if (scripted_cell::name(i) != cell.starts[0].target.worker) {
             cell.worker(i).answers_holds = false;
@@ -319,12 +343,7 @@
 // TWICE: workers that are listed as restarted left the count at once, while the successor still counts them.
 TEST_CASE("during a log outage, the majority is one of the roster in the log") {
     scripted_cell cell{5};
-    cell.lead();
-    cell.run_for(300ms);
-    cell.accept("a");
-    cell.run_for(300ms);
-    REQUIRE(cell.starts.size() == 1);
-    cell.log_answers = false;
+    lose_log_with_one_run(cell);
     std::uint32_t silent = 0;
     for (std::uint32_t i = 0; i < 5 && silent < 3; i++) {
         if (scripted_cell::name(i) != cell.starts[0].target.worker) {
--- a/tests/dispatch/former_incarnation_test.cpp
+++ b/tests/dispatch/former_incarnation_test.cpp
@@ -126,8 +126,8 @@
 // TWICE: a start for the former incarnation was carried out by the next one after the task was started
 // elsewhere.
 TEST_CASE("a start meant for a former incarnation is refused once the next one has answered") {
-    constexpr core::milliseconds delay{14000};
-    constexpr core::milliseconds absence{12000};
+    constexpr core::milliseconds delay{9000};
+    constexpr core::milliseconds absence{7000};
     simulated_cell cell{{.workers = workers}};
     remove_spare_worker(cell);
     cell.run_for(former_lifetime);
--- a/tests/dispatch/random_faults_test.cpp
+++ b/tests/dispatch/random_faults_test.cpp
@@ -394,7 +394,7 @@
 }
 
 // TWICE: a new incarnation of a worker carries out late orders that were meant for the former one.
-TEST_CASE("the guarantees of the dispatcher hold while restarted workers get orders of their former lives") {
+TEST_CASE("the guarantees of the dispatcher hold while restarted workers get orders of former incarnations") {
     run_seeds(run_schedule_of_restarts, 40);
 }
 
