Compute in one place how long a lease lasts, and name what a token counts

The conversion of a lease's term to this host's clock stood in leader_authority and dispatch_state; worker_clock does it for both. What is counted in a fencing token are raised tokens, not restarts: a worker that is listed again gets one too. A worker that appears has had no orders under its token, so the token is not raised a second time.

--- a/src/dispatch/dispatch_state.cpp
+++ b/src/dispatch/dispatch_state.cpp
@@ -80,7 +80,7 @@
 }
 
 void dispatch_state::raise_token(worker_state& worker) {
-    this->restarts_found++;
+    this->raised_tokens++;
     worker.fencing_token = this->highest_token();
     worker.hold_in_flight = false; // Its answer no longer counts, so the next one is sent at once.
     worker.next_hold_at = {};
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -76,8 +76,7 @@
     worker_speeds speeds;          ///< How fast each worker is.
     bool worker_list_read = false; ///< Whether the platform's list has been read completely.
     std::map<core::worker_id, worker_state> workers;
-    std::uint64_t restarts_found =
-        0; ///< Restarts of workers found in this epoch; part of the fencing tokens.
+    std::uint64_t raised_tokens = 0; ///< Tokens raised in this epoch; part of the fencing tokens.
     std::unordered_map<workflow::job_key, std::unique_ptr<live_job>> jobs;
     std::map<step_sort_key, live_step*> ready_steps; ///< Steps with tasks that wait to be started.
     /// By worker, the tasks that the log has running on it and of which its inventory has shown nothing yet.
@@ -155,7 +154,7 @@
 
     /// @return the lowest token that is not lower than those of all orders that were sent in this epoch.
     [[nodiscard]] fencing_token highest_token() const {
-        return {.epoch = this->epoch, .restarts = this->restarts_found};
+        return {.epoch = this->epoch, .raised = this->raised_tokens};
     }
 
     /// Gives a worker a token that is higher than those of all orders that were sent to it.
@@ -169,8 +168,7 @@
 
     /// @return how long the longest lease that a worker accepts lasts, on this host's clock.
     [[nodiscard]] core::milliseconds longest_lease() const {
-        return std::chrono::ceil<core::milliseconds>(this->options.max_lease_term /
-                                                     worker_clock::slowest_rate);
+        return worker_clock::longest_local_time(this->options.max_lease_term);
     }
 
     /// Notes that a worker may now hold a lease of the longest term, whatever was sent to it.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -84,7 +84,7 @@
     this->state.leading = true;
     this->state.epoch = epoch;
     const core::epoch_id former{epoch.value() - 1};
-    this->state.restarts_found = 0;
+    this->state.raised_tokens = 0;
     this->state.authority.begin(cell.roster(), now, cell.unreached_in(former), cell.restarted());
     this->state.list_complete_at = list_complete_at;
     this->was_fenced = false;
--- a/src/dispatch/leader_authority.cpp
+++ b/src/dispatch/leader_authority.cpp
@@ -125,8 +125,8 @@
 }
 
 core::milliseconds leader_authority::longest_run(core::milliseconds term) const {
-    return std::chrono::ceil<core::milliseconds>(term / worker_clock::slowest_rate) +
-           this->options.max_stop_duration + this->options.expiry_margin;
+    return worker_clock::longest_local_time(term) + this->options.max_stop_duration +
+           this->options.expiry_margin;
 }
 
 core::steady_time leader_authority::expire_at(core::milliseconds term) const {
--- a/src/dispatch/orders.h
+++ b/src/dispatch/orders.h
@@ -26,12 +26,11 @@
 /// present incarnation has seen.
 ///
 /// Workers restart under their names, and a new incarnation cannot tell an order that was meant for a former
-/// one from one that is meant for itself. So each order also proves which incarnations its sender knew of: a
-/// leader counts the restarts that it has found, and an order that was sent before a restart was found has a
-/// lower token than those after it.
+/// one from one that is meant for itself. So a leader raises the token of a worker when it finds that the
+/// worker has restarted or is listed again: the orders that it sent before have lower tokens.
 struct fencing_token {
-    core::epoch_id epoch;       ///< The epoch in which the sender leads.
-    std::uint64_t restarts = 0; ///< Restarts of workers that it had found in this epoch.
+    core::epoch_id epoch;     ///< The epoch in which the sender leads.
+    std::uint64_t raised = 0; ///< How many tokens it had raised in this epoch.
 
     friend auto operator<=>(const fencing_token&, const fencing_token&) = default;
 };
--- a/src/dispatch/worker_roster.cpp
+++ b/src/dispatch/worker_roster.cpp
@@ -50,7 +50,6 @@
 void worker_roster::compare_incarnation(worker_state& worker, core::steady_time now) {
     const auto named = this->named_incarnations.find(worker.entry.worker);
     if (named != this->named_incarnations.end() && named->second != worker.entry.incarnation) {
-        this->state.raise_token(worker);
         this->state.restart_found(worker, now);
     }
 }
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -19,6 +19,12 @@
     /// Slowest assumed rate of the worker's clock, relative to the clock of this host.
     static constexpr double slowest_rate = 0.98;
 
+    /// @param term the term of a lease, on the worker's clock.
+    /// @return how long it lasts at most on the clock of this host.
+    [[nodiscard]] static core::milliseconds longest_local_time(core::milliseconds term) {
+        return std::chrono::ceil<core::milliseconds>(term / slowest_rate);
+    }
+
     /// Adds a reading that arrived with an answer.
     /// @param reading the worker's clock at the time of its answer.
     /// @param now when the answer arrived at this host.
