Log which call of the log failed, how long peers took, and how long a version waited

The lines of the hosts could not tell the hypotheses apart: 'log not reachable directly' did not say which call had shown that nor how it had ended, a read through peers that takes 6 s left no line, and 'configuration applied' did not say how long the version had waited for the control thread.

--- a/src/cell/keyed_log.h
+++ b/src/cell/keyed_log.h
@@ -38,6 +38,27 @@
     rejected,        ///< The call is invalid: nothing was done, and no repeat of it will succeed.
 };
 
+/// @return the name of a status, for log lines.
+[[nodiscard]] constexpr const char* to_string(log_status status) {
+    switch (status) {
+    case log_status::done:
+        return "done";
+    case log_status::refused:
+        return "refused";
+    case log_status::fenced:
+        return "fenced";
+    case log_status::out_of_sequence:
+        return "out_of_sequence";
+    case log_status::expired:
+        return "expired";
+    case log_status::unknown:
+        return "unknown";
+    case log_status::rejected:
+        break;
+    }
+    return "rejected";
+}
+
 /// What one append to a log may hold. Without a stated limit, any size is stored.
 struct log_limits {
     /// Of the key and the value of one record together.
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -138,12 +138,13 @@
     }
 }
 
-void cell_control::on_configuration(workflow::configuration version) {
+void cell_control::on_configuration(workflow::configuration version, core::milliseconds waited) {
     if (this->config && version.version <= this->config->version) {
         return;
     }
     telemetry::log_state("configuration applied", {{"version", std::to_string(version.version)},
-                                                   {"routes", std::to_string(version.routes.size())}});
+                                                   {"routes", std::to_string(version.routes.size())},
+                                                   {"waited_ms", std::to_string(waited.count())}});
     if (this->config && this->config->teams == version.teams) {
         version.keys = this->config->keys;
     } else {
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -93,7 +93,9 @@
     void on_log_relayed(bool relayed, core::steady_time now);
 
     /// Puts a version of the configuration into effect; ignores one that is not newer than the current one.
-    void on_configuration(workflow::configuration version);
+    /// @param version the version.
+    /// @param waited the time from its arrival to this call, for the log line.
+    void on_configuration(workflow::configuration version, core::milliseconds waited = core::milliseconds{0});
 
     /// Submits a job. A job that is already known counts as stored if it is of the same team or of none.
     /// @param record the acceptance to store.
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -497,8 +497,11 @@
     // Each version is complete, so only the newest one needs to be decoded.
     for (auto item = items.rbegin(); item != items.rend(); ++item) {
         if (auto version = this->options.streams.decode_configuration(item->record)) {
-            this->post([version = std::move(*version)](cell_control& control, core::steady_time) mutable {
-                control.on_configuration(std::move(version));
+            const auto arrived_at = this->options.clock.steady();
+            this->post([version = std::move(*version), arrived_at](cell_control& control,
+                                                                   core::steady_time now) mutable {
+                const auto waited = std::chrono::duration_cast<core::milliseconds>(now - arrived_at);
+                control.on_configuration(std::move(version), waited);
             });
             return;
         }
--- a/src/runtime/log_follower.cpp
+++ b/src/runtime/log_follower.cpp
@@ -100,12 +100,14 @@
 }
 
 bool log_follower::load_newest() {
+    const auto asked_at = this->options.now();
     auto answer = this->options.log.newest(load_timeout);
     if (answer.status != cell::log_status::done) {
         return false;
     }
     this->caught_up = false;
-    this->deliver({.items = std::move(answer.items), .reset = true, .caught_up = false});
+    this->deliver(
+        {.items = std::move(answer.items), .reset = true, .caught_up = false, .asked_at = asked_at});
     this->move_to(answer.next);
     return true;
 }
--- a/src/runtime/relayed_log.cpp
+++ b/src/runtime/relayed_log.cpp
@@ -15,6 +15,22 @@
     return status != cell::log_status::refused && status != cell::log_status::unknown;
 }
 
+core::milliseconds milliseconds_since(core::steady_time time) {
+    return std::chrono::duration_cast<core::milliseconds>(std::chrono::steady_clock::now() - time);
+}
+
+/// Logs an attempt to call through peers that took longer than calls to peers usually do.
+void log_if_slow(const std::string& stream, const char* call, core::milliseconds took, bool answered) {
+    constexpr core::milliseconds usual{1000};
+    if (took > usual) {
+        telemetry::log_state("peers took long to relay a call of the log",
+                             {{"stream", stream},
+                              {"call", call},
+                              {"took_ms", std::to_string(took.count())},
+                              {"answered", answered ? "yes" : "no"}});
+    }
+}
+
 } // namespace
 
 cell::keyed_log relayed_log::as_log() {
@@ -47,6 +63,7 @@
 cell::log_append_answer relayed_log::append(const std::vector<cell::keyed_record>& items,
                                             const cell::producer_stamp& stamp, core::milliseconds limit) {
     return this->call_with_fallback<cell::log_append_answer>(
+        "append",
         [&](bool probing) {
             return this->options.direct.append(
                 items, stamp, probing ? std::min(limit, this->options.probe_timeout) : limit);
@@ -60,6 +77,7 @@
 cell::log_read_answer relayed_log::read(core::log_offset from, core::milliseconds wait,
                                         core::milliseconds limit) {
     return this->call_with_fallback<cell::log_read_answer>(
+        "read",
         [&](bool probing) {
             return probing
                        ? this->options.direct.read(from, core::milliseconds{0}, this->options.probe_timeout)
@@ -73,26 +91,31 @@
 
 cell::log_newest_answer relayed_log::newest(core::milliseconds limit) {
     return this->call_with_fallback<cell::log_newest_answer>(
-        [&](bool /*probing*/) { return this->options.direct.newest(limit); },
+        "newest", [&](bool /*probing*/) { return this->options.direct.newest(limit); },
         [&](const cell::peer_calls& peer) { return peer.newest_log(this->options.stream, limit); });
 }
 
 template <typename Answer>
-Answer relayed_log::call_with_fallback(const std::function<Answer(bool probing)>& direct,
+Answer relayed_log::call_with_fallback(const char* call, const std::function<Answer(bool probing)>& direct,
                                        const std::function<Answer(const cell::peer_calls&)>& via_peer) {
     Answer answer;
     answer.status = cell::log_status::refused;
+    const auto started_at = std::chrono::steady_clock::now();
     const bool failed = this->is_direct_failing();
     if (!failed || this->try_begin_probe()) {
         answer = direct(failed);
-        this->record_direct_result(is_answer(answer.status));
+        this->record_direct_result(
+            is_answer(answer.status),
+            {.call = call, .status = answer.status, .took = milliseconds_since(started_at)});
         if (is_answer(answer.status)) {
             this->report_relayed();
             return answer;
         }
     }
     bool may_be_done = answer.status == cell::log_status::unknown;
+    const auto relayed_at = std::chrono::steady_clock::now();
     const auto relayed = this->call_peers(via_peer, may_be_done);
+    log_if_slow(this->options.stream, call, milliseconds_since(relayed_at), relayed.has_value());
     {
         const std::lock_guard guard{this->mutex};
         this->last_relay_succeeded = relayed.has_value();
@@ -157,14 +180,17 @@
     return true;
 }
 
-void relayed_log::record_direct_result(bool reached) {
+void relayed_log::record_direct_result(bool reached, const call_report& call) {
     const std::lock_guard guard{this->mutex};
     if (reached == !this->direct_failed_since) {
         return;
     }
     telemetry::log_state(reached ? "log reachable directly again"
                                  : "log not reachable directly; trying peers",
-                         {{"stream", this->options.stream}});
+                         {{"stream", this->options.stream},
+                          {"call", call.call},
+                          {"status", cell::to_string(call.status)},
+                          {"took_ms", std::to_string(call.took.count())}});
     if (reached) {
         this->direct_failed_since.reset();
     } else {
--- a/src/runtime/relayed_log.h
+++ b/src/runtime/relayed_log.h
@@ -55,13 +55,22 @@
     [[nodiscard]] cell::keyed_log as_direct_log();
 
 private:
+    /// A call that has ended, for log lines.
+    struct call_report {
+        const char* call; ///< append, read or newest.
+        cell::log_status status;
+        core::milliseconds took;
+    };
+
     [[nodiscard]] cell::log_append_answer append(const std::vector<cell::keyed_record>& items,
                                                  const cell::producer_stamp& stamp, core::milliseconds limit);
     [[nodiscard]] cell::log_read_answer read(core::log_offset from, core::milliseconds wait,
                                              core::milliseconds limit);
     [[nodiscard]] cell::log_newest_answer newest(core::milliseconds limit);
+    /// @param call the kind of call, for log lines.
     template <typename Answer>
-    [[nodiscard]] Answer call_with_fallback(const std::function<Answer(bool probing)>& direct,
+    [[nodiscard]] Answer call_with_fallback(const char* call,
+                                            const std::function<Answer(bool probing)>& direct,
                                             const std::function<Answer(const cell::peer_calls&)>& via_peer);
     template <typename Answer>
     [[nodiscard]] std::optional<Answer>
@@ -70,7 +79,8 @@
     [[nodiscard]] std::vector<peer_directory::peer> peers_to_try(core::steady_time now);
     [[nodiscard]] bool is_direct_failing();
     [[nodiscard]] bool try_begin_probe();
-    void record_direct_result(bool reached);
+    /// @param call the kind of call and how it ended, for log lines.
+    void record_direct_result(bool reached, const call_report& call);
     void report_relayed();
     void require_direct_access();
 
