--- a/tests/inner/failures_test.cpp
+++ b/tests/inner/failures_test.cpp
@@ -190,6 +190,29 @@
     CHECK(proxy.accepted == 3);
 }
 
+// CONFIG: a host asked several peers in turn, each over a kept connection that was silent, and each for the
+// whole limit.
+TEST_CASE("a read of the log through a peer is repeated over a new connection if a kept one is silent",
+          "[!mayfail]") {
+    auto calls = echo_calls();
+    calls.newest_log = [](auto&&...) { return cell::log_newest_answer{.status = cell::log_status::done}; };
+    inner_server server{{.listen = any_port, .calls = calls}};
+    server.start();
+    stalling_proxy proxy{server.endpoint()};
+    const auto peer = make_peer_connector({})(proxy.endpoint());
+    REQUIRE(peer.timeline(call_limit) == "{}\n");
+
+    proxy.stall_open_connections();
+    CHECK_NOTHROW(peer.read_log("cell", core::log_offset{3}, 0ms, call_limit));
+    CHECK(proxy.accepted == 2);
+    proxy.stall_open_connections();
+    CHECK_NOTHROW(peer.newest_log("cell", call_limit));
+    CHECK(proxy.accepted == 3);
+    proxy.stall_open_connections();
+    CHECK_THROWS_AS(peer.status(shard, sample_id(), short_limit), core::outcome_unknown);
+    CHECK(proxy.accepted == 3); // Other calls take as long as they need.
+}
+
 TEST_CASE("an answer that cannot be decoded leaves the outcome unknown") {
     scripted_peer broken{[](TSocket& connection, int number) {
         const auto request = scripted_peer::read_frame(connection);
--- a/tests/platform/loopback_cell.h
+++ b/tests/platform/loopback_cell.h
@@ -63,7 +63,7 @@
         const auto index = static_cast<std::size_t>(host);
         int status = 0;
         const bool ready = wait_for(10s, [&] {
-            status = this->client.call(this->ready[index], {.method = "GET", .target = "/ready"}, 1s).status;
+            status = this->readiness(host);
             return status == 200;
         });
         if (!ready) {
@@ -73,6 +73,13 @@
         return ready;
     }
 
+    /// @return the status with which a host answers whether it is ready.
+    int readiness(int host) {
+        return this->client
+            .call(this->ready[static_cast<std::size_t>(host)], {.method = "GET", .target = "/ready"}, 1s)
+            .status;
+    }
+
     int submit(int host, const std::string& key, int tasks, int work_ms) {
         const json body{{"spec", std::to_string(work_ms)},
                         {"steps",
--- a/tests/platform/stand_in_store.cpp
+++ b/tests/platform/stand_in_store.cpp
@@ -61,6 +61,21 @@
     this->changed.notify_all();
 }
 
+void stand_in_store::take_down(const std::string& topic) {
+    const std::lock_guard guard{this->mutex};
+    this->topics_down.insert(topic);
+    this->changed.notify_all();
+}
+
+void stand_in_store::bring_up(const std::string& topic) {
+    const std::lock_guard guard{this->mutex};
+    this->topics_down.erase(topic);
+}
+
+bool stand_in_store::is_down(const std::string& topic) const {
+    return this->down || this->topics_down.contains(topic);
+}
+
 front::http_reply stand_in_store::handle(const front::http_request& request) {
     const Poco::URI uri{request.target};
     std::map<std::string, std::string> query;
@@ -69,7 +84,7 @@
     }
     {
         const std::lock_guard guard{this->mutex};
-        if (this->down) {
+        if (this->is_down(query["topic"])) {
             return json_reply(503, json::object());
         }
     }
@@ -126,8 +141,8 @@
     auto& topic = this->topics[query.at("topic")];
     const auto from = query_number(query, "from");
     this->changed.wait_for(lock, std::chrono::milliseconds{query_number(query, "waitMs")},
-                           [&] { return topic.records.size() > from || this->down; });
-    if (this->down) {
+                           [&] { return topic.records.size() > from || this->is_down(query.at("topic")); });
+    if (this->is_down(query.at("topic"))) {
         return json_reply(503, json::object());
     }
     std::string bytes;
--- a/tests/platform/stand_in_store.h
+++ b/tests/platform/stand_in_store.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,12 @@
     /// @param value true to answer all calls with status 503.
     void set_down(bool value);
 
+    /// @param topic a topic to which all calls are answered with status 503 from now on.
+    void take_down(const std::string& topic);
+
+    /// @param topic a topic that is served again.
+    void bring_up(const std::string& topic);
+
     [[nodiscard]] core::endpoint endpoint() const { return this->server.endpoint(); }
 
 private:
@@ -45,6 +52,8 @@
     };
 
     front::http_reply handle(const front::http_request& request);
+    /// @return whether calls to a topic are answered with status 503. Needs the mutex.
+    bool is_down(const std::string& topic) const;
     front::http_reply append(const std::map<std::string, std::string>& query, const std::string& body);
     front::http_reply read(const std::map<std::string, std::string>& query);
     front::http_reply newest(const std::map<std::string, std::string>& query);
@@ -52,6 +61,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, topic> topics;
+    std::set<std::string> topics_down;
     bool down = false;
     front::http_server server;
 };
--- a/tests/platform/store_topic_test.cpp
+++ b/tests/platform/store_topic_test.cpp
@@ -1,6 +1,9 @@
 #include "external/http_caller.h"
 #include "platform/store_topic.h"
+#include "runtime/elastic_pool.h"
 #include "tests/external/scripted_server.h"
+#include "tests/inner/stalling_proxy.h"
+#include "tests/platform/stand_in_store.h"
 
 #include <catch2/catch.hpp>
 
@@ -110,4 +113,30 @@
     }
 }
 
+// CONFIG: connections stayed open and nothing arrived on them any more; each read waited for its whole time
+// limit on one of them, although the store answered on new ones.
+TEST_CASE("a read over a kept connection that is silent is repeated over a new one within its limit",
+          "[!mayfail]") {
+    runtime::elastic_pool pool{{.max_threads = 20}};
+    stand_in_store store{pool};
+    store.put("keyed.op", "config", "1");
+    inner::stalling_proxy proxy{store.endpoint()};
+    const auto log = platform::store_topic{std::make_shared<external::http_caller>(
+                                               external::connection_pool_options{.idle_limit = 10s}, false),
+                                           proxy.endpoint(), "keyed.op"}
+                         .as_log();
+    const auto newest = log.newest(1s);
+    REQUIRE(newest.status == log_status::done);
+
+    proxy.stall_open_connections();
+    const auto at_end = log.read(newest.next, 300ms, 1s);
+    CHECK(at_end.status == log_status::done);
+    CHECK(at_end.at_end);
+    proxy.stall_open_connections();
+    CHECK(log.read(core::log_offset{0}, 0ms, 600ms).items.size() == 1);
+    proxy.stall_open_connections();
+    CHECK(log.newest(1s).items.size() == 1);
+    CHECK(proxy.accepted == 4);
+}
+
 } // namespace rattanmount::tests
--- a/tests/runtime/relayed_log_test.cpp
+++ b/tests/runtime/relayed_log_test.cpp
@@ -133,6 +133,37 @@
     CHECK(asked.size() == 3);
 }
 
+// CONFIG: a host applied no configuration for 11 s, because it read the newest entries through silent peers,
+// each for 3 s, while the log answered it directly.
+TEST_CASE("silent peers take no longer than the limit of a call together, and the log is then asked directly",
+          "[!mayfail]") {
+    constexpr auto limit = 1000ms;
+    scripted_log own_log{.status = log_status::unknown};
+    core::milliseconds waited{0};
+    const auto peer_that = [&](const std::string& name, log_status status) {
+        cell::peer_calls calls;
+        calls.read_log = [status](const std::string&, auto from, auto, auto) {
+            return cell::log_read_answer{.status = status, .next = from};
+        };
+        calls.newest_log = [&waited](const std::string&,
+                                     core::milliseconds given) -> cell::log_newest_answer {
+            waited += given;
+            throw core::outcome_unknown("no answer");
+        };
+        return peer_directory::peer{.incarnation = core::incarnation_id{name}, .calls = calls};
+    };
+    relayed_log log{{.stream = "configuration", .direct = own_log.as_log(), .peers = [&] {
+                         return std::vector{peer_that("a", log_status::expired),
+                                            peer_that("b", log_status::expired),
+                                            peer_that("c", log_status::expired)};
+                     }}};
+    REQUIRE(log.as_log().read(core::log_offset{3}, 700ms, 1400ms).status == log_status::expired);
+    own_log.status = log_status::done;
+    CHECK(log.as_log().newest(limit).status != log_status::done);
+    CHECK(waited <= limit);
+    CHECK(log.as_log().newest(limit).status == log_status::done);
+}
+
 TEST_CASE("no peer is called while the log answers") {
     scripted_log own_log;
     relayed_log log{
