Repeat a read of the log through a peer over a new connection if a kept one is silent

Such a read now has half of its limit on a kept connection and the rest on a new one. Other idempotent calls may take long to execute, and are not repeated after a silence.

--- a/src/inner/call_runner.cpp
+++ b/src/inner/call_runner.cpp
@@ -19,6 +19,22 @@
     }
 }
 
+/// Returns whether a call over a reused connection is tried again after an attempt that ended like this.
+bool may_try_again(attempt_outcome outcome, retry_policy policy) {
+    switch (outcome) {
+    case attempt_outcome::not_sent:
+        return true;
+    case attempt_outcome::broken:
+        return policy != retry_policy::no_retry;
+    case attempt_outcome::timed_out:
+        return policy == retry_policy::retry_if_silent;
+    case attempt_outcome::answered:
+    case attempt_outcome::refused:
+        break;
+    }
+    return false;
+}
+
 [[noreturn]] void throw_failure(const attempt_result& result, bool sent_before, const core::endpoint& peer) {
     const auto reason = peer.text() + ": " + result.reason;
     const bool may_have_run =
@@ -36,15 +52,14 @@
 
 void call_runner::run(const rpc_call& call, retry_policy policy, core::milliseconds limit) {
     this->counters->calls++;
-    const auto deadline = std::chrono::steady_clock::now() + limit;
+    const auto started_at = std::chrono::steady_clock::now();
+    const auto deadline = started_at + limit;
+    const bool ends_silence = policy == retry_policy::retry_if_silent;
     bool reused = false;
-    auto result = this->attempt(call, deadline, reused);
+    auto result = this->attempt(call, deadline, ends_silence ? started_at + limit / 2 : deadline, reused);
     bool sent_before = false;
-    const bool lost_connection =
-        result.outcome == attempt_outcome::not_sent ||
-        (result.outcome == attempt_outcome::broken && policy == retry_policy::retry_once);
-    if (reused && lost_connection) {
-        sent_before = result.outcome == attempt_outcome::broken;
+    if (reused && may_try_again(result.outcome, policy)) {
+        sent_before = result.outcome != attempt_outcome::not_sent;
         this->pool.close_idle();
         result = this->attempt_again(call, deadline, sent_before);
     }
@@ -59,7 +74,7 @@
                                           bool sent_before) {
     bool reused = false;
     try {
-        return this->attempt(call, deadline, reused);
+        return this->attempt(call, deadline, deadline, reused);
     } catch (const core::unavailable& error) {
         if (sent_before) {
             throw core::outcome_unknown(error.what());
@@ -68,7 +83,8 @@
     }
 }
 
-attempt_result call_runner::attempt(const rpc_call& call, core::steady_time deadline, bool& reused) {
+attempt_result call_runner::attempt(const rpc_call& call, core::steady_time deadline,
+                                    core::steady_time reused_deadline, bool& reused) {
     std::unique_ptr<peer_connection> connection;
     try {
         connection = this->pool.take(deadline);
@@ -78,7 +94,7 @@
     reused = connection->reused();
     attempt_result result;
     try {
-        result = connection->attempt(call, deadline);
+        result = connection->attempt(call, reused ? reused_deadline : deadline);
     } catch (const gen::call_error& error) {
         this->pool.give_back(std::move(connection));
         this->counters->failed_calls++;
--- a/src/inner/call_runner.h
+++ b/src/inner/call_runner.h
@@ -9,10 +9,13 @@
 
 namespace rattanmount::inner {
 
-/// Whether a call may be sent again when the connection breaks before the answer arrives.
+/// Whether a call may be sent again when no answer to it arrives.
 enum class retry_policy : std::uint8_t {
     retry_once, ///< The call is idempotent: it is sent a second time if a reused connection breaks.
-    no_retry    ///< A second execution would take effect again.
+    /// As retry_once, and the call is short: it is also sent a second time if a reused connection has given
+    /// no answer after half of the limit. The connection may have become silent without being closed.
+    retry_if_silent,
+    no_retry ///< A second execution would take effect again.
 };
 
 /// Runs calls to one peer within their time limits and reports whether a failed call may have been executed.
@@ -33,8 +36,11 @@
 
 private:
     /// Makes one attempt and returns its connection to the pool or closes it.
+    /// @param deadline when the attempt times out.
+    /// @param reused_deadline when it times out on a connection that has carried a call before.
     /// @param reused set to whether the connection had carried a call before.
-    attempt_result attempt(const rpc_call& call, core::steady_time deadline, bool& reused);
+    attempt_result attempt(const rpc_call& call, core::steady_time deadline,
+                           core::steady_time reused_deadline, bool& reused);
 
     /// Makes the second attempt of a call.
     /// @param sent_before whether the first one may have been executed: if the peer refuses the second, that
--- a/src/inner/inner_client.cpp
+++ b/src/inner/inner_client.cpp
@@ -181,7 +181,7 @@
     hooks.read_log = [runner = this->calls](const std::string& stream, core::log_offset from,
                                             milliseconds wait, milliseconds limit) {
         return read_answer_from_wire(invoke(
-            *runner, retry_policy::retry_once, limit,
+            *runner, retry_policy::retry_if_silent, limit,
             [&](thrift_client& client, milliseconds left) {
                 client.send_read_log(stream, to_wire(from), wait.count(), left.count());
             },
@@ -200,7 +200,7 @@
     };
     hooks.newest_log = [runner = this->calls](const std::string& stream, milliseconds limit) {
         return newest_answer_from_wire(invoke(
-            *runner, retry_policy::retry_once, limit,
+            *runner, retry_policy::retry_if_silent, limit,
             [&](thrift_client& client, milliseconds left) { client.send_newest_log(stream, left.count()); },
             &thrift_client::recv_newest_log));
     };
--- a/tests/inner/failures_test.cpp
+++ b/tests/inner/failures_test.cpp
@@ -192,9 +192,9 @@
 
 // CONFIG: a host asked several peers in turn, each over a kept connection that was silent, and each for the
 // whole limit.
-TEST_CASE("a read of the log through a peer is repeated over a new connection if a kept one is silent",
-          "[!mayfail]") {
+TEST_CASE("a read of the log through a peer is repeated over a new connection if a kept one is silent") {
     auto calls = echo_calls();
+    calls.read_log = [](auto&&...) { return cell::log_read_answer{.status = cell::log_status::done}; };
     calls.newest_log = [](auto&&...) { return cell::log_newest_answer{.status = cell::log_status::done}; };
     inner_server server{{.listen = any_port, .calls = calls}};
     server.start();
