Count the age of a read of the cell's log from when it was sent

A host denies an unknown job (410) only if it has read the log to its end within 1.5 s. That was counted from when the control thread handled the answer, which may be 1.4 s after the read was sent and later behind other work: 2.9 s and more, where a job may be unknown for 3 s. It now also ends 2.2 s after the sending; a read that is held open for as long as the log may, twice in a row, stays within that.

Evidence: found by reading; 'a read that arrives late ...' failed before and passes.

--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -64,6 +64,9 @@
             this->log_available_since = now;
         }
         this->caught_up_at = now;
+        this->up_to_date_until =
+            std::max(this->up_to_date_until, std::min(now + this->options.max_read_age,
+                                                      batch.asked_at + this->options.max_answer_age));
         if (this->election.leads()) {
             this->dispatcher.confirm_leadership(batch.asked_at);
             this->dispatcher.on_log_read(batch.asked_at);
--- a/src/runtime/cell_control.h
+++ b/src/runtime/cell_control.h
@@ -66,6 +66,9 @@
     /// If no read has reached the end of the log for this long, this host does not deny the existence of jobs
     /// that it does not know, accepts no requests and is not ready.
     core::milliseconds max_read_age{1500};
+    /// The same, counted from the sending of that read: it may have been answered late, or have waited for
+    /// the control thread, and shows what was in the log when it was sent.
+    core::milliseconds max_answer_age{2200};
     /// Worker entries that expired during an outage of the log are complete again this long after it ends.
     core::milliseconds worker_relist_delay{2500};
     /// The leader steps down after it has reached the log only through peers for this long.
@@ -116,11 +119,9 @@
     /// Returns the number of jobs of a queue that wait for their first start.
     [[nodiscard]] std::uint32_t pending(const workflow::queue_id& queue) const;
 
-    /// Returns true if the log was read to its end within max_read_age. Only then does an unknown job
-    /// certainly not exist.
-    [[nodiscard]] bool is_up_to_date(core::steady_time now) const {
-        return this->caught_up_at && now < *this->caught_up_at + this->options.max_read_age;
-    }
+    /// Returns true if the log was read to its end within max_read_age, by a read that was sent within
+    /// max_answer_age. Only then does an unknown job certainly not exist.
+    [[nodiscard]] bool is_up_to_date(core::steady_time now) const { return now < this->up_to_date_until; }
 
     /// Returns the time since the log was last read to its end; 0 if it never was.
     [[nodiscard]] core::milliseconds time_since_caught_up(core::steady_time now) const {
@@ -183,6 +184,7 @@
     std::shared_ptr<const workflow::configuration> config;
     core::log_offset last_offset; ///< The highest offset read so far.
     std::optional<core::steady_time> caught_up_at;
+    core::steady_time up_to_date_until;
     /// When reads of the log succeeded for the first time, or again after an outage.
     core::steady_time log_available_since;
     core::steady_time last_forget_at;
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -95,6 +95,19 @@
     CHECK(host.control->phase_of(workflow::job_key{"a"}) == workflow::job_phase::queued);
 }
 
+// LOST: a read that was answered or applied late counted as one of that moment, so that a host could deny a
+// job that had been accepted for longer than it may be unknown.
+TEST_CASE("a read that arrives late shows the log as of when it was sent") {
+    host_fixture host;
+    host.read({});
+    const auto sent_at = host.now;
+    host.advance(2s);
+    host.control->on_records({.caught_up = true, .asked_at = sent_at}, host.now);
+    CHECK(host.control->is_up_to_date(host.now));
+    host.advance(300ms);
+    CHECK_FALSE(host.control->is_up_to_date(host.now));
+}
+
 TEST_CASE("the cancellation of an unknown job is stored") {
     host_fixture host;
     host.read({});
