Let the reader of a stream of the log say how much to read

No change of behaviour: a read is described by a struct with its position, its wait and its size, which passes through the inner protocol (an absent size, of a host of the former version, is the store's own).

--- a/src/cell/keyed_log.h
+++ b/src/cell/keyed_log.h
@@ -75,6 +75,16 @@
     core::sequence_number sequence;
 };
 
+/// A read of consecutive entries.
+struct log_read_request {
+    static constexpr std::size_t default_max_bytes = 1'048'576;
+
+    core::log_offset from;
+    core::milliseconds wait{0}; ///< How long the log may hold the read open until an entry arrives.
+    /// The log returns no more entries than fit, but may return a single longer one.
+    std::size_t max_bytes = default_max_bytes;
+};
+
 struct log_append_answer {
     log_status status = log_status::unknown;
     core::sequence_number expected; ///< For out_of_sequence: the sequence number that would be accepted.
@@ -98,8 +108,7 @@
     std::function<log_append_answer(const std::vector<keyed_record>& items, const producer_stamp& stamp,
                                     core::milliseconds limit)>
         append;
-    std::function<log_read_answer(core::log_offset from, core::milliseconds wait, core::milliseconds limit)>
-        read;
+    std::function<log_read_answer(const log_read_request& request, core::milliseconds limit)> read;
     std::function<log_newest_answer(core::milliseconds limit)> newest;
     log_limits limits;
 };
--- a/src/cell/peer_calls.h
+++ b/src/cell/peer_calls.h
@@ -95,7 +95,7 @@
     std::function<log_append_answer(const std::string& stream, const std::vector<keyed_record>&,
                                     const producer_stamp&, core::milliseconds limit)>
         append_log;
-    std::function<log_read_answer(const std::string& stream, core::log_offset from, core::milliseconds wait,
+    std::function<log_read_answer(const std::string& stream, const log_read_request& request,
                                   core::milliseconds limit)>
         read_log;
     std::function<log_newest_answer(const std::string& stream, core::milliseconds limit)> newest_log;
--- a/src/inner/gen/peer_service.cpp
+++ b/src/inner/gen/peer_service.cpp
@@ -2866,6 +2866,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_bytes);
+          this->__isset.max_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2899,6 +2907,10 @@
   xfer += oprot->writeI64(this->limit_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("max_bytes", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->max_bytes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2930,6 +2942,10 @@
   xfer += oprot->writeI64((*(this->limit_ms)));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("max_bytes", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64((*(this->max_bytes)));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4954,13 +4970,13 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "append_log failed: unknown result");
 }
 
-void peer_serviceClient::read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms)
+void peer_serviceClient::read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes)
 {
-  send_read_log(stream, from_offset, wait_ms, limit_ms);
+  send_read_log(stream, from_offset, wait_ms, limit_ms, max_bytes);
   recv_read_log(_return);
 }
 
-void peer_serviceClient::send_read_log(const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms)
+void peer_serviceClient::send_read_log(const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes)
 {
   int32_t cseqid = 0;
   oprot_->writeMessageBegin("read_log", ::apache::thrift::protocol::T_CALL, cseqid);
@@ -4970,6 +4986,7 @@
   args.from_offset = &from_offset;
   args.wait_ms = &wait_ms;
   args.limit_ms = &limit_ms;
+  args.max_bytes = &max_bytes;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -6053,7 +6070,7 @@
 
   peer_service_read_log_result result;
   try {
-    iface_->read_log(result.success, args.stream, args.from_offset, args.wait_ms, args.limit_ms);
+    iface_->read_log(result.success, args.stream, args.from_offset, args.wait_ms, args.limit_ms, args.max_bytes);
     result.__isset.success = true;
   } catch (call_error &error) {
     result.error = std::move(error);
@@ -7450,13 +7467,13 @@
   } // end while(true)
 }
 
-void peer_serviceConcurrentClient::read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms)
+void peer_serviceConcurrentClient::read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes)
 {
-  int32_t seqid = send_read_log(stream, from_offset, wait_ms, limit_ms);
+  int32_t seqid = send_read_log(stream, from_offset, wait_ms, limit_ms, max_bytes);
   recv_read_log(_return, seqid);
 }
 
-int32_t peer_serviceConcurrentClient::send_read_log(const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms)
+int32_t peer_serviceConcurrentClient::send_read_log(const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
@@ -7467,6 +7484,7 @@
   args.from_offset = &from_offset;
   args.wait_ms = &wait_ms;
   args.limit_ms = &limit_ms;
+  args.max_bytes = &max_bytes;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
--- a/src/inner/gen/peer_service.h
+++ b/src/inner/gen/peer_service.h
@@ -34,7 +34,17 @@
   virtual void copy_config(config_copy& _return, const int64_t limit_ms) = 0;
   virtual void timeline(std::string& _return, const int64_t limit_ms) = 0;
   virtual void append_log(log_answer& _return, const log_append_request& request, const int64_t limit_ms) = 0;
-  virtual void read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms) = 0;
+
+  /**
+   * max_bytes is 0 if the caller states no limit.
+   * 
+   * @param stream
+   * @param from_offset
+   * @param wait_ms
+   * @param limit_ms
+   * @param max_bytes
+   */
+  virtual void read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes) = 0;
   virtual void newest_log(log_answer& _return, const std::string& stream, const int64_t limit_ms) = 0;
 
   /**
@@ -126,7 +136,7 @@
   void append_log(log_answer& /* _return */, const log_append_request& /* request */, const int64_t /* limit_ms */) override {
     return;
   }
-  void read_log(log_answer& /* _return */, const std::string& /* stream */, const int64_t /* from_offset */, const int64_t /* wait_ms */, const int64_t /* limit_ms */) override {
+  void read_log(log_answer& /* _return */, const std::string& /* stream */, const int64_t /* from_offset */, const int64_t /* wait_ms */, const int64_t /* limit_ms */, const int64_t /* max_bytes */) override {
     return;
   }
   void newest_log(log_answer& /* _return */, const std::string& /* stream */, const int64_t /* limit_ms */) override {
@@ -1705,11 +1715,12 @@
 };
 
 typedef struct _peer_service_read_log_args__isset {
-  _peer_service_read_log_args__isset() : stream(false), from_offset(false), wait_ms(false), limit_ms(false) {}
+  _peer_service_read_log_args__isset() : stream(false), from_offset(false), wait_ms(false), limit_ms(false), max_bytes(false) {}
   bool stream :1;
   bool from_offset :1;
   bool wait_ms :1;
   bool limit_ms :1;
+  bool max_bytes :1;
 } _peer_service_read_log_args__isset;
 
 class peer_service_read_log_args {
@@ -1723,7 +1734,8 @@
                              : stream(),
                                from_offset(0),
                                wait_ms(0),
-                               limit_ms(0) {
+                               limit_ms(0),
+                               max_bytes(0) {
   }
 
   virtual ~peer_service_read_log_args() noexcept;
@@ -1731,6 +1743,7 @@
   int64_t from_offset;
   int64_t wait_ms;
   int64_t limit_ms;
+  int64_t max_bytes;
 
   _peer_service_read_log_args__isset __isset;
 
@@ -1742,6 +1755,8 @@
 
   void __set_limit_ms(const int64_t val);
 
+  void __set_max_bytes(const int64_t val);
+
   bool operator == (const peer_service_read_log_args & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -1752,6 +1767,8 @@
       return false;
     if (!(limit_ms == rhs.limit_ms))
       return false;
+    if (!(max_bytes == rhs.max_bytes))
+      return false;
     return true;
   }
   bool operator != (const peer_service_read_log_args &rhs) const {
@@ -1775,6 +1792,7 @@
   const int64_t* from_offset;
   const int64_t* wait_ms;
   const int64_t* limit_ms;
+  const int64_t* max_bytes;
 
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
@@ -2528,8 +2546,17 @@
   void append_log(log_answer& _return, const log_append_request& request, const int64_t limit_ms) override;
   void send_append_log(const log_append_request& request, const int64_t limit_ms);
   void recv_append_log(log_answer& _return);
-  void read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms) override;
-  void send_read_log(const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms);
+  /**
+   * max_bytes is 0 if the caller states no limit.
+   * 
+   * @param stream
+   * @param from_offset
+   * @param wait_ms
+   * @param limit_ms
+   * @param max_bytes
+   */
+  void read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes) override;
+  void send_read_log(const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes);
   void recv_read_log(log_answer& _return);
   void newest_log(log_answer& _return, const std::string& stream, const int64_t limit_ms) override;
   void send_newest_log(const std::string& stream, const int64_t limit_ms);
@@ -2765,13 +2792,22 @@
     return;
   }
 
-  void read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms) override {
+  /**
+   * max_bytes is 0 if the caller states no limit.
+   * 
+   * @param stream
+   * @param from_offset
+   * @param wait_ms
+   * @param limit_ms
+   * @param max_bytes
+   */
+  void read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
-      ifaces_[i]->read_log(_return, stream, from_offset, wait_ms, limit_ms);
+      ifaces_[i]->read_log(_return, stream, from_offset, wait_ms, limit_ms, max_bytes);
     }
-    ifaces_[i]->read_log(_return, stream, from_offset, wait_ms, limit_ms);
+    ifaces_[i]->read_log(_return, stream, from_offset, wait_ms, limit_ms, max_bytes);
     return;
   }
 
@@ -2910,8 +2946,17 @@
   void append_log(log_answer& _return, const log_append_request& request, const int64_t limit_ms) override;
   int32_t send_append_log(const log_append_request& request, const int64_t limit_ms);
   void recv_append_log(log_answer& _return, const int32_t seqid);
-  void read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms) override;
-  int32_t send_read_log(const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms);
+  /**
+   * max_bytes is 0 if the caller states no limit.
+   * 
+   * @param stream
+   * @param from_offset
+   * @param wait_ms
+   * @param limit_ms
+   * @param max_bytes
+   */
+  void read_log(log_answer& _return, const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes) override;
+  int32_t send_read_log(const std::string& stream, const int64_t from_offset, const int64_t wait_ms, const int64_t limit_ms, const int64_t max_bytes);
   void recv_read_log(log_answer& _return, const int32_t seqid);
   void newest_log(log_answer& _return, const std::string& stream, const int64_t limit_ms) override;
   int32_t send_newest_log(const std::string& stream, const int64_t limit_ms);
--- a/src/inner/inner.thrift
+++ b/src/inner/inner.thrift
@@ -270,7 +270,8 @@
   config_copy copy_config(1: i64 limit_ms) throws (1: call_error error)
   string timeline(1: i64 limit_ms) throws (1: call_error error)
   log_answer append_log(1: log_append_request request, 2: i64 limit_ms) throws (1: call_error error)
-  log_answer read_log(1: string stream, 2: i64 from_offset, 3: i64 wait_ms, 4: i64 limit_ms)
+  /** max_bytes is 0 if the caller states no limit. */
+  log_answer read_log(1: string stream, 2: i64 from_offset, 3: i64 wait_ms, 4: i64 limit_ms, 5: i64 max_bytes)
     throws (1: call_error error)
   log_answer newest_log(1: string stream, 2: i64 limit_ms) throws (1: call_error error)
   /** Returns whether the items are stored; if not, they never will be. Served by the leader only. */
--- a/src/inner/inner_client.cpp
+++ b/src/inner/inner_client.cpp
@@ -178,12 +178,13 @@
             [&](thrift_client& client, milliseconds left) { client.send_append_log(request, left.count()); },
             &thrift_client::recv_append_log));
     };
-    hooks.read_log = [runner = this->calls](const std::string& stream, core::log_offset from,
-                                            milliseconds wait, milliseconds limit) {
+    hooks.read_log = [runner = this->calls](const std::string& stream, const cell::log_read_request& request,
+                                            milliseconds limit) {
         return read_answer_from_wire(invoke(
             *runner, retry_policy::retry_if_silent, limit,
             [&](thrift_client& client, milliseconds left) {
-                client.send_read_log(stream, to_wire(from), wait.count(), left.count());
+                client.send_read_log(stream, to_wire(request.from), request.wait.count(), left.count(),
+                                     static_cast<std::int64_t>(request.max_bytes));
             },
             &thrift_client::recv_read_log));
     };
--- a/src/inner/service_handler.cpp
+++ b/src/inner/service_handler.cpp
@@ -146,11 +146,14 @@
 }
 
 void service_handler::read_log(gen::log_answer& answer, const std::string& stream, std::int64_t from_offset,
-                               std::int64_t wait_ms, std::int64_t limit_ms) {
+                               std::int64_t wait_ms, std::int64_t limit_ms, std::int64_t max_bytes) {
     this->run_hook(this->calls.read_log, [&] {
         const core::log_offset from{static_cast<std::uint64_t>(std::max<std::int64_t>(from_offset, 0))};
-        answer = to_wire(this->calls.read_log(stream, from, duration_from_wire(wait_ms, "wait_ms"),
-                                              limit_from_wire(limit_ms)));
+        cell::log_read_request request{.from = from, .wait = duration_from_wire(wait_ms, "wait_ms")};
+        if (max_bytes > 0) {
+            request.max_bytes = static_cast<std::size_t>(max_bytes);
+        }
+        answer = to_wire(this->calls.read_log(stream, request, limit_from_wire(limit_ms)));
     });
 }
 
--- a/src/inner/service_handler.h
+++ b/src/inner/service_handler.h
@@ -42,7 +42,7 @@
     void append_log(gen::log_answer& answer, const gen::log_append_request& request,
                     std::int64_t limit_ms) override;
     void read_log(gen::log_answer& answer, const std::string& stream, std::int64_t from_offset,
-                  std::int64_t wait_ms, std::int64_t limit_ms) override;
+                  std::int64_t wait_ms, std::int64_t limit_ms, std::int64_t max_bytes) override;
     void newest_log(gen::log_answer& answer, const std::string& stream, std::int64_t limit_ms) override;
     bool store_items(const std::vector<gen::log_item>& items, std::int64_t limit_ms) override;
     void advise(gen::advice_answer& answer, const gen::advice_request& request,
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -244,9 +244,9 @@
                               const cell::producer_stamp& stamp, core::milliseconds limit) {
         return this->find_log(stream).as_direct_log().append(items, stamp, limit);
     };
-    calls.read_log = [this](const std::string& stream, core::log_offset from, core::milliseconds wait,
+    calls.read_log = [this](const std::string& stream, const cell::log_read_request& request,
                             core::milliseconds limit) {
-        return this->find_log(stream).as_direct_log().read(from, wait, limit);
+        return this->find_log(stream).as_direct_log().read(request, limit);
     };
     calls.newest_log = [this](const std::string& stream, core::milliseconds limit) {
         return this->find_log(stream).as_direct_log().newest(limit);
@@ -534,7 +534,7 @@
     const auto asked_at = this->options.clock.steady();
     bool at_end = false;
     while (!at_end) {
-        auto answer = log.read(*position, core::milliseconds{0}, configuration_read_timeout);
+        auto answer = log.read({.from = *position}, configuration_read_timeout);
         if (answer.status != cell::log_status::done) {
             return false;
         }
--- a/src/runtime/log_follower.cpp
+++ b/src/runtime/log_follower.cpp
@@ -113,7 +113,8 @@
 bool log_follower::read_next() {
     const auto wait = this->caught_up ? this->options.wait : core::milliseconds{0};
     const auto asked_at = this->options.now();
-    auto answer = this->options.log.read(*this->next, wait, wait + this->options.read_timeout_margin);
+    auto answer =
+        this->options.log.read({.from = *this->next, .wait = wait}, wait + this->options.read_timeout_margin);
     if (answer.status == cell::log_status::expired) {
         telemetry::log_state("log entries expired before they were read; reading the newest entries again",
                              {{"stream", this->options.name}});
--- a/src/runtime/relayed_log.cpp
+++ b/src/runtime/relayed_log.cpp
@@ -36,7 +36,7 @@
 cell::keyed_log relayed_log::as_log() {
     return {.append = [this](const auto& items, const auto& stamp,
                              auto limit) { return this->append(items, stamp, limit); },
-            .read = [this](auto from, auto wait, auto limit) { return this->read(from, wait, limit); },
+            .read = [this](const auto& request, auto limit) { return this->read(request, limit); },
             .newest = [this](auto limit) { return this->newest(limit); },
             .limits = this->options.direct.limits};
 }
@@ -48,9 +48,9 @@
                     return this->options.direct.append(items, stamp, limit);
                 },
             .read =
-                [this](auto from, auto wait, auto limit) {
+                [this](const auto& request, auto limit) {
                     this->require_direct_access();
-                    return this->options.direct.read(from, wait, limit);
+                    return this->options.direct.read(request, limit);
                 },
             .newest =
                 [this](auto limit) {
@@ -74,18 +74,19 @@
         });
 }
 
-cell::log_read_answer relayed_log::read(core::log_offset from, core::milliseconds wait,
-                                        core::milliseconds limit) {
+cell::log_read_answer relayed_log::read(const cell::log_read_request& request, core::milliseconds limit) {
+    auto probe = request;
+    probe.wait = core::milliseconds{0};
+    auto relayed = request;
+    relayed.wait = std::min(request.wait, this->options.peer_read_wait);
     return this->call_with_fallback<cell::log_read_answer>(
         "read",
         [&](bool probing) {
-            return probing
-                       ? this->options.direct.read(from, core::milliseconds{0}, this->options.probe_timeout)
-                       : this->options.direct.read(from, wait, limit);
+            return probing ? this->options.direct.read(probe, this->options.probe_timeout)
+                           : this->options.direct.read(request, limit);
         },
         [&](const cell::peer_calls& peer) {
-            return peer.read_log(this->options.stream, from, std::min(wait, this->options.peer_read_wait),
-                                 std::min(limit, this->options.peer_timeout));
+            return peer.read_log(this->options.stream, relayed, std::min(limit, this->options.peer_timeout));
         });
 }
 
--- a/src/runtime/relayed_log.h
+++ b/src/runtime/relayed_log.h
@@ -66,8 +66,7 @@
 
     [[nodiscard]] cell::log_append_answer append(const std::vector<cell::keyed_record>& items,
                                                  const cell::producer_stamp& stamp, core::milliseconds limit);
-    [[nodiscard]] cell::log_read_answer read(core::log_offset from, core::milliseconds wait,
-                                             core::milliseconds limit);
+    [[nodiscard]] cell::log_read_answer read(const cell::log_read_request& request, core::milliseconds limit);
     [[nodiscard]] cell::log_newest_answer newest(core::milliseconds limit);
     /// @param call the kind of call, for log lines.
     template <typename Answer>
--- a/tests/inner/calls_test.cpp
+++ b/tests/inner/calls_test.cpp
@@ -93,3 +93,24 @@
     CHECK(server.counters().calls == 11);
     CHECK(server.counters().connections == 2);
 }
+
+TEST_CASE("a read of the log arrives at the peer with its position, wait and size") {
+    const cell::log_read_request request{
+        .from = core::log_offset{7}, .wait = core::milliseconds{100}, .max_bytes = 65536};
+    cell::log_read_request seen;
+    cell::peer_calls calls;
+    calls.read_log = [&](const std::string& stream, const cell::log_read_request& read, core::milliseconds) {
+        CHECK(stream == "cell");
+        seen = read;
+        return cell::log_read_answer{.status = cell::log_status::done, .next = read.from, .at_end = true};
+    };
+    inner_server server{{.listen = any_port, .calls = calls}};
+    server.start();
+    const auto answer = make_peer_connector({})(server.endpoint()).read_log("cell", request, call_limit);
+    CHECK(answer.status == cell::log_status::done);
+    CHECK(answer.next == request.from);
+    CHECK(answer.at_end);
+    CHECK(seen.from == request.from);
+    CHECK(seen.wait == request.wait);
+    CHECK(seen.max_bytes == request.max_bytes);
+}
--- a/tests/inner/failures_test.cpp
+++ b/tests/inner/failures_test.cpp
@@ -203,7 +203,7 @@
     REQUIRE(peer.timeline(call_limit) == "{}\n");
 
     proxy.stall_open_connections();
-    CHECK_NOTHROW(peer.read_log("cell", core::log_offset{3}, 0ms, call_limit));
+    CHECK_NOTHROW(peer.read_log("cell", {.from = core::log_offset{3}}, call_limit));
     CHECK(proxy.accepted == 2);
     proxy.stall_open_connections();
     CHECK_NOTHROW(peer.newest_log("cell", call_limit));
--- a/tests/platform/store_topic_test.cpp
+++ b/tests/platform/store_topic_test.cpp
@@ -51,7 +51,7 @@
     const std::vector<std::string> reads{"short", offsets + std::string("\0\0\0\x09x", 5)};
     for (const auto& body : reads) {
         CAPTURE(body);
-        CHECK(scripted_topic{"200 OK", body}.log.read(core::log_offset{0}, 0ms, 1s).status ==
+        CHECK(scripted_topic{"200 OK", body}.log.read({.from = core::log_offset{0}}, 1s).status ==
               log_status::unknown);
     }
     for (const std::string body : {"", "[]", R"({"reason":7})", R"({"reason":"seq","sequence":"7"})"}) {
@@ -87,7 +87,8 @@
     const std::string entries{"\0\0\0\x02\x09x\0\0\0\x03\x01"
                               "by",
                               13};
-    const auto answer = scripted_topic{"200 OK", offsets + entries}.log.read(core::log_offset{4}, 0ms, 1s);
+    const auto answer =
+        scripted_topic{"200 OK", offsets + entries}.log.read({.from = core::log_offset{4}}, 1s);
     CHECK(answer.status == log_status::done);
     CHECK(answer.next == core::log_offset{6});
     REQUIRE(answer.items.size() == 1);
@@ -128,11 +129,11 @@
     REQUIRE(newest.status == log_status::done);
 
     proxy.stall_open_connections();
-    const auto at_end = log.read(newest.next, 300ms, 1s);
+    const auto at_end = log.read({.from = newest.next, .wait = 300ms}, 1s);
     CHECK(at_end.status == log_status::done);
     CHECK(at_end.at_end);
     proxy.stall_open_connections();
-    CHECK(log.read(core::log_offset{0}, 0ms, 600ms).items.size() == 1);
+    CHECK(log.read({.from = core::log_offset{0}}, 600ms).items.size() == 1);
     proxy.stall_open_connections();
     CHECK(log.newest(1s).items.size() == 1);
     CHECK(proxy.accepted == 4);
--- a/tests/runtime/log_follower_test.cpp
+++ b/tests/runtime/log_follower_test.cpp
@@ -41,12 +41,12 @@
         }
         return {.status = log_status::done, .next = core::log_offset{7}};
     };
-    log.read = [&](auto from, auto, auto) -> cell::log_read_answer {
-        last_from = from.value();
+    log.read = [&](const auto& request, auto) -> cell::log_read_answer {
+        last_from = request.from.value();
         if (reads++ == 0) {
             throw std::runtime_error("the reply cannot be read");
         }
-        return {.status = log_status::done, .next = from.next(), .at_end = true};
+        return {.status = log_status::done, .next = request.from.next(), .at_end = true};
     };
     log_follower follower{{.name = "workers",
                            .log = log,
@@ -72,8 +72,8 @@
         limits.push_back(limit);
         return {.status = limits.size() < 5 ? log_status::unknown : log_status::done};
     };
-    log.read = [&](auto from, auto, auto) -> cell::log_read_answer {
-        return {.status = log_status::expired, .next = from};
+    log.read = [&](const auto& request, auto) -> cell::log_read_answer {
+        return {.status = log_status::expired, .next = request.from};
     };
     log_follower follower{{.name = "cell",
                            .log = log,
--- a/tests/runtime/relayed_log_test.cpp
+++ b/tests/runtime/relayed_log_test.cpp
@@ -29,8 +29,10 @@
                         this->sequences.push_back(stamp.sequence);
                         return cell::log_append_answer{.status = this->status};
                     },
-                .read = [this](auto from, auto,
-                               auto) { return cell::log_read_answer{.status = this->status, .next = from}; },
+                .read =
+                    [this](const auto& request, auto) {
+                        return cell::log_read_answer{.status = this->status, .next = request.from};
+                    },
                 .newest = [this](auto) { return cell::log_newest_answer{.status = this->status}; }};
     }
 };
@@ -40,8 +42,8 @@
     calls.append_log = [&log](const std::string&, const auto& items, const auto& stamp, auto limit) {
         return log.as_direct_log().append(items, stamp, limit);
     };
-    calls.read_log = [&log](const std::string&, auto from, auto wait, auto limit) {
-        return log.as_direct_log().read(from, wait, limit);
+    calls.read_log = [&log](const std::string&, const auto& request, auto limit) {
+        return log.as_direct_log().read(request, limit);
     };
     return {.incarnation = core::incarnation_id{name}, .calls = calls};
 }
@@ -62,7 +64,7 @@
                      }}};
     CHECK(log.as_log().append({}, stamp, 1s).status == log_status::done);
     CHECK(peer_log.sequences == std::vector{core::sequence_number{7}});
-    CHECK(log.as_log().read(core::log_offset{3}, 0ms, 1s).status == log_status::done);
+    CHECK(log.as_log().read({.from = core::log_offset{3}}, 1s).status == log_status::done);
     CHECK(log.as_log().append({}, stamp, 1s).status == log_status::done);
     CHECK(own_log.appends == 1); // Direct calls are retried only after the probe interval.
 }
@@ -103,10 +105,10 @@
     std::vector<core::milliseconds> limits;
     const auto silent_peer = [&](const std::string& name) {
         cell::peer_calls calls;
-        calls.read_log = [&asked, &limits, name](const std::string&, auto, core::milliseconds wait,
+        calls.read_log = [&asked, &limits, name](const std::string&, const cell::log_read_request& request,
                                                  core::milliseconds limit) -> cell::log_read_answer {
             asked.push_back(name);
-            limits.push_back(std::max(wait, limit));
+            limits.push_back(std::max(request.wait, limit));
             throw core::outcome_unknown("no answer");
         };
         return peer_directory::peer{.incarnation = core::incarnation_id{name}, .calls = calls};
@@ -121,7 +123,9 @@
              },
          .peers_pause = 50ms,
          .random = [&] { return drawn += 2; }}};
-    const auto read = [&] { return log.as_log().read(core::log_offset{3}, 700ms, 1400ms).status; };
+    const auto read = [&] {
+        return log.as_log().read({.from = core::log_offset{3}, .wait = 700ms}, 1400ms).status;
+    };
     CHECK(read() != log_status::done);
     CHECK(asked == std::vector<std::string>{"c", "d", "a"});
     CHECK(*std::max_element(limits.begin(), limits.end()) <= 400ms);
@@ -142,8 +146,8 @@
     core::milliseconds waited{0};
     const auto peer_that = [&](const std::string& name, log_status status) {
         cell::peer_calls calls;
-        calls.read_log = [status](const std::string&, auto from, auto, auto) {
-            return cell::log_read_answer{.status = status, .next = from};
+        calls.read_log = [status](const std::string&, const auto& request, auto) {
+            return cell::log_read_answer{.status = status, .next = request.from};
         };
         calls.newest_log = [&waited](const std::string&,
                                      core::milliseconds given) -> cell::log_newest_answer {
@@ -157,7 +161,8 @@
                                             peer_that("b", log_status::expired),
                                             peer_that("c", log_status::expired)};
                      }}};
-    REQUIRE(log.as_log().read(core::log_offset{3}, 700ms, 1400ms).status == log_status::expired);
+    REQUIRE(log.as_log().read({.from = core::log_offset{3}, .wait = 700ms}, 1400ms).status ==
+            log_status::expired);
     own_log.status = log_status::done;
     CHECK(log.as_log().newest(limit).status != log_status::done);
     CHECK(waited <= limit);
