Read no more at once than the link carries within the limit of a read

Cause: a read of the log returns up to 1 MB and has 600 to 700 ms. Over a link of 10 Mbit/s 1 MB takes 840 ms. A host that had fallen behind by more than it can read in that time failed at the same read for ever, as did its reads through peers. After the first outage only the six hosts with 200 Mbit/s were sure to catch up; from 39 s on, 31 of 37 hosts refused submissions as not ready.

Change: the size that a read asks for halves with each read without an answer and grows by a step with each answer. A read through a peer, whose link carries it twice, asks for 128 KB at most.

Evidence: 'a follower with a backlog ...' never reached the end before and passes.

--- a/src/runtime/log_follower.cpp
+++ b/src/runtime/log_follower.cpp
@@ -113,8 +113,8 @@
 bool log_follower::read_next() {
     const auto wait = this->caught_up ? this->options.wait : core::milliseconds{0};
     const auto asked_at = this->options.now();
-    auto answer =
-        this->options.log.read({.from = *this->next, .wait = wait}, wait + this->options.read_timeout_margin);
+    auto answer = this->options.log.read({.from = *this->next, .wait = wait, .max_bytes = this->size.bytes()},
+                                         wait + this->options.read_timeout_margin);
     if (answer.status == cell::log_status::expired) {
         telemetry::log_state("log entries expired before they were read; reading the newest entries again",
                              {{"stream", this->options.name}});
@@ -122,8 +122,14 @@
         return true;
     }
     if (answer.status != cell::log_status::done) {
+        this->size.on_failure();
         return false;
     }
+    if (answer.at_end || answer.next != *this->next) {
+        this->size.on_answer();
+    } else {
+        this->size.on_nothing_fits();
+    }
     this->caught_up = answer.at_end;
     this->deliver(
         {.items = std::move(answer.items), .reset = false, .caught_up = answer.at_end, .asked_at = asked_at});
--- a/src/runtime/log_follower.h
+++ b/src/runtime/log_follower.h
@@ -2,6 +2,7 @@
 
 #include "cell/keyed_log.h"
 #include "core/time.h"
+#include "runtime/read_size.h"
 
 #include <condition_variable>
 #include <functional>
@@ -80,6 +81,7 @@
     bool reachable = true;
     bool caught_up = false; ///< The last read reached the end of the stream.
     core::milliseconds next_load_timeout;
+    read_size size;
     /// The offset to continue reading from; empty until the newest entries have been read. Written by the
     /// follower's thread only; guarded by the mutex for other threads.
     std::optional<core::log_offset> next;
--- a/src/runtime/relayed_log.cpp
+++ b/src/runtime/relayed_log.cpp
@@ -79,6 +79,7 @@
     probe.wait = core::milliseconds{0};
     auto relayed = request;
     relayed.wait = std::min(request.wait, this->options.peer_read_wait);
+    relayed.max_bytes = std::min(request.max_bytes, this->options.max_peer_read_bytes);
     return this->call_with_fallback<cell::log_read_answer>(
         "read",
         [&](bool probing) {
--- a/src/runtime/relayed_log.h
+++ b/src/runtime/relayed_log.h
@@ -31,6 +31,8 @@
     /// Timeout of one call to a peer; a peer that reaches the log answers much sooner.
     core::milliseconds peer_timeout{400};
     core::milliseconds peer_read_wait{100}; ///< How long a read through a peer may wait for an entry.
+    /// Size of a read through a peer, whose link carries it twice.
+    std::size_t max_peer_read_bytes = 131'072;
     /// Peers that are tried for one call. A read of the newest entries, which may be long, gives each of them
     /// this part of its limit.
     std::size_t max_peers_per_call = 3;
--- a/tests/runtime/log_follower_test.cpp
+++ b/tests/runtime/log_follower_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <mutex>
@@ -91,4 +92,55 @@
     CHECK(limits == std::vector<core::milliseconds>{100ms, 200ms, 400ms, 400ms, 400ms, 100ms});
 }
 
+// LOST: hosts on slow links never caught up after an outage, because each read asked for more than the link
+// carries within the time limit of a read; they refused their callers to the end of the day.
+TEST_CASE("a follower with a backlog catches up over a link that does not carry the longest read in time") {
+    constexpr std::uint64_t bytes_per_ms = 1000;
+    constexpr std::uint64_t entry_bytes = 10'000;
+    constexpr std::uint64_t backlog = 2000;
+    std::atomic<bool> caught_up = false;
+    std::atomic<std::uint64_t> longest_answer{0};
+    cell::keyed_log log;
+    log.newest = [](auto) { return cell::log_newest_answer{.status = log_status::done}; };
+    log.read = [&](const cell::log_read_request& request, core::milliseconds limit) -> cell::log_read_answer {
+        const auto left = backlog - request.from.value();
+        const auto entries = std::min<std::uint64_t>(left, request.max_bytes / entry_bytes);
+        if (entries * entry_bytes > bytes_per_ms * static_cast<std::uint64_t>(limit.count())) {
+            return {.status = log_status::unknown};
+        }
+        longest_answer = std::max(longest_answer.load(), entries);
+        return {.status = log_status::done,
+                .next = core::log_offset{request.from.value() + entries},
+                .at_end = entries == left};
+    };
+    log_follower follower{{.name = "cell",
+                           .log = log,
+                           .retry_interval = 1ms,
+                           .read_interval = 1ms,
+                           .sink = [&](const log_batch& batch) { caught_up = batch.caught_up; }}};
+    CHECK(wait_until([&] { return caught_up.load(); }));
+    CHECK(longest_answer > 40);
+}
+
+TEST_CASE("a follower reads on past an entry that is longer than a read asks for") {
+    constexpr std::size_t entry_bytes = 200'000;
+    std::atomic<int> failures{8};
+    std::atomic<bool> caught_up = false;
+    cell::keyed_log log;
+    log.newest = [](auto) { return cell::log_newest_answer{.status = log_status::done}; };
+    log.read = [&](const cell::log_read_request& request, core::milliseconds) -> cell::log_read_answer {
+        if (failures-- > 0) {
+            return {.status = log_status::unknown};
+        }
+        const bool fits = request.max_bytes >= entry_bytes;
+        return {
+            .status = log_status::done, .next = fits ? request.from.next() : request.from, .at_end = fits};
+    };
+    log_follower follower{
+        {.name = "cell", .log = log, .retry_interval = 1ms, .sink = [&](const log_batch& batch) {
+             caught_up = batch.caught_up;
+         }}};
+    CHECK(wait_until([&] { return caught_up.load(); }));
+}
+
 } // namespace rattanmount::tests
