--- a/src/runtime/configuration_cache.h
+++ b/src/runtime/configuration_cache.h
@@ -34,14 +34,16 @@
     /// @param asked_at when the read that reached the end of the log was sent.
     void confirm(core::steady_time asked_at);
 
+    /// Logs when the configuration is seen to have become too old, and when it is current again.
     /// @param now the current time, on the clock of confirm().
-    [[nodiscard]] configuration_view view(core::steady_time now) const;
+    [[nodiscard]] configuration_view view(core::steady_time now);
 
 private:
     const core::milliseconds max_age;
-    mutable std::mutex mutex;
+    std::mutex mutex;
     std::shared_ptr<const workflow::configuration> version;
     std::optional<core::steady_time> confirmed_at; ///< When the last read that confirmed it was sent.
+    bool was_current = false;                      ///< What the last view said.
 };
 
 } // namespace rattanmount::runtime
--- a/src/runtime/host_process.cpp
+++ b/src/runtime/host_process.cpp
@@ -208,7 +208,7 @@
     return **answer;
 }
 
-configuration_view host_process::configuration() const {
+configuration_view host_process::configuration() {
     return this->config.view(this->options.clock.steady());
 }
 
--- a/src/runtime/host_process.h
+++ b/src/runtime/host_process.h
@@ -130,7 +130,7 @@
     [[nodiscard]] std::uint32_t pending(const workflow::queue_id& queue);
 
     /// Returns the configuration that this host has applied, and whether it is certainly current.
-    [[nodiscard]] configuration_view configuration() const;
+    [[nodiscard]] configuration_view configuration();
 
     /// Finds the team of a caller's key.
     /// @param key the key; empty if the caller sent none.
