--- a/src/runtime/configuration_cache.h
+++ b/src/runtime/configuration_cache.h
@@ -12,7 +12,7 @@
 /// The configuration of a host at one moment.
 struct configuration_view {
     std::shared_ptr<const workflow::configuration> version; ///< Null if none has been read yet.
-    /// Whether no newer version has been in the log for longer than the cache's maximum age. If not, an
+    /// Whether no newer version can have been in the log for longer than the cache's maximum age. If not, an
     /// answer must not depend on the routes of this version.
     bool is_current = false;
 };
--- a/src/runtime/log_follower.h
+++ b/src/runtime/log_follower.h
@@ -79,9 +79,9 @@
     std::condition_variable_any changed;
     bool enabled;
     bool reachable = true;
-    bool caught_up = false; ///< The last read reached the end of the stream.
-    core::milliseconds next_load_timeout;
-    read_size size;
+    bool caught_up = false;               ///< The last read reached the end of the stream.
+    core::milliseconds next_load_timeout; ///< Of the next read of the newest entries.
+    read_size size;                       ///< Of the next read of consecutive entries.
     /// The offset to continue reading from; empty until the newest entries have been read. Written by the
     /// follower's thread only; guarded by the mutex for other threads.
     std::optional<core::log_offset> next;
