Append no more at once than a slow link carries within the timeout

Writes that were queued during an outage are appended together, up to 1 MB, with a timeout of 600 ms; over 10 Mbit/s 1 MB takes 840 ms. An append without an answer is repeated unchanged, so the host would store nothing any more (LOST). Now 256 KB; a longer write is stored by several appends, as before.

Evidence: 'writes that were queued during an outage ...' got no outcome within 5 s before and passes.

--- a/src/runtime/log_writer.h
+++ b/src/runtime/log_writer.h
@@ -37,8 +37,9 @@
     /// A write is refused after the log has refused its append for this long, provided that no attempt may
     /// have been stored.
     core::milliseconds refusal_timeout{400};
-    /// Size of one append, as the log counts it; the log's own limit if that is lower.
-    std::size_t max_append_bytes = 1'000'000;
+    /// Size of one append, as the log counts it; the log's own limit if that is lower. A slow link has to
+    /// carry it within the timeout, because it is repeated unchanged.
+    std::size_t max_append_bytes = 262'144;
     std::size_t max_queued = 5000; ///< Writes; further ones are refused at once.
     /// Returns the sequence number of the first append of an epoch. Hosts that claim the same epoch under one
     /// producer name need different numbers, or the log takes the append of one for a repeat of another's.
--- a/tests/runtime/log_writer_test.cpp
+++ b/tests/runtime/log_writer_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <future>
 #include <mutex>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -23,6 +24,7 @@
 /// the last five appends as it answered the first, and rejects what is longer than its limits.
 struct partition {
     cell::log_limits limits;
+    std::optional<std::size_t> link_bytes_per_ms; ///< A longer append than fits into its limit is lost.
     std::size_t appends = 0;
     std::size_t rejected_appends = 0;
     std::mutex mutex;
@@ -32,9 +34,13 @@
     std::vector<std::string> values;
 
     cell::log_append_answer append(const std::vector<cell::keyed_record>& items,
-                                   const cell::producer_stamp& stamp) {
+                                   const cell::producer_stamp& stamp, core::milliseconds limit) {
         const std::lock_guard guard{this->mutex};
         this->appends++;
+        if (this->link_bytes_per_ms &&
+            bytes_of(items) > *this->link_bytes_per_ms * static_cast<std::size_t>(limit.count())) {
+            return {.status = log_status::unknown};
+        }
         if (this->exceeds_limits(items)) {
             this->rejected_appends++;
             return {.status = log_status::rejected};
@@ -64,13 +70,18 @@
     }
 
     [[nodiscard]] bool exceeds_limits(const std::vector<cell::keyed_record>& items) const {
+        const bool too_long = std::any_of(items.begin(), items.end(), [this](const auto& item) {
+            return item.bytes() > this->limits.max_record_bytes;
+        });
+        return too_long || bytes_of(items) > this->limits.max_request_bytes;
+    }
+
+    [[nodiscard]] std::size_t bytes_of(const std::vector<cell::keyed_record>& items) const {
         std::size_t bytes = 0;
-        bool too_long = false;
         for (const auto& item : items) {
             bytes += item.bytes() + this->limits.bytes_per_record;
-            too_long = too_long || item.bytes() > this->limits.max_record_bytes;
         }
-        return too_long || bytes > this->limits.max_request_bytes;
+        return bytes;
     }
 
     [[nodiscard]] bool holds(const std::string& value) {
@@ -80,7 +91,7 @@
 
     cell::keyed_log as_log() {
         return {.append = [this](const auto& items, const auto& stamp,
-                                 auto) { return this->append(items, stamp); },
+                                 auto limit) { return this->append(items, stamp, limit); },
                 .read = nullptr,
                 .newest = nullptr,
                 .limits = this->limits};
@@ -181,6 +192,13 @@
 
 // TWICE: hosts that claim the same epoch share the producer's name, so the log took the append of one for a
 // repeat of the other's and answered that it is stored.
+// LOST: an append that a slow link does not carry within its time limit is repeated unchanged for ever.
+TEST_CASE("writes that were queued during an outage are stored over a link of 10 Mbit/s") {
+    partition log{.link_bytes_per_ms = 1250};
+    const std::vector<std::vector<cell::keyed_record>> writes(30, {record_of(50'000)});
+    CHECK(write_together(log, writes) == std::vector(writes.size(), write_outcome::stored));
+}
+
 TEST_CASE("an append of a host that lost the claim of an epoch is reported as fenced") {
     partition log;
     log_writer winner{options_of(log)};
