--- a/src/runtime/log_follower.h
+++ b/src/runtime/log_follower.h
@@ -28,9 +28,10 @@
     core::milliseconds wait{700}; ///< How long the log may hold a read open until an entry arrives.
     core::milliseconds read_timeout_margin{700}; ///< Added to the wait to give the timeout of a read.
     /// Timeout of the first read of the newest entries. Each further one gets twice the time of the one
-    /// before, up to the longest, because the entries may be many and the link slow.
+    /// before, up to the longest: the entries may be many and the link slow, but a read that hangs during an
+    /// outage must not delay the next one for long.
     core::milliseconds load_timeout{3000};
-    core::milliseconds max_load_timeout{8000};
+    core::milliseconds max_load_timeout{3000};
     core::milliseconds retry_interval{150}; ///< Between two reads if the first one failed.
     /// Pause between two reads, so that many small entries cost fewer calls.
     core::milliseconds read_interval{0};
