--- a/src/runtime/configuration_cache.cpp
+++ b/src/runtime/configuration_cache.cpp
@@ -28,7 +28,8 @@
     if (is_current != this->was_current) {
         this->was_current = is_current;
         telemetry::log_state(
-            is_current ? "configuration is current" : "configuration may be old; refusing callers",
+            is_current ? "configuration is current"
+                       : "configuration may be old; refusing what depends on routes",
             {{"version", std::to_string(this->version->version)}, {"age_ms", std::to_string(age.count())}});
     }
     return {.version = this->version, .is_current = is_current};
--- a/src/runtime/configuration_cache.h
+++ b/src/runtime/configuration_cache.h
@@ -13,7 +13,7 @@
 struct configuration_view {
     std::shared_ptr<const workflow::configuration> version; ///< Null if none has been read yet.
     /// Whether no newer version can have been in the log for longer than the cache's maximum age. If not, an
-    /// answer must not depend on the routes or keys of this version.
+    /// answer must not depend on the routes of this version.
     bool is_current = false;
 };
 
--- a/src/runtime/host_process.h
+++ b/src/runtime/host_process.h
@@ -65,8 +65,8 @@
     cell::peer_connector connect;        ///< Creates the calls to another host.
     dispatch::dispatch_options dispatch; ///< Its hooks are set by host_process.
     std::size_t max_traffic_threads = 600;
-    /// The time within which a version of the configuration has to be in force. A host decides by it only
-    /// while no version that it has not read can have been in the log for longer.
+    /// The time within which a version of the configuration has to be in force. A host decides by its routes
+    /// only while no version that it has not read can have been in the log for longer.
     core::milliseconds max_configuration_age{2000};
     core::clock_hooks clock;
 };
