Match what a worker reports with the runs on that worker only

Cause: a tracked run was found by its number alone.

Change: ends, listed runs, answers to starts and stops, and lost or given up runs are matched by number and worker (run_manager::find_run_on). An end whose number is that of a run elsewhere has no effect, unless it completes the task or counts as a failed attempt.

Evidence: "the end of a run on another worker ends no run that has the same number" failed before for the ends lapsed, stopped and failed (a second start while the first run works), and passes now.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -270,8 +270,8 @@
         return;
     }
     const auto index = order.run.task.index;
-    auto* run = run_manager::find_run(step->tasks[index], order.run.run);
-    if (run == nullptr || run->worker != order.target.worker || run->phase == run_phase::stopping) {
+    auto* run = run_manager::find_run_on(step->tasks[index], order.run.run, order.target.worker);
+    if (run == nullptr || run->phase == run_phase::stopping) {
         return;
     }
     auto& worker = this->state.workers.at(run->worker);
@@ -311,7 +311,7 @@
     } else {
         worker.avoid_until = now + this->state.options.refusal_backoff;
     }
-    this->lifecycle.run_refused(*step, index, order.run.run, now);
+    this->lifecycle.run_refused(*step, index, order.run.run, order.target.worker, now);
 }
 
 bool dispatcher::count_reply(const order_target& target, const order_reply& reply, core::steady_time sent_at,
@@ -361,7 +361,8 @@
     if (!this->count_reply(order.target, reply, order.sent_at, now) || step == nullptr) {
         return;
     }
-    auto* run = run_manager::find_run(step->tasks[order.run.task.index], order.run.run);
+    auto* run =
+        run_manager::find_run_on(step->tasks[order.run.task.index], order.run.run, order.target.worker);
     if (run == nullptr || run->phase != run_phase::stopping) {
         return;
     }
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -338,8 +338,7 @@
         return;
     }
     auto& task = step->tasks[name.index];
-    if (auto* run = run_manager::find_run(task, row.run.run);
-        run != nullptr && run->worker == worker.entry.worker) {
+    if (auto* run = run_manager::find_run_on(task, row.run.run, worker.entry.worker)) {
         run->last_listing = worker.answered_holds;
         run->incarnation = worker.entry.incarnation;
         run->is_confirmed = run->start_tries == 1; // An earlier try may still be on its way.
@@ -399,22 +398,24 @@
     std::vector<workflow::run_name> missing;
     for (const auto& name : worker.runs) {
         auto* step = this->state.find_step(name.task.step);
-        const auto* run =
-            step == nullptr ? nullptr : run_manager::find_run(step->tasks[name.task.index], name.run);
+        const auto* run = step == nullptr ? nullptr
+                                          : run_manager::find_run_on(step->tasks[name.task.index], name.run,
+                                                                     worker.entry.worker);
         const bool expected = run != nullptr && run->answered_at && *run->answered_at < worker.hold_sent_at;
         if (expected && run->last_listing != worker.answered_holds) {
             missing.push_back(name);
         }
     }
     for (const auto& name : missing) {
-        this->lifecycle.run_lost(*this->state.find_step(name.task.step), name.task.index, name.run, now);
+        this->lifecycle.run_lost(*this->state.find_step(name.task.step), name.task.index, name.run,
+                                 worker.entry.worker, now);
     }
 }
 
 void lease_manager::give_up_runs(worker_state& worker, core::steady_time now) {
     std::vector<workflow::run_name> lost;
     for (const auto& name : worker.runs) {
-        if (this->certainly_ended(name, now)) {
+        if (this->certainly_ended(worker, name, now)) {
             lost.push_back(name);
         }
     }
@@ -429,17 +430,19 @@
     }
     for (const auto& name : lost) {
         if (auto* step = this->state.find_step(name.task.step)) {
-            this->lifecycle.run_lost(*step, name.task.index, name.run, now);
+            this->lifecycle.run_lost(*step, name.task.index, name.run, worker.entry.worker, now);
         }
     }
     this->clear_recorded_tasks(worker.entry.worker);
     worker.runs_given_up = worker.runs.empty();
 }
 
-bool lease_manager::certainly_ended(const workflow::run_name& name, core::steady_time now) const {
+bool lease_manager::certainly_ended(const worker_state& worker, const workflow::run_name& name,
+                                    core::steady_time now) const {
     auto* step = this->state.find_step(name.task.step);
-    const auto* run =
-        step == nullptr ? nullptr : run_manager::find_run(step->tasks[name.task.index], name.run);
+    const auto* run = step == nullptr ? nullptr
+                                      : run_manager::find_run_on(step->tasks[name.task.index], name.run,
+                                                                 worker.entry.worker);
     if (run == nullptr || run->is_confirmed) {
         return true;
     }
--- a/src/dispatch/lease_manager.h
+++ b/src/dispatch/lease_manager.h
@@ -63,7 +63,8 @@
     [[nodiscard]] core::steady_time next_hold_after(const hold_order& order, const worker_state& worker,
                                                     core::steady_time now) const;
     /// @return whether a run has certainly ended once the lease of its worker has expired.
-    [[nodiscard]] bool certainly_ended(const workflow::run_name& name, core::steady_time now) const;
+    [[nodiscard]] bool certainly_ended(const worker_state& worker, const workflow::run_name& name,
+                                       core::steady_time now) const;
     /// @return whether a worker has restarted and may have runs under a lease that was meant for an earlier
     /// incarnation, so that it must not be forgotten.
     [[nodiscard]] bool awaits_foreign_lease(const worker_state& worker, core::steady_time now) const;
--- a/src/dispatch/preemption.cpp
+++ b/src/dispatch/preemption.cpp
@@ -144,7 +144,7 @@
             other->request->uses_leftover || other->job->policy().priority <= step.job->policy().priority) {
             continue;
         }
-        auto* run = run_manager::find_run(other->tasks[name.task.index], name.run);
+        auto* run = run_manager::find_run_on(other->tasks[name.task.index], name.run, worker.entry.worker);
         if (run != nullptr && run->phase == run_phase::running) {
             found.push_back({.step = other,
                              .index = name.task.index,
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -114,10 +114,12 @@
     this->state.options.hooks.stop({.target = this->state.target_of(worker), .run = run, .sent_at = now});
 }
 
-void run_manager::remove(live_step& step, std::uint32_t index, std::uint32_t run) {
+void run_manager::remove(live_step& step, std::uint32_t index, std::uint32_t run,
+                         const core::worker_id& worker) {
     auto& runs = step.tasks[index].runs;
-    const auto found =
-        std::find_if(runs.begin(), runs.end(), [run](const live_run& one) { return one.run == run; });
+    const auto found = std::find_if(runs.begin(), runs.end(), [&](const live_run& one) {
+        return one.run == run && one.worker == worker;
+    });
     if (found == runs.end()) {
         return;
     }
@@ -162,6 +164,13 @@
     return found == task.runs.end() ? nullptr : &*found;
 }
 
+live_run* run_manager::find_run_on(live_task& task, std::uint32_t run, const core::worker_id& worker) {
+    const auto found = std::find_if(task.runs.begin(), task.runs.end(), [&](const live_run& one) {
+        return one.run == run && one.worker == worker;
+    });
+    return found == task.runs.end() ? nullptr : &*found;
+}
+
 live_run& run_manager::add(live_step& step, std::uint32_t index, worker_state& worker, std::uint32_t run) {
     reserve(step, worker);
     this->state.teams.reserve(step.job->team(), reserved_resources(*step.request));
--- a/src/dispatch/run_manager.h
+++ b/src/dispatch/run_manager.h
@@ -41,8 +41,9 @@
     /// Removes a run that has certainly ended and releases its resources.
     /// @param step the step.
     /// @param index the index of the task.
-    /// @param run the number of the run; unknown numbers are ignored.
-    void remove(live_step& step, std::uint32_t index, std::uint32_t run);
+    /// @param run the number of the run.
+    /// @param worker the worker of the run; a run that is not tracked there is ignored.
+    void remove(live_step& step, std::uint32_t index, std::uint32_t run, const core::worker_id& worker);
 
     /// Reserves the resources of a task on a worker to which it is being moved, or on which its gang waits
     /// for room.
@@ -62,6 +63,13 @@
     /// @return the run, or null if there is none with this number.
     [[nodiscard]] static live_run* find_run(live_task& task, std::uint32_t run);
 
+    /// @param task a task.
+    /// @param run the number of a run.
+    /// @param worker a worker.
+    /// @return the run, or null if there is none with this number on this worker.
+    [[nodiscard]] static live_run* find_run_on(live_task& task, std::uint32_t run,
+                                               const core::worker_id& worker);
+
 private:
     live_run& add(live_step& step, std::uint32_t index, worker_state& worker, std::uint32_t run);
     static void reserve(live_step& step, worker_state& worker);
--- a/src/dispatch/run_mover.cpp
+++ b/src/dispatch/run_mover.cpp
@@ -128,7 +128,7 @@
             if (step == nullptr || !step->request->long_running || step->request->gang || is_over(*step)) {
                 continue;
             }
-            const auto* run = run_manager::find_run(step->tasks[name.task.index], name.run);
+            const auto* run = run_manager::find_run_on(step->tasks[name.task.index], name.run, id);
             if (run != nullptr && run->phase == run_phase::running) {
                 found.push_back({departure.at, step, name.task.index, name.run});
             }
--- a/src/dispatch/task_lifecycle.cpp
+++ b/src/dispatch/task_lifecycle.cpp
@@ -35,12 +35,13 @@
         return;
     }
     auto& task = step->tasks[name.index];
-    const auto* run = run_manager::find_run(task, end.run.run);
+    const auto* run = run_manager::find_run_on(task, end.run.run, worker.entry.worker);
     const bool tracked = run != nullptr;
+    const bool runs_elsewhere = !tracked && run_manager::find_run(task, end.run.run) != nullptr;
     const bool finishes = end.outcome == run_outcome::done && !task.done && !step->request->long_running;
     const bool counts = end.outcome == run_outcome::failed && !task.done && !step->request->long_running &&
                         !task.failed_runs.contains(end.run.run);
-    if (!tracked && !finishes && !counts && end.run.run <= task.ended_run) {
+    if (!tracked && !finishes && !counts && (runs_elsewhere || end.run.run <= task.ended_run)) {
         return;
     }
     telemetry::log_state("run ended", {{"task", name.text()},
@@ -50,7 +51,7 @@
     if (tracked && finishes) {
         this->learn_run_time(*step, worker, *run, now);
     }
-    this->runs.remove(*step, name.index, end.run.run);
+    this->runs.remove(*step, name.index, end.run.run, worker.entry.worker);
     task.ended_run = std::max(task.ended_run, end.run.run);
     task.last_run = std::max(task.last_run, end.run.run);
     if (task.recorded_worker == worker.entry.worker) {
@@ -106,27 +107,27 @@
 }
 
 void task_lifecycle::run_lost(live_step& step, std::uint32_t index, std::uint32_t run,
-                              core::steady_time now) {
+                              const core::worker_id& worker, core::steady_time now) {
     auto& task = step.tasks[index];
-    const auto* lost = run_manager::find_run(task, run);
+    const auto* lost = run_manager::find_run_on(task, run, worker);
     if (lost == nullptr) {
         return;
     }
     telemetry::log_state("run lost without report", {{"task", workflow::task_name{step.name, index}.text()},
                                                      {"run", std::to_string(run)},
-                                                     {"worker", lost->worker.value()}});
+                                                     {"worker", worker.value()}});
     if (!lost->checkpoint.empty()) {
         task.checkpoint = lost->checkpoint;
     }
-    this->runs.remove(step, index, run);
+    this->runs.remove(step, index, run, worker);
     task.ended_run = std::max(task.ended_run, run);
     this->state.mark_dirty(step, index);
     this->requeue(step, index, now);
 }
 
 void task_lifecycle::run_refused(live_step& step, std::uint32_t index, std::uint32_t run,
-                                 core::steady_time now) {
-    this->runs.remove(step, index, run);
+                                 const core::worker_id& worker, core::steady_time now) {
+    this->runs.remove(step, index, run, worker);
     this->requeue(step, index, now);
 }
 
--- a/src/dispatch/task_lifecycle.h
+++ b/src/dispatch/task_lifecycle.h
@@ -18,15 +18,19 @@
     /// Queues the tasks of those steps of an occurrence whose earlier steps are done.
     void queue_unblocked_steps(live_job& job, std::uint32_t occurrence, core::steady_time now);
 
-    /// Applies an end that a worker reports. An end that has been applied before has no effect.
+    /// Applies an end that a worker reports. An end that has been applied before has no effect; nor has one
+    /// that neither completes the task nor counts as a failure while the run with its number is on another
+    /// worker.
     void run_ended(worker_state& worker, const reported_end& end, core::steady_time now);
 
     /// Called when a run has certainly ended without a report: its lease expired, its worker restarted, or
     /// the worker lists it neither as running nor as ended.
-    void run_lost(live_step& step, std::uint32_t index, std::uint32_t run, core::steady_time now);
+    void run_lost(live_step& step, std::uint32_t index, std::uint32_t run, const core::worker_id& worker,
+                  core::steady_time now);
 
     /// Called when a start was refused, so that the run never existed.
-    void run_refused(live_step& step, std::uint32_t index, std::uint32_t run, core::steady_time now);
+    void run_refused(live_step& step, std::uint32_t index, std::uint32_t run, const core::worker_id& worker,
+                     core::steady_time now);
 
     /// Stops all runs of a job and starts no further ones.
     void stop_job(live_job& job, core::steady_time now);
--- a/tests/dispatch/run_numbers_test.cpp
+++ b/tests/dispatch/run_numbers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace rattanmount::tests {
@@ -118,4 +119,23 @@
     check_violations(cell);
 }
 
+// TWICE: an end was matched with the run that had its number, on whatever worker that was.
+TEST_CASE("the end of a run on another worker ends no run that has the same number") {
+    using dispatch::run_outcome;
+    const auto how = GENERATE(run_outcome::lapsed, run_outcome::stopped, run_outcome::failed);
+    CAPTURE(dispatch::to_string(how));
+    simulated_cell cell{{.workers = workers, .latency = latency}};
+    std::optional<dispatch::start_order> started;
+    cell.start_sent = [&started](const dispatch::start_order& order) { started = order; };
+    cell.run_for(1s);
+    cell.submit(long_running_job(), plain_queue());
+    cell.run_for(1s);
+    REQUIRE(cell.started_runs() == 1);
+    cell.list_end((index_of(started->target.worker) + 1) % workers, started->run, how);
+    cell.run_for(2 * outage);
+    CHECK(cell.running_of("a") == 1);
+    CHECK(cell.started_runs() == 1);
+    check_violations(cell);
+}
+
 } // namespace rattanmount::tests
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -773,11 +773,16 @@
     telemetry::log_state("simulated end", {{"task", run.text()},
                                            {"worker", worker.entry.worker.value()},
                                            {"life", std::to_string(worker.entry.incarnation.value())}});
-    worker.ended_at.emplace(worker.next_end, this->time);
-    worker.ended.push_back({.number = worker.next_end++, .run = run, .outcome = how});
     if (how == run_outcome::done) {
         this->done_tasks.insert(run.task);
     }
+    this->list_end(index, run, how);
+}
+
+void simulated_cell::list_end(std::uint32_t index, const workflow::run_name& run, run_outcome how) {
+    auto& worker = this->workers[index];
+    worker.ended_at.emplace(worker.next_end, this->time);
+    worker.ended.push_back({.number = worker.next_end++, .run = run, .outcome = how});
     for (const auto& waiting : std::exchange(worker.holds, {})) {
         this->answer_hold(index, waiting.order, waiting.deadline);
     }
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -117,6 +117,9 @@
     void restart_worker_as(std::uint32_t index, const dispatch::worker_entry& entry,
                            core::milliseconds listed_after);
 
+    /// Makes a worker list the end of a run, also of one that it never had.
+    void list_end(std::uint32_t index, const workflow::run_name& run, dispatch::run_outcome how);
+
     /// Cuts the connection between a worker and the hosts, or restores it. The worker keeps running.
     void set_disconnected(std::uint32_t index, bool disconnected);
 
