Start a gang for one rack on several if one cannot take it

Cause: task_placer took the rack as a condition, though tasks on several racks are only slower. No rack that can hold the gang, or one whose runs do not end, meant a wait without a bound.

Change: such a gang may run on several racks at once if no rack could hold it when idle (counting workers that are listed but accept no starts now, and those that advice has not decided on), and after a wait of about its tasks' time, 2 s at most, if a rack could. One rack that has room is preferred at any time. Advice and kept places follow the same group. worker_state::committed is split into its two parts, since places that are kept for others do not make a rack too small. The log says when and why a gang may span racks.

--- a/src/dispatch/gang_placer.cpp
+++ b/src/dispatch/gang_placer.cpp
@@ -18,6 +18,14 @@
 constexpr core::milliseconds place_interval{100};
 /// Time without kept places after a more urgent step has waited.
 constexpr core::milliseconds yield_pause{1000};
+/// The longest time for which a gang waits for room in one rack while it could run on several.
+constexpr core::milliseconds longest_rack_wait{2000};
+
+/// @return for how long a gang waits for room in one rack: about as long as its tasks take, because they
+/// would take some times as long on several racks.
+core::milliseconds rack_wait(const workflow::step_request& step) {
+    return step.estimate.count() > 0 ? std::min(step.estimate, longest_rack_wait) : longest_rack_wait;
+}
 
 } // namespace
 
@@ -38,8 +46,11 @@
         this->lifecycle.keep_or_stop_gang(step, now);
         return;
     }
-    const auto workers =
+    auto workers =
         this->can_start_on_kept_places(step, now) ? step.kept_workers : this->selector.choose_gang(step, now);
+    if (workers.empty() && this->permit_several_racks(step, now)) {
+        workers = this->selector.choose_gang(step, now);
+    }
     if (!workers.empty()) {
         this->release(step);
         this->start(step, workers, now);
@@ -51,6 +62,28 @@
     }
 }
 
+bool gang_placer::permit_several_racks(live_step& step, core::steady_time now) const {
+    const bool asks_first = step.job->policy().advice && step.advice.allowed.empty();
+    if (!step.request->one_rack || step.may_span_racks || asks_first) {
+        return false;
+    }
+    if (!step.waits_for_rack_since) {
+        step.waits_for_rack_since = now;
+    }
+    const bool can_be_held = !step.kept_workers.empty() || this->selector.some_rack_can_hold(step);
+    if (can_be_held && now < *step.waits_for_rack_since + rack_wait(*step.request)) {
+        return false;
+    }
+    step.may_span_racks = true;
+    const auto waited = std::chrono::duration_cast<core::milliseconds>(now - *step.waits_for_rack_since);
+    telemetry::log_state("gang may run on several racks",
+                         {{"step", step.name.text()},
+                          {"tasks", std::to_string(step.tasks.size())},
+                          {"why", can_be_held ? "no rack has had room" : "no rack can hold it"},
+                          {"waited_ms", std::to_string(waited.count())}});
+    return true;
+}
+
 void gang_placer::yield_to(const live_step& step, core::steady_time now) {
     const auto& policy = step.job->policy();
     const auto released = this->release_if([&policy](const live_step& gang, core::steady_time) {
@@ -166,6 +199,8 @@
 
 void gang_placer::start(live_step& step, const std::vector<core::worker_id>& workers, core::steady_time now) {
     step.waiting.clear();
+    step.waits_for_rack_since.reset();
+    step.may_span_racks = false;
     workflow::checkpoint_id checkpoint;
     std::uint32_t run = 0;
     for (const auto& task : step.tasks) {
--- a/src/dispatch/gang_placer.h
+++ b/src/dispatch/gang_placer.h
@@ -45,6 +45,10 @@
     void reset();
 
 private:
+    /// Lets a gang for one rack, for which there is no room in one now, run on several racks if none can hold
+    /// it or if it has waited for one long enough.
+    /// @return whether it may do so from now on.
+    [[nodiscard]] bool permit_several_racks(live_step& step, core::steady_time now) const;
     [[nodiscard]] bool may_keep_places(const live_step& step, core::steady_time now) const;
     [[nodiscard]] std::size_t workers_of(const core::service_id& service) const;
     /// @param workers a worker for each task by index; none if there are no places.
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -106,6 +106,9 @@
     /// Workers on which places are kept for the tasks of a waiting gang, by index; empty if there are none.
     std::vector<core::worker_id> kept_workers;
     core::steady_time place_again_at; ///< When a waiting gang is placed again although nothing has changed.
+    /// Since when a gang for one rack has waited for one with room; empty if it does not wait for that.
+    std::optional<core::steady_time> waits_for_rack_since;
+    bool may_span_racks = false; ///< Whether a gang for one rack may now run on several.
     std::map<core::worker_id, std::uint32_t> runs_per_worker; ///< Number of runs of the step per worker.
     bool ready = false;
     /// Whether the next placement has to look at all permitted workers: tasks or workers were added, or the
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -139,7 +139,7 @@
     this->state.teams.reserve_place(step.job->team(), reserved_resources(*step.request));
     worker.kept_places.insert({.step = step.name, .index = index});
     if (!step.request->long_running) {
-        worker.committed += reserved_resources(*step.request);
+        worker.reserved_for_kept_places += reserved_resources(*step.request);
     }
 }
 
@@ -150,7 +150,7 @@
         place->second.kept_places.erase({.step = step.name, .index = index}) > 0) {
         this->release(step, place->second);
         if (!step.request->long_running) {
-            place->second.committed -= reserved_resources(*step.request);
+            place->second.reserved_for_kept_places -= reserved_resources(*step.request);
         }
     }
     this->state.teams.release_place(step.job->team(), reserved_resources(*step.request));
@@ -185,7 +185,7 @@
     worker.reserved += reserved_resources(*step.request);
     if (step.request->long_running) {
         worker.long_running_runs++;
-        worker.committed += reserved_resources(*step.request);
+        worker.reserved_for_services += reserved_resources(*step.request);
     }
     if (step.request->uses_leftover) {
         worker.leftover_runs++;
@@ -200,7 +200,7 @@
     worker.reserved -= reserved_resources(*step.request);
     if (step.request->long_running) {
         worker.long_running_runs--;
-        worker.committed -= reserved_resources(*step.request);
+        worker.reserved_for_services -= reserved_resources(*step.request);
     }
     if (step.request->uses_leftover) {
         worker.leftover_runs--;
--- a/src/dispatch/task_placer.cpp
+++ b/src/dispatch/task_placer.cpp
@@ -22,6 +22,10 @@
 constexpr double lateness_cost = 5;
 constexpr double missing_cost = 10; ///< Per missing_share().
 
+bool must_stay_in_one_rack(const live_step& step) {
+    return step.request->one_rack && !step.may_span_racks;
+}
+
 bool has_label(const worker_entry& worker, const workflow::worker_label& label) {
     return label.empty() ||
            std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
@@ -47,6 +51,26 @@
                        : std::max<std::int64_t>(available, 0) / amount;
 }
 
+/// A worker that could take tasks of a gang.
+struct gang_candidate {
+    double cost;
+    const worker_state* worker;
+    std::uint32_t count; ///< How many tasks it could take.
+};
+
+/// @return a worker for each task of a gang by index, the cheapest ones; empty if there is not one for every
+/// task.
+std::vector<core::worker_id> cheapest_places(const live_step& step, std::vector<gang_candidate> candidates) {
+    std::sort(candidates.begin(), candidates.end(),
+              [](const gang_candidate& a, const gang_candidate& b) { return a.cost < b.cost; });
+    std::vector<core::worker_id> chosen;
+    for (const auto& one : candidates) {
+        const auto wanted = step.tasks.size() - chosen.size();
+        chosen.insert(chosen.end(), std::min<std::size_t>(one.count, wanted), one.worker->entry.worker);
+    }
+    return chosen.size() == step.tasks.size() ? chosen : std::vector<core::worker_id>{};
+}
+
 /// Tasks that need at most this share of the time that their job can afford do not need a fast worker.
 constexpr double urgent_share = 0.5;
 
@@ -244,7 +268,7 @@
 std::vector<core::worker_id> task_placer::choose_free_places(const live_step& step,
                                                              core::steady_time now) const {
     auto chosen = this->kept_places_with_room(step);
-    if (chosen.size() == step.kept_workers.size() || step.request->one_rack) {
+    if (chosen.size() == step.kept_workers.size() || must_stay_in_one_rack(step)) {
         return {};
     }
     this->for_each_allowed(step, [&](const worker_state& worker) {
@@ -258,36 +282,43 @@
 }
 
 core::rack_id task_placer::rack_group(const live_step& step, const worker_state& worker) {
-    return step.request->one_rack ? worker.entry.rack : core::rack_id{};
+    return must_stay_in_one_rack(step) ? worker.entry.rack : core::rack_id{};
+}
+
+bool task_placer::some_rack_can_hold(const live_step& step) const {
+    std::map<core::rack_id, std::size_t> places;
+    for (const auto& [id, worker] : this->state.workers) {
+        const auto& entry = worker.entry;
+        if (worker.listed && !entry.draining && entry.service == step.job->policy().service &&
+            has_label(entry, step.request->required_label) && !step.advice.denied.contains(id)) {
+            places[entry.rack] += tasks_within(step, worker, worker.capacity_beside_services());
+        }
+    }
+    return std::any_of(places.begin(), places.end(),
+                       [&step](const auto& rack) { return rack.second >= step.tasks.size(); });
 }
 
 std::vector<core::worker_id>
 task_placer::choose_for_gang(const live_step& step, core::steady_time now,
                              const std::function<std::uint32_t(const worker_state&)>& fitting) const {
-    struct candidate {
-        double cost;
-        const worker_state* worker;
-        std::uint32_t count;
-    };
-    std::map<core::rack_id, std::vector<candidate>> groups;
+    std::map<core::rack_id, std::vector<gang_candidate>> racks;
+    std::vector<gang_candidate> all;
     this->for_each_allowed(step, [&](const worker_state& worker) {
         if (const auto count = fitting(worker); count > 0) {
-            groups[rack_group(step, worker)].push_back({this->gang_cost(step, worker, now), &worker, count});
+            const gang_candidate one{this->gang_cost(step, worker, now), &worker, count};
+            all.push_back(one);
+            if (step.request->one_rack) {
+                racks[worker.entry.rack].push_back(one);
+            }
         }
     });
-    for (auto& [rack, candidates] : groups) {
-        std::sort(candidates.begin(), candidates.end(),
-                  [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
-        std::vector<core::worker_id> chosen;
-        for (const auto& one : candidates) {
-            const auto wanted = step.tasks.size() - chosen.size();
-            chosen.insert(chosen.end(), std::min<std::size_t>(one.count, wanted), one.worker->entry.worker);
-        }
-        if (chosen.size() == step.tasks.size()) {
+    for (auto& [rack, candidates] : racks) {
+        if (auto chosen = cheapest_places(step, std::move(candidates)); !chosen.empty()) {
             return chosen;
         }
     }
-    return {};
+    return must_stay_in_one_rack(step) ? std::vector<core::worker_id>{}
+                                       : cheapest_places(step, std::move(all));
 }
 
 } // namespace rattanmount::dispatch
--- a/src/dispatch/task_placer.h
+++ b/src/dispatch/task_placer.h
@@ -71,10 +71,15 @@
 
     /// @param step a gang.
     /// @param worker a worker.
-    /// @return the group of workers within which all tasks of the gang have to run: its rack, or one for all
-    /// workers.
+    /// @return the group of workers within which all tasks of the gang have to run: the worker's rack, or one
+    /// for all workers.
     [[nodiscard]] static core::rack_id rack_group(const live_step& step, const worker_state& worker);
 
+    /// @param step a gang for one rack without kept places.
+    /// @return whether a rack could hold it once all short runs have ended, if those of its workers that
+    /// accept no starts now are to accept them soon, and advice permits all on which it has not decided.
+    [[nodiscard]] bool some_rack_can_hold(const live_step& step) const;
+
     /// @param step a step.
     /// @param worker a worker.
     /// @param now the current time.
@@ -171,8 +176,8 @@
     [[nodiscard]] static std::uint32_t tasks_within(const live_step& step, const worker_state& worker,
                                                     const core::resources& available);
     /// @param fitting returns how many tasks of the gang a worker could take.
-    /// @return a worker for each task by index, those with the lowest gang_cost(); empty if there is not one
-    /// for every task.
+    /// @return a worker for each task by index, in one rack if that is asked for and possible, and there
+    /// those with the lowest gang_cost(); empty if there is not one for every task.
     [[nodiscard]] std::vector<core::worker_id>
     choose_for_gang(const live_step& step, core::steady_time now,
                     const std::function<std::uint32_t(const worker_state&)>& fitting) const;
--- a/src/dispatch/worker_state.h
+++ b/src/dispatch/worker_state.h
@@ -128,11 +128,11 @@
     std::uint32_t unanswered_holds = 0;      ///< Consecutive holds without an answer.
     std::uint64_t last_end_applied = 0;      ///< Highest number of an end that has been applied.
     std::map<std::uint64_t, unknown_end> unknown_ends; ///< By number; those that are not resolved.
-    std::uint64_t last_end_recorded = 0; ///< Highest number of an end whose effect is in the log.
-    core::resources reserved;            ///< Resources reserved for its runs.
-    /// The part of `reserved` that does not become free when its present short runs end: long-running runs
-    /// and kept places.
-    core::resources committed;
+    std::uint64_t last_end_recorded = 0;   ///< Highest number of an end whose effect is in the log.
+    core::resources reserved;              ///< Resources reserved for its runs.
+    core::resources reserved_for_services; ///< The part of `reserved` for long-running runs.
+    /// The part of `reserved` for other tasks' kept places.
+    core::resources reserved_for_kept_places;
     std::set<workflow::run_name> runs; ///< Runs that reserve resources on it.
     /// Tasks that are being moved to it or belong to a gang that waits; they reserve resources as runs do,
     /// also more than are free now.
@@ -185,7 +185,12 @@
 
     /// @return its capacity that is free once its present short runs have ended.
     [[nodiscard]] core::resources capacity_when_idle() const {
-        return this->entry.capacity - this->committed;
+        return this->capacity_beside_services() - this->reserved_for_kept_places;
+    }
+
+    /// @return its capacity that is free once its present short runs have ended and no places are kept.
+    [[nodiscard]] core::resources capacity_beside_services() const {
+        return this->entry.capacity - this->reserved_for_services;
     }
 };
 
