Count a job as begun only when a worker has carried out a start

Cause: run_manager::start() set the job's phase when the order was sent, and nothing took it back when the order was refused or lost.

Change: the phase becomes running when a worker shows that it carried out a start: by its answer, a listed run or an end (dispatch_state::mark_begun).

--- a/src/dispatch/dispatch_state.cpp
+++ b/src/dispatch/dispatch_state.cpp
@@ -67,6 +67,13 @@
     this->dirty_jobs.insert(job.key());
 }
 
+void dispatch_state::mark_begun(live_job& job) {
+    if (job.phase == workflow::job_phase::queued) {
+        job.phase = workflow::job_phase::running;
+        this->mark_dirty(job);
+    }
+}
+
 void dispatch_state::mark_dirty(live_step& step, std::uint32_t task) {
     add_changed_part(step, task);
     this->mark_dirty(*step.job);
--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -147,6 +147,9 @@
     /// Marks a job as having unrecorded progress.
     void mark_dirty(live_job& job);
 
+    /// Notes that a worker has carried out a start of a job, as its answer, its inventory or an end shows.
+    void mark_begun(live_job& job);
+
     /// Marks a task as having unrecorded progress.
     /// @param step the step of the task.
     /// @param task the index of the task.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -269,6 +269,9 @@
     if (!this->count_reply(order.target, reply, order.sent_at, now) || step == nullptr) {
         return;
     }
+    if (reply.outcome == order_outcome::done) {
+        this->state.mark_begun(*step->job);
+    }
     const auto index = order.run.task.index;
     auto* run = run_manager::find_run_on(step->tasks[index], order.run.run, order.target.worker);
     if (run == nullptr || run->phase == run_phase::stopping) {
--- a/src/dispatch/lease_manager.cpp
+++ b/src/dispatch/lease_manager.cpp
@@ -339,6 +339,7 @@
     }
     auto& task = step->tasks[name.index];
     if (auto* run = run_manager::find_run_on(task, row.run.run, worker.entry.worker)) {
+        this->state.mark_begun(*step->job);
         run->last_listing = worker.answered_holds;
         run->incarnation = worker.entry.incarnation;
         run->is_confirmed = run->start_tries == 1; // An earlier try may still be on its way.
--- a/src/dispatch/run_manager.cpp
+++ b/src/dispatch/run_manager.cpp
@@ -26,9 +26,6 @@
     if (advised != step.advice.allowed.end()) {
         added.ticket = advised->second.id;
     }
-    if (step.job->phase == workflow::job_phase::queued) {
-        step.job->phase = workflow::job_phase::running;
-    }
     this->state.mark_dirty(step, index);
     this->send_start(step, index, added, now);
 }
@@ -43,9 +40,7 @@
     run.checkpoint = row.checkpoint;
     task.last_run = std::max(task.last_run, row.run.run);
     task.recorded_worker = {};
-    if (step.job->phase == workflow::job_phase::queued) {
-        step.job->phase = workflow::job_phase::running;
-    }
+    this->state.mark_begun(*step.job);
     this->state.mark_dirty(step, index);
     return run;
 }
--- a/src/dispatch/task_lifecycle.cpp
+++ b/src/dispatch/task_lifecycle.cpp
@@ -48,6 +48,7 @@
                                        {"run", std::to_string(end.run.run)},
                                        {"how", std::string{to_string(end.outcome)}},
                                        {"worker", worker.entry.worker.value()}});
+    this->state.mark_begun(*step->job);
     if (tracked && finishes) {
         this->learn_run_time(*step, worker, *run, now);
     }
