Check run numbers under random faults

The simulated cell now notes it as a violation if a run begins on two workers, in all of its schedules. A new schedule has services that fail all the time, while leaders follow each other, some of them live on, and the log and workers are away at the moments of the takeovers.

--- a/tests/dispatch/run_numbers_test.cpp
+++ b/tests/dispatch/run_numbers_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <utility>
 
 namespace rattanmount::tests {
@@ -119,6 +120,49 @@
     check_violations(cell);
 }
 
+// TWICE: as above, at any moment: leaders follow each other, some live on, and the log and workers are away.
+TEST_CASE("run numbers stay unique under random faults while tasks fail all the time") {
+    constexpr std::uint64_t seeds = 40;
+    constexpr std::uint32_t takeovers = 6;
+    for (std::uint64_t seed = 1; seed <= seeds; seed++) {
+        CAPTURE(seed);
+        simulated_cell cell{{.seed = seed, .workers = 6, .latency = latency, .long_running_fail = true}};
+        std::mt19937_64 random{seed};
+        const auto up_to = [&random](std::int64_t most) {
+            return std::uniform_int_distribution<std::int64_t>{0, most}(random);
+        };
+        cell.work_time = [&up_to](const auto&, const auto&, auto) {
+            return core::milliseconds{5 + up_to(60)};
+        };
+        cell.fails = [](const workflow::run_name&, auto) { return true; };
+        cell.run_for(1s);
+        auto job = long_running_job();
+        job.steps.front().tasks = 3;
+        cell.submit(job, plain_queue());
+        for (std::uint32_t i = 0; i < takeovers; i++) {
+            cell.run_for(15s + core::milliseconds{up_to(15000)});
+            if (up_to(2) == 0) {
+                const core::milliseconds lasting{up_to(5000)};
+                cell.set_log_down(true);
+                cell.call_after(lasting, [&cell] { cell.set_log_down(false); });
+                cell.run_for(core::milliseconds{up_to(5000)});
+            }
+            for (std::uint32_t worker = 0; worker < 6; worker++) {
+                if (up_to(1) == 0) {
+                    const core::milliseconds lasting{4000 + up_to(6000)};
+                    cell.set_disconnected(worker, true);
+                    cell.call_after(lasting, [&cell, worker] { cell.set_disconnected(worker, false); });
+                }
+            }
+            const bool lives_on = up_to(1) == 0;
+            lives_on ? cell.cut_off_leader() : cell.change_leader();
+        }
+        cell.set_log_down(false);
+        cell.run_for(2 * outage);
+        check_violations(cell);
+    }
+}
+
 // TWICE: an end was matched with the run that had its number, on whatever worker that was.
 TEST_CASE("the end of a run on another worker ends no run that has the same number") {
     using dispatch::run_outcome;
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -818,6 +818,11 @@
             }
         }
     }
+    const auto begun = this->begun_on.emplace(run, index).first;
+    if (begun->second != index) {
+        this->add_violation("run " + run.text() + " begins on " + worker.entry.worker.value() + " and on " +
+                            worker_name(begun->second).value());
+    }
     const auto slack = this->options.late_share > 0 ? this->options.late_time : core::milliseconds{0};
     if (worker.entry.draining && this->time > worker.drained_at + slack) {
         this->add_violation("task " + run.text() + " starts on draining " + worker.entry.worker.value());
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -320,6 +320,7 @@
     std::set<workflow::task_name> done_tasks;                    ///< Tasks with a successful run.
     std::set<workflow::task_name> recorded_tasks; ///< Tasks whose success the leader has acknowledged.
     std::map<workflow::task_name, core::steady_time> last_start;
+    std::map<workflow::run_name, std::uint32_t> begun_on; ///< The worker on which each run has begun.
     /// End times of acknowledged failures.
     std::map<workflow::task_name, std::vector<core::steady_time>> recorded_failures;
     std::vector<std::string> found_violations;
