Start a stored job only once the log has proved that this host leads

What callers could see: two runs of a task of one job at the same time, both with the number 1, after a change of leader.

A leader knows an acceptance as soon as it is stored, before it reads it back, and started it at once. If the claim of its successor lies before that acceptance in the log, the successor reads the job as one that nobody can have started, and starts it too. The former leader finds out with its next read, its next write, or the first worker that refuses its token; while none of these arrives it goes on, for up to 9 s if most workers answer it.

Change: such a job is prepared at once (known, answered for, advice is asked), and started when its acceptance has been read in the order of the log, or when a read or a leader's write that was sent after the job was stored has succeeded. Either shows that no claim came before the job; so a later leader finds it in the log before its own claim and takes it over as inherited, as all others.

--- a/src/dispatch/dispatch_state.h
+++ b/src/dispatch/dispatch_state.h
@@ -82,6 +82,7 @@
     /// By worker, the tasks that the log has running on it and of which its inventory has shown nothing yet.
     std::map<core::worker_id, std::vector<workflow::task_name>> recorded_tasks;
     std::set<workflow::job_key> dirty_jobs;                ///< Jobs with unrecorded progress.
+    std::set<workflow::job_key> unproven_jobs;             ///< Jobs with a live_job::unproven_since.
     std::set<workflow::job_key> jobs_awaiting_occurrences; ///< Jobs with occurrences that are not yet opened.
     /// Ended jobs that are removed once none of their runs is left.
     std::set<workflow::job_key> closing_jobs;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -120,6 +120,7 @@
     this->state.jobs.clear();
     this->state.ready_steps.clear();
     this->state.dirty_jobs.clear();
+    this->state.unproven_jobs.clear();
     this->state.jobs_awaiting_occurrences.clear();
     this->state.closing_jobs.clear();
     this->state.closed_jobs.clear();
@@ -224,12 +225,49 @@
     this->preemptor.set_enabled(!teams.empty());
 }
 
+void dispatcher::confirm_leadership(core::steady_time asked_at) {
+    this->state.authority.confirm_by_log(asked_at);
+    const auto unproven = this->state.unproven_jobs;
+    for (const auto& key : unproven) {
+        const auto job = this->state.jobs.find(key);
+        if (job == this->state.jobs.end() || job->second->unproven_since <= asked_at) {
+            this->permit_starts(key);
+        }
+    }
+}
+
 void dispatcher::add_job(const workflow::job_entry& entry) {
     if (this->state.leading && !workflow::is_over(entry.phase())) {
         this->open_job(entry);
     }
 }
 
+void dispatcher::add_stored_job(const workflow::job_entry& entry, core::steady_time now) {
+    if (this->state.leading && !workflow::is_over(entry.phase())) {
+        this->open_job(entry);
+        const auto& key = entry.accepted.request.key;
+        this->state.jobs.at(key)->unproven_since = now;
+        this->state.unproven_jobs.insert(key);
+    }
+}
+
+void dispatcher::permit_starts(const workflow::job_key& key) {
+    if (this->state.unproven_jobs.erase(key) == 0) {
+        return;
+    }
+    const auto job = this->state.jobs.find(key);
+    if (job == this->state.jobs.end()) {
+        return; // It was cancelled.
+    }
+    job->second->unproven_since.reset();
+    for (auto& [number, occurrence] : job->second->occurrences) {
+        for (auto& step : occurrence.steps) {
+            step.needs_placement = true;
+        }
+    }
+    this->state.placement_needed = true;
+}
+
 void dispatcher::open_job(const workflow::job_entry& entry) {
     const auto& key = entry.accepted.request.key;
     auto [place, added] = this->state.jobs.try_emplace(key);
@@ -500,7 +538,7 @@
             this->state.ready_steps.erase(sort_key_of(*step));
         } else if (const auto places = this->tasks_within_cap(*step); places > 0) {
             this->advice.ask(*step, places, now);
-            if (!step->advice.request_in_flight) {
+            if (!step->advice.request_in_flight && !step->job->unproven_since) {
                 this->gangs.yield_to(*step, now); // No worker has room for it.
                 this->preemptor.make_room(*step, now);
             }
@@ -574,7 +612,8 @@
 }
 
 bool dispatcher::may_start(const live_step& step, const live_task& task, core::steady_time now) const {
-    return this->team_has_room(step) && task.may_number_run() && this->former_runs_ended(step, task, now);
+    return !step.job->unproven_since && this->team_has_room(step) && task.may_number_run() &&
+           this->former_runs_ended(step, task, now);
 }
 
 bool dispatcher::may_move(const live_step& step, const live_task& task, core::steady_time now) const {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -63,7 +63,7 @@
 
     /// Called when the log has proved that this host leads.
     /// @param asked_at when the proof was asked for: when the read or append was sent.
-    void confirm_leadership(core::steady_time asked_at) { this->state.authority.confirm_by_log(asked_at); }
+    void confirm_leadership(core::steady_time asked_at);
 
     /// Called when the log has been read to its end and its records have been passed on.
     /// @param asked_at when the read was sent.
@@ -88,9 +88,21 @@
     /// @param teams all teams of that version.
     void set_teams(const std::vector<tenancy::team_policy>& teams);
 
-    /// Called when a job has been accepted. Does nothing while this host does not lead.
+    /// Called when the acceptance of a job has been read from the log. Does nothing while this host does not
+    /// lead.
     void add_job(const workflow::job_entry& entry);
 
+    /// Called when the acceptance of a job has been stored but not yet read. The job is prepared; it is
+    /// started once the acceptance has been read or the log has proved that this host led when it was stored.
+    /// Does nothing while this host does not lead.
+    /// @param entry the job.
+    /// @param now the current time.
+    void add_stored_job(const workflow::job_entry& entry, core::steady_time now);
+
+    /// Called when the acceptance of a job that was added before has been read from the log.
+    /// @param key the job; one that was not added by add_stored_job() is ignored.
+    void on_stored_job_read(const workflow::job_key& key) { this->permit_starts(key); }
+
     /// Called when a job has been cancelled; stops its runs.
     void cancel_job(const workflow::job_key& key, core::steady_time now);
 
@@ -149,6 +161,8 @@
     [[nodiscard]] bool fenced() const { return this->was_fenced; }
 
 private:
+    /// Permits the starts of a job of which the log has proved that this host led when it was stored.
+    void permit_starts(const workflow::job_key& key);
     void open_job(const workflow::job_entry& entry);
     /// Counts a job towards the rate of its team.
     /// @return whether it is within that rate.
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -150,7 +150,10 @@
     /// By number, the occurrences that are complete and no longer in `occurrences`.
     std::vector<bool> folded_occurrences;
     bool beyond_rate = false; ///< It came beyond the rate at which its team may send jobs.
-    bool inherited = false;   ///< Accepted before this host led: a former leader may have started its tasks.
+    /// When this host learned that it was stored, until the log has proved that this host led at that time:
+    /// otherwise a successor may have read it, as a job that nobody has started.
+    std::optional<core::steady_time> unproven_since;
+    bool inherited = false; ///< Accepted before this host led: a former leader may have started its tasks.
     /// No task is started any more and the runs are being stopped; also set if the job completed or failed.
     bool cancelled = false;
 
--- a/src/runtime/cell_control.cpp
+++ b/src/runtime/cell_control.cpp
@@ -56,7 +56,12 @@
         if (const auto* member = std::get_if<workflow::member_record>(&record)) {
             this->election.on_member(member->host, member->incarnation, now);
         }
-        this->on_change(this->book.apply(record, offset, now), now);
+        const auto change = this->book.apply(record, offset, now);
+        this->on_change(change, now);
+        const auto* accepted = std::get_if<workflow::job_accepted>(&record);
+        if (accepted != nullptr && change.what != workflow::state_change::kind::accepted) {
+            this->dispatcher.on_stored_job_read(accepted->request.key);
+        }
     }
     if (batch.caught_up) {
         this->election.on_caught_up(now);
@@ -84,7 +89,12 @@
         if (std::holds_alternative<workflow::job_accepted>(record) ||
             std::holds_alternative<workflow::job_cancelled>(record)) {
             // The offset in the log is not known here, but it is higher than that of all records read so far.
-            this->on_change(this->book.apply(record, this->last_offset.next(), now), now);
+            const auto change = this->book.apply(record, this->last_offset.next(), now);
+            if (change.what == workflow::state_change::kind::accepted) {
+                this->dispatcher.add_stored_job(*this->book.find(change.job), now);
+            } else {
+                this->on_change(change, now);
+            }
         }
     }
 }
--- a/tests/dispatch/simulated_cell.cpp
+++ b/tests/dispatch/simulated_cell.cpp
@@ -76,6 +76,16 @@
     this->run_dispatcher();
 }
 
+void simulated_cell::submit_through_former_leaders(const workflow::job_request& request,
+                                                   const workflow::queue_policy& policy) {
+    this->submit(request, policy);
+    for (const auto& [leader, leading] : this->dispatchers) {
+        if (leader != this->leader_number) {
+            leading->add_stored_job(*this->state.find(request.key), this->time);
+        }
+    }
+}
+
 void simulated_cell::set_teams(const std::vector<tenancy::team_policy>& teams) {
     this->teams.insert_or_assign(this->time, teams);
     this->current_dispatcher().set_teams(teams);
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -72,6 +72,11 @@
     /// @param team the team whose job it is; empty: none.
     void submit(workflow::job_request request, workflow::queue_policy policy, const core::team_id& team = {});
 
+    /// Submits a job as submit() does, through former leaders that live on: they know that it is stored, but
+    /// have not read it from the log.
+    void submit_through_former_leaders(const workflow::job_request& request,
+                                       const workflow::queue_policy& policy);
+
     /// Puts a version of the configuration's teams into effect. Runs that a team's start brings above its cap
     /// are violations; of the caps of the last seconds, the highest counts.
     void set_teams(const std::vector<tenancy::team_policy>& teams);
--- a/tests/runtime/cell_control_test.cpp
+++ b/tests/runtime/cell_control_test.cpp
@@ -14,6 +14,8 @@
     std::vector<std::vector<workflow::cell_record>> stored;
     std::vector<std::pair<core::epoch_id, std::vector<workflow::cell_record>>> stored_as_leader;
     log_writer::write_callback last_callback;
+    std::vector<dispatch::start_order> starts;
+    std::vector<dispatch::hold_order> holds;
     core::steady_time now{1h};
     std::uint64_t offset = 0;
     std::shared_ptr<const workflow::configuration> configuration;
@@ -42,6 +44,12 @@
         };
         options.hooks.configuration_changed = [this](const auto& version) { this->configuration = version; };
         options.hooks.members_changed = [](const auto&) {};
+        options.dispatch.hooks = {
+            .start = [this](const dispatch::start_order& order) { this->starts.push_back(order); },
+            .stop = [](const dispatch::stop_order&) {},
+            .hold = [this](const dispatch::hold_order& order) { this->holds.push_back(order); },
+            .pace = [](const dispatch::pace_order&) {},
+            .advise = [](const dispatch::advice_order&) {}};
         this->control = std::make_unique<cell_control>(std::move(options));
     }
 
@@ -64,6 +72,25 @@
         this->control->run(this->now, core::system_time{});
     }
 
+    /// Makes this host the leader, of one worker that has answered and is in the roster of the log.
+    void lead_one_worker() {
+        constexpr dispatch::worker_incarnation_id incarnation{1};
+        this->read(
+            {workflow::leader_record{.epoch = core::epoch_id{1}, .leader = core::incarnation_id{"me"}}});
+        auto& dispatcher = this->control->job_dispatcher();
+        dispatcher.set_worker_list({{.worker = core::worker_id{"w"}, .incarnation = incarnation}}, this->now);
+        for (int i = 0; i < 2; i++) {
+            this->advance(200ms);
+            this->last_callback(write_outcome::stored);
+            dispatcher.on_hold_reply(this->holds.back(),
+                                     {.answered = true,
+                                      .received_at = this->now,
+                                      .incarnation = incarnation,
+                                      .lists_all_ends = true},
+                                     this->now);
+        }
+    }
+
     [[nodiscard]] const workflow::leader_record* last_claim() const {
         return this->stored_as_leader.empty()
                    ? nullptr
@@ -126,6 +153,55 @@
     CHECK(host.control->phase_of(workflow::job_key{"a"}) == workflow::job_phase::queued);
 }
 
+// TWICE: a leader that had not read the claim of its successor started a job that it had just stored; the
+// successor had read the job as one that nobody had started, and started it too.
+TEST_CASE("a leader starts a job that it has stored only once the log has proved that it led then") {
+    host_fixture host;
+    host.lead_one_worker();
+    host.control->submit(accepted("a"), [](request_outcome) {});
+    host.advance(10ms);
+    const auto store_job = [&host] { host.control->on_stored({accepted("a")}, host.now); };
+    SECTION("by a read of the job") {
+        store_job();
+        host.advance(10ms);
+        CHECK(host.starts.empty());
+        host.read({accepted("a")});
+        host.advance(10ms);
+        CHECK(host.starts.size() == 1);
+    }
+    SECTION("by a read that was sent afterwards") {
+        store_job();
+        const auto stored_at = host.now;
+        host.advance(10ms);
+        host.control->on_records({.caught_up = true, .asked_at = stored_at - 1ms}, host.now);
+        host.advance(10ms);
+        CHECK(host.starts.empty());
+        host.control->on_records({.caught_up = true, .asked_at = stored_at + 1ms}, host.now);
+        host.advance(10ms);
+        CHECK(host.starts.size() == 1);
+    }
+    SECTION("by a heartbeat that was sent afterwards") {
+        host.advance(300ms);
+        const auto heartbeat_sent_before = host.last_callback;
+        host.advance(10ms);
+        store_job();
+        heartbeat_sent_before(write_outcome::stored);
+        host.advance(10ms);
+        CHECK(host.starts.empty());
+        host.advance(300ms);
+        host.last_callback(write_outcome::stored);
+        host.advance(10ms);
+        CHECK(host.starts.size() == 1);
+    }
+    SECTION("never, if the claim of a successor comes before the job") {
+        store_job();
+        host.advance(10ms);
+        host.read({leader_record(2, "other"), accepted("a")});
+        host.advance(10ms);
+        CHECK(host.starts.empty());
+    }
+}
+
 TEST_CASE("a repeated submission is stored once") {
     host_fixture host;
     host.read({accepted("a")});
