Tests ask the simulated cell for a worker's index; start checks name all their conditions

Two new tests searched a worker's index by its name, which the simulated cell knows (index_of(), public now).

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -180,9 +180,9 @@
     [[nodiscard]] std::optional<team_standing> standing_of(live_step& step, const team_shares& shares);
     [[nodiscard]] start_check make_start_check() const;
     [[nodiscard]] start_check make_move_check() const;
-    /// @return whether a task may be started: its team has room for it (for a gang, for all of its tasks),
-    /// a successor leaves out the number of its run, and no run of it that a former leader started can be
-    /// left.
+    /// @return whether a task may be started: no successor takes its job for one that nobody has started, its
+    /// team has room for it (for a gang, for all of its tasks), a successor leaves out the number of its run,
+    /// and no run of it that a former leader started can be left.
     [[nodiscard]] bool may_start(const live_step& step, const live_task& task, core::steady_time now) const;
     /// @return whether a task may be moved, or started in the place to which it is moved.
     [[nodiscard]] bool may_move(const live_step& step, const live_task& task, core::steady_time now) const;
--- a/src/dispatch/live_job.h
+++ b/src/dispatch/live_job.h
@@ -167,8 +167,8 @@
     [[nodiscard]] const workflow::job_key& key() const { return this->entry->accepted.request.key; }
 };
 
-/// Returns whether a task may start now: whether its team's cap leaves room for it, a successor leaves out
-/// the number of its run, and no run of it that a former leader started can be left.
+/// Returns whether a task may start now: whether its job is not unproven, its team's cap leaves room for it,
+/// a successor leaves out the number of its run, and no run of it that a former leader started can be left.
 using start_check = std::function<bool(const live_step&, const live_task&, core::steady_time)>;
 
 /// Adds an occurrence to a job, with the progress that the log has of it.
--- a/tests/dispatch/rack_gang_test.cpp
+++ b/tests/dispatch/rack_gang_test.cpp
@@ -54,12 +54,8 @@
             if (order.run.task.step.job.value() != job) {
                 return;
             }
-            std::uint32_t index = 0;
-            while (simulated_cell::worker_name(index) != order.target.worker) {
-                index++;
-            }
             this->first = this->racks.empty() ? cell.now() : this->first;
-            this->racks.insert(index / workers_per_rack);
+            this->racks.insert(cell.index_of(order.target.worker) / workers_per_rack);
         };
     }
 };
--- a/tests/dispatch/run_numbers_test.cpp
+++ b/tests/dispatch/run_numbers_test.cpp
@@ -38,14 +38,6 @@
     return job;
 }
 
-std::uint32_t index_of(const core::worker_id& worker) {
-    std::uint32_t index = 0;
-    while (simulated_cell::worker_name(index) != worker) {
-        index++;
-    }
-    return index;
-}
-
 /// Cuts the worker of a run off as soon as the run has begun, and replaces the leader before it has recorded
 /// the start. Checks that each leader uses higher numbers than the ones before.
 /// @param run the number of the run.
@@ -61,7 +53,7 @@
             return;
         }
         replaced = true;
-        cell.call_after(latency + 1ms, [&cell, index = index_of(order.target.worker)] {
+        cell.call_after(latency + 1ms, [&cell, index = cell.index_of(order.target.worker)] {
             cell.set_disconnected(index, true);
             cell.change_leader();
             cell.call_after(outage, [&cell, index] { cell.set_disconnected(index, false); });
@@ -175,7 +167,7 @@
     cell.submit(long_running_job(), plain_queue());
     cell.run_for(1s);
     REQUIRE(cell.started_runs() == 1);
-    cell.list_end((index_of(started->target.worker) + 1) % workers, started->run, how);
+    cell.list_end((cell.index_of(started->target.worker) + 1) % workers, started->run, how);
     cell.run_for(2 * outage);
     CHECK(cell.running_of("a") == 1);
     CHECK(cell.started_runs() == 1);
--- a/tests/dispatch/simulated_cell.h
+++ b/tests/dispatch/simulated_cell.h
@@ -207,6 +207,9 @@
     /// @return the name of a worker.
     [[nodiscard]] static core::worker_id worker_name(std::uint32_t index);
 
+    /// @return the index of a worker.
+    [[nodiscard]] std::uint32_t index_of(const core::worker_id& worker) const;
+
     [[nodiscard]] core::steady_time now() const { return this->time; }
     [[nodiscard]] dispatch::dispatcher& current_dispatcher() {
         return *this->dispatchers.at(this->leader_number);
@@ -271,7 +274,6 @@
     /// @return whether the answer to an order reaches its sender, if no other fault prevents it.
     bool connection_survives(std::uint32_t index, dispatch::worker_incarnation_id since);
     dispatch::worker_time clock_of(const sim_worker& worker) const;
-    std::uint32_t index_of(const core::worker_id& worker) const;
     dispatch::order_reply do_start(std::uint32_t index, const dispatch::start_order& order);
     dispatch::order_reply do_stop(std::uint32_t index, const dispatch::stop_order& order);
     /// Carries out a hold, but for its answer.
--- a/tests/dispatch/stored_jobs_test.cpp
+++ b/tests/dispatch/stored_jobs_test.cpp
@@ -3,7 +3,6 @@
 #include <catch2/catch.hpp>
 
 #include <cstdint>
-#include <string>
 
 namespace rattanmount::tests {
 
